--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy libasio-dev libcapnp-dev libcpp-httplib-dev \
   libspdlog-dev libfmt-dev librapidcheck-dev libboost-dev libboost-program-options-dev nlohmann-json3-dev libssl-dev \
-  libgtest-dev libgmock-dev
+  libgtest-dev libgmock-dev zlib1g-dev libbrotli-dev
 
 .PHONY: setup build test demo bench format check-format lint clean
 
--- a/packages/platform/src/HttpUpstreamClient.cpp
+++ b/packages/platform/src/HttpUpstreamClient.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 /// Fields that belong to one connection and are not passed on (RFC 9110, section 7.6.1).
+/// Accept-Encoding is among them because the HTTP server negotiates compression with the caller by
+/// itself, and would compress twice.
 bool IsHopByHop(const std::string& aName)
 {
   static const char* const kNames[] = { "connection", "keep-alive", "proxy-connection",
@@ -37,6 +39,7 @@
   request.method = aRequest.method;
   request.path = aRequest.target;
   request.body = aRequest.body;
+  request.set_header("Accept-Encoding", "identity");
   for (const auto& [name, value] : aRequest.headers) {
     if (!IsHopByHop(name)) {
       request.headers.emplace(name, value);
