--- /dev/null
+++ b/packages/durable/include/daisydrift/durable/Recovery.h
@@ -0,0 +1,34 @@
+#pragma once
+// Takeover of a region's durable state by a new leader.
+
+#include "daisydrift/durable/Journal.h"
+#include "daisydrift/durable/RegionState.h"
+#include "daisydrift/durable/Snapshot.h"
+
+#include <memory>
+
+namespace daisydrift {
+
+/// What a new leader works with.
+struct RegionOwnership
+{
+  std::unique_ptr<Journal> journal;
+  std::unique_ptr<SnapshotWriter> snapshots;
+  /// State after the last committed record, which is the barrier of the new leader.
+  RegionState state;
+};
+
+/// Reads the snapshot and the journal of aRegion and ends the old leader's writes by an epoch
+/// barrier. Safe while the old leader is still appending: a record it committed first is read, one
+/// it tries after the barrier fails. aEpoch must be higher than that of every earlier leader of the
+/// region; aWriter is unique for the process. After an error the caller may call again with the
+/// same epoch. Errors: Fenced (a leader of a higher epoch exists), Conflict (the old leader was
+/// faster in every round), OutcomeUnknown (the barrier may or may not be written), Corrupt, and
+/// those of the store.
+Result<RegionOwnership> TakeOver(Store& aStore,
+                                 const std::string& aRegion,
+                                 Epoch aEpoch,
+                                 const InstanceId& aWriter,
+                                 const DurableOptions& aOptions = {});
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/durable/src/Recovery.cpp
@@ -0,0 +1,96 @@
+#include "daisydrift/durable/Recovery.h"
+
+#include <functional>
+
+namespace daisydrift {
+
+namespace {
+
+/// Reads the snapshot and starts a journal at its position.
+std::error_code Load(Store& aStore,
+                     const std::string& aRegion,
+                     Epoch aEpoch,
+                     const InstanceId& aWriter,
+                     const DurableOptions& aOptions,
+                     RegionOwnership& aOut)
+{
+  SnapshotHead head;
+  auto state = ReadSnapshot(aStore, aRegion, aOptions, head);
+  if (head.epoch > aEpoch || (head.epoch == aEpoch && head.writer != aWriter)) {
+    return Errc::Fenced;
+  }
+  if (!state) {
+    return state.Error();
+  }
+  aOut.state = std::move(*state);
+  aOut.journal = std::make_unique<Journal>(aStore, aRegion, aEpoch, aWriter, aOptions);
+  aOut.journal->SetCovered(head.position);
+  aOut.snapshots = std::make_unique<SnapshotWriter>(aStore, aRegion, aEpoch, aWriter, aOptions);
+  return {};
+}
+
+/// Makes room for the barrier. Every slot may hold an uncovered record; a snapshot of committed
+/// records is valid at any time, so it may be written before the barrier.
+std::error_code MakeRoom(RegionOwnership& aOut)
+{
+  if (aOut.journal->HasRoom()) {
+    return {};
+  }
+  auto covered = aOut.snapshots->Write(aOut.state);
+  if (!covered) {
+    return covered.Error();
+  }
+  aOut.journal->SetCovered(*covered);
+  return {};
+}
+
+/// One try to read to the end of the journal and to append the barrier there. aIsLoaded says
+/// whether the state read so far can still be used. Errors: Conflict when the old leader was
+/// faster.
+std::error_code TryTakeOver(const std::function<std::error_code()>& aLoad,
+                            RegionOwnership& aOut,
+                            bool& aIsLoaded)
+{
+  if (!aIsLoaded) {
+    if (auto error = aLoad()) {
+      return error;
+    }
+  }
+  // A slot that was reused before it was read needs the newer snapshot.
+  aIsLoaded = false;
+  if (auto error = aOut.journal->ReadForward(aOut.state)) {
+    return error;
+  }
+  aIsLoaded = true;
+  if (auto error = MakeRoom(aOut)) {
+    return error;
+  }
+  auto barrier = aOut.journal->AppendBarrier();
+  return barrier ? aOut.state.ApplyEntries(*barrier, {}) : barrier.Error();
+}
+
+} // namespace
+
+Result<RegionOwnership> TakeOver(Store& aStore,
+                                 const std::string& aRegion,
+                                 Epoch aEpoch,
+                                 const InstanceId& aWriter,
+                                 const DurableOptions& aOptions)
+{
+  if (aEpoch == 0) {
+    return Errc::InvalidArgument;
+  }
+  RegionOwnership ownership;
+  bool isLoaded = false;
+  auto load = [&] { return Load(aStore, aRegion, aEpoch, aWriter, aOptions, ownership); };
+  std::error_code error = Errc::Conflict;
+  for (unsigned i = 0; i < aOptions.maxTakeOverRounds && error == Errc::Conflict; ++i) {
+    error = TryTakeOver(load, ownership, isLoaded);
+  }
+  if (error) {
+    return error;
+  }
+  return ownership;
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/durable/tests/DurableFixtures.h
@@ -0,0 +1,61 @@
+#pragma once
+// Shared by the tests of this package.
+
+#include "daisydrift/durable.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace daisydrift {
+
+inline const std::string kRegion = "erongo";
+
+/// Position of an error in the tables below.
+inline const std::vector<std::pair<std::string, StoreFault>> kStoreFaults = {
+  { "unreachable", StoreFault::Unreachable },
+  { "answer_lost", StoreFault::AnswerLost },
+  { "request_lost", StoreFault::RequestLost },
+  { "overloaded", StoreFault::Overloaded }
+};
+
+/// A job accepted with an idempotency key of its own.
+inline JobAccepted Accept(JobNumber aJob, std::string aSpecification = "spec")
+{
+  return { aJob, "trust", std::move(aSpecification), "key" + std::to_string(aJob), "body", 1000 };
+}
+
+/// An assignment of attempt aAttempt of the only task of aJob.
+inline TaskAssigned Assign(JobNumber aJob, std::uint32_t aAttempt = 1)
+{
+  return {
+    { { aJob, 0 }, aAttempt }, "worker-" + std::to_string(aJob % 50), "i1", { 500, 256, 0 }
+  };
+}
+
+/// Commits a group and applies it; returns the error of the append.
+inline std::error_code Commit(RegionOwnership& aOwner, const std::vector<JournalEntry>& aEntries)
+{
+  auto number = aOwner.journal->Append(aEntries);
+  return number ? aOwner.state.ApplyEntries(*number, aEntries) : number.Error();
+}
+
+/// Writes a snapshot and tells the journal; returns the error of the write.
+inline std::error_code Compact(RegionOwnership& aOwner)
+{
+  auto covered = aOwner.snapshots->Write(aOwner.state);
+  if (covered) {
+    aOwner.journal->SetCovered(*covered);
+  }
+  return covered.Error();
+}
+
+/// Applies aFault to store call number aCall (from 0, of all calls while installed) and counts.
+inline FakeStore::FaultHook FaultAt(std::size_t aCall, StoreFault aFault, std::size_t& aCount)
+{
+  return [=, &aCount](const std::string&, const std::string&) {
+    return aCount++ == aCall ? aFault : StoreFault::None;
+  };
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/durable/tests/JournalTest.cpp
@@ -0,0 +1,234 @@
+// Journal and takeover against a store with faults at each call.
+
+#include "DurableFixtures.h"
+
+#include <gtest/gtest.h>
+
+namespace daisydrift {
+namespace {
+
+struct Region
+{
+  ManualClock clock;
+  FakeStore store{ clock };
+
+  RegionOwnership Lead(Epoch aEpoch)
+  {
+    auto owner = TakeOver(this->store, kRegion, aEpoch, "writer-" + std::to_string(aEpoch));
+    EXPECT_TRUE(owner) << owner.Error().message();
+    return std::move(*owner);
+  }
+};
+
+/// Guards against a first leader that can't start on an empty store.
+TEST(Journal, StartsOnAnEmptyStoreAndIsReadBack)
+{
+  Region region;
+  RegionOwnership owner = region.Lead(1);
+  EXPECT_EQ(owner.journal->Position(), 1u);
+  EXPECT_FALSE(Commit(owner, { Accept(1), Assign(1) }));
+  RegionOwnership next = region.Lead(2);
+  ASSERT_NE(next.state.FindJob(1), nullptr);
+  EXPECT_EQ(next.state.FindJob(1)->tasks.size(), 1u);
+  EXPECT_EQ(next.state.FindKey("trust", "key1")->job, 1u);
+  EXPECT_EQ(next.state.NextJob(), 2u);
+}
+
+/// Guards against a deposed leader whose record is accepted after the barrier.
+TEST(Journal, DeposedLeaderIsFenced)
+{
+  Region region;
+  RegionOwnership old = region.Lead(1);
+  RegionOwnership owner = region.Lead(2);
+  EXPECT_EQ(Commit(old, { Accept(1) }), Errc::Fenced);
+  EXPECT_TRUE(old.journal->IsFenced());
+  EXPECT_EQ(old.journal->Resolve().Error(), Errc::Fenced);
+  EXPECT_FALSE(Commit(owner, { Accept(1) }));
+  EXPECT_EQ(TakeOver(region.store, kRegion, 1, "writer-1").Error(), Errc::Fenced);
+  EXPECT_EQ(TakeOver(region.store, kRegion, 2, "someone").Error(), Errc::Fenced);
+}
+
+/// Guards against a lost answer that is reported as success or failure without proof, and against a
+/// record that is written twice.
+TEST(Journal, EachFaultAtEachCallOfAnAppendHasATrueOutcome)
+{
+  for (const auto& [name, fault] : kStoreFaults) {
+    for (std::size_t call = 0; call < 4; ++call) {
+      SCOPED_TRACE(name + " at call " + std::to_string(call));
+      Region region;
+      RegionOwnership owner = region.Lead(1);
+      std::size_t count = 0;
+      region.store.SetFaultHook(FaultAt(call, fault, count));
+      auto error = Commit(owner, { Accept(1) });
+      region.store.SetFaultHook({});
+      bool isNotRun = error == Errc::Unreachable || error == Errc::Overloaded;
+      EXPECT_TRUE(!error || isNotRun) << error.message();
+      RegionOwnership next = region.Lead(2);
+      EXPECT_EQ(next.state.Jobs().size(), isNotRun ? 0u : 1u);
+      EXPECT_EQ(next.state.Position(), isNotRun ? 2u : 3u);
+    }
+  }
+}
+
+/// Guards against an unresolved record that is forgotten, and against writes that follow it.
+TEST(Journal, UnresolvedRecordBlocksUntilResolved)
+{
+  for (bool takesEffect : { true, false }) {
+    Region region;
+    RegionOwnership owner = region.Lead(1);
+    bool isFirst = true;
+    region.store.SetFaultHook([&](const std::string&, const std::string&) {
+      StoreFault fault = takesEffect && isFirst ? StoreFault::AnswerLost : StoreFault::RequestLost;
+      isFirst = false;
+      return fault;
+    });
+    std::vector<JournalEntry> entries{ Accept(1) };
+    EXPECT_EQ(owner.journal->Append(entries).Error(), Errc::OutcomeUnknown);
+    EXPECT_EQ(owner.journal->Append({ Accept(2) }).Error(), Errc::NotPermitted);
+    EXPECT_EQ(owner.journal->Resolve().Error(), Errc::OutcomeUnknown);
+    ASSERT_NE(owner.journal->UnresolvedEntries(), nullptr);
+    EXPECT_EQ(*owner.journal->UnresolvedEntries(), entries);
+    region.store.SetFaultHook({});
+    auto number = owner.journal->Resolve();
+    ASSERT_TRUE(number);
+    EXPECT_EQ(*number, 2u);
+    EXPECT_EQ(owner.journal->UnresolvedEntries(), nullptr);
+    EXPECT_EQ(region.Lead(2).state.Jobs().size(), 1u);
+  }
+}
+
+/// Guards against a deposed leader that reports an unresolved record wrongly: committed if the new
+/// leader has read it, not committed if the barrier took its slot, unknown once the slot is reused.
+TEST(Journal, UnresolvedRecordOfADeposedLeader)
+{
+  for (bool takesEffect : { true, false }) {
+    for (bool isReused : { false, true }) {
+      Region region;
+      RegionOwnership old = region.Lead(1);
+      bool isFirst = true;
+      region.store.SetFaultHook([&](const std::string&, const std::string&) {
+        StoreFault fault =
+          takesEffect && isFirst ? StoreFault::AnswerLost : StoreFault::RequestLost;
+        isFirst = false;
+        return fault;
+      });
+      EXPECT_EQ(old.journal->Append({ Accept(1) }).Error(), Errc::OutcomeUnknown);
+      region.store.SetFaultHook({});
+      RegionOwnership owner = region.Lead(2);
+      for (std::uint64_t i = 0; isReused && i < kJournalSlots; ++i) {
+        ASSERT_FALSE(Commit(owner, { JobCancelled{ 1 } }));
+        if (owner.journal->NeedsSnapshot()) {
+          ASSERT_FALSE(Compact(owner));
+        }
+      }
+      auto resolved = old.journal->Resolve();
+      EXPECT_EQ(resolved.HasValue(), takesEffect && !isReused);
+      EXPECT_EQ(resolved.Error() == Errc::OutcomeUnknown, isReused);
+      EXPECT_EQ(resolved.Error() == Errc::Fenced, !takesEffect && !isReused);
+      EXPECT_EQ(old.journal->IsFenced(), !resolved);
+      EXPECT_EQ(owner.state.Jobs().size(), takesEffect ? 1u : 0u);
+    }
+  }
+}
+
+/// Guards against a slot that is reused before a snapshot covers its record, which would lose the
+/// record, and against a takeover that fails because the ring is full.
+TEST(Journal, RingIsNotReusedWithoutASnapshot)
+{
+  Region region;
+  RegionOwnership owner = region.Lead(1);
+  std::uint64_t appended = 1;
+  std::error_code error;
+  while (!(error = Commit(owner, { Accept(appended) }))) {
+    ++appended;
+  }
+  EXPECT_EQ(error, Errc::LimitReached);
+  EXPECT_EQ(appended, kJournalSlots);
+  EXPECT_TRUE(owner.journal->NeedsSnapshot());
+  RegionOwnership next = region.Lead(2);
+  EXPECT_EQ(next.state.Jobs().size(), kJournalSlots - 1);
+  EXPECT_EQ(Compact(owner), Errc::Fenced);
+  EXPECT_FALSE(Commit(next, { Accept(appended) }));
+  EXPECT_EQ(region.Lead(3).state.Jobs(), next.state.Jobs());
+}
+
+/// Guards against records above the store's size limit, which the caller has to split.
+TEST(Journal, RefusesLargeAndEmptyRecords)
+{
+  Region region;
+  RegionOwnership owner = region.Lead(1);
+  std::string noise(kMaxRecordBytes, 'x');
+  EXPECT_GT(owner.journal->EncodedSize({ Accept(1, noise) }), kMaxRecordBytes);
+  EXPECT_EQ(Commit(owner, { Accept(1, noise) }), Errc::InvalidArgument);
+  EXPECT_EQ(Commit(owner, {}), Errc::InvalidArgument);
+  EXPECT_FALSE(Commit(owner, { Accept(1) }));
+}
+
+/// Guards against a takeover that fails, or reads a record twice or not at all, when a store call
+/// fails, and against one that can't be repeated after it.
+TEST(Recovery, EachFaultAtEachCallLeavesATakeOverThatCanBeRepeated)
+{
+  for (const auto& [name, fault] : kStoreFaults) {
+    for (std::size_t call = 0;; ++call) {
+      SCOPED_TRACE(name + " at call " + std::to_string(call));
+      Region region;
+      RegionOwnership owner = region.Lead(1);
+      ASSERT_FALSE(Commit(owner, { Accept(1) }));
+      ASSERT_FALSE(Compact(owner));
+      for (JobNumber job = 2; job < 20; ++job) {
+        ASSERT_FALSE(Commit(owner, { Accept(job) }));
+      }
+      std::size_t count = 0;
+      region.store.SetFaultHook(FaultAt(call, fault, count));
+      auto next = TakeOver(region.store, kRegion, 2, "writer-2");
+      region.store.SetFaultHook({});
+      if (!next) {
+        next = TakeOver(region.store, kRegion, 2, "writer-2");
+      }
+      ASSERT_TRUE(next) << next.Error().message();
+      EXPECT_EQ(next->state.Jobs(), owner.state.Jobs());
+      EXPECT_EQ(Commit(owner, { Accept(20) }), Errc::Fenced);
+      EXPECT_FALSE(Commit(*next, { Accept(20) }));
+      if (count <= call) {
+        break;
+      }
+    }
+  }
+}
+
+/// Guards against a takeover that loses a record which the old leader commits meanwhile, and
+/// against one that never ends while the old leader goes on.
+TEST(Recovery, WorksWhileTheOldLeaderAppends)
+{
+  for (unsigned appends : { 1u, 2u, 7u, 1000u }) {
+    Region region;
+    RegionOwnership old = region.Lead(1);
+    unsigned left = appends;
+    bool isInside = false;
+    region.store.SetFaultHook([&](const std::string&, const std::string&) {
+      if (!isInside && left > 0) {
+        isInside = true;
+        --left;
+        EXPECT_FALSE(Commit(old, { Accept(old.state.NextJob()) }));
+        if (old.journal->NeedsSnapshot()) {
+          EXPECT_FALSE(Compact(old));
+        }
+        isInside = false;
+      }
+      return StoreFault::None;
+    });
+    auto next = TakeOver(region.store, kRegion, 2, "writer-2");
+    if (appends == 1000u) {
+      EXPECT_EQ(next.Error(), Errc::Conflict);
+      EXPECT_GT(left, 0u);
+      continue;
+    }
+    ASSERT_TRUE(next) << next.Error().message();
+    EXPECT_EQ(left, 0u);
+    EXPECT_EQ(next->state.Jobs(), old.state.Jobs());
+    EXPECT_EQ(Commit(old, { Accept(old.state.NextJob()) }), Errc::Fenced);
+  }
+}
+
+} // namespace
+} // namespace daisydrift
