Routing of interactive requests

Change: package routing. RequestRouter is the entry point; below it RoutingEngine, UpstreamTable, AdmissionQueue, RetryPolicy, RetryBudget, Hedge and UpstreamShare decide with the time passed in.

--- /dev/null
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -0,0 +1,206 @@
+#include "daisydrift/routing/AdmissionQueue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace daisydrift {
+
+namespace {
+
+/// Weight of the newest interval in the smoothed rate: follows a change within some 16 turns.
+constexpr double kRateSmoothing = 1.0 / 16;
+/// Idle teams are forgotten when more than this many are known.
+constexpr std::size_t kMaxKnownTeams = 256;
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(std::size_t aBound, std::size_t aTeamBound)
+  : bound(aBound)
+  , teamBound(aTeamBound)
+{
+}
+
+AdmissionQueue::~AdmissionQueue()
+{
+  for (auto& [name, team] : this->teams) {
+    team.requests.clear();
+  }
+}
+
+AdmissionQueue::Team& AdmissionQueue::Activate(const TeamName& aName, double aWeight)
+{
+  if (this->teams.size() > kMaxKnownTeams) {
+    this->ForgetIdleTeams();
+  }
+  Team& team = this->teams[aName];
+  team.weight = std::max(aWeight, kMinTeamWeight);
+  if (team.requests.empty()) {
+    // A team that was idle gets no credit for that time.
+    team.virtualStart = std::max(team.virtualStart, this->virtualTime);
+  }
+  return team;
+}
+
+void AdmissionQueue::ForgetIdleTeams()
+{
+  for (auto team = this->teams.begin(); team != this->teams.end();) {
+    bool isIdle = team->second.requests.empty() && team->second.virtualStart <= this->virtualTime;
+    team = isIdle ? this->teams.erase(team) : std::next(team);
+  }
+}
+
+void AdmissionQueue::Append(const QueueEntry& aEntry, Team& aTeam, bool aIsFront)
+{
+  auto [found, isNew] = this->waiting.try_emplace(aEntry.request);
+  assert(isNew);
+  Waiting& item = found->second;
+  item.request = aEntry.request;
+  item.team = &aTeam;
+  if (aIsFront) {
+    aTeam.requests.push_front(item);
+  } else {
+    aTeam.requests.push_back(item);
+  }
+}
+
+AdmissionQueue::Team* AdmissionQueue::MostAboveShare(double& aLoad)
+{
+  Team* most = nullptr;
+  aLoad = 0;
+  for (auto& [name, team] : this->teams) {
+    double load = static_cast<double>(team.requests.size()) / team.weight;
+    if (load > aLoad) {
+      most = &team;
+      aLoad = load;
+    }
+  }
+  return most;
+}
+
+PushResult AdmissionQueue::Push(const QueueEntry& aEntry, TimePoint aNow)
+{
+  PushResult result;
+  result.expectedWait = this->ExpectedWait(aEntry.team, aEntry.weight, aNow);
+  if (aNow + result.expectedWait > aEntry.deadline) {
+    result.verdict = PushVerdict::DeadlineUnreachable;
+    return result;
+  }
+  Team& team = this->Activate(aEntry.team, aEntry.weight);
+  if (team.requests.size() >= this->teamBound) {
+    result.verdict = PushVerdict::TeamQueueFull;
+    return result;
+  }
+  if (this->waiting.size() >= this->bound) {
+    double load = 0;
+    Team* most = this->MostAboveShare(load);
+    double ownLoad = static_cast<double>(team.requests.size() + 1) / team.weight;
+    if (!most || most == &team || load <= ownLoad) {
+      result.verdict = PushVerdict::QueueFull;
+      return result;
+    }
+    result.evicted = most->requests.back().request;
+    this->Cancel(result.evicted);
+  }
+  if (this->waiting.empty()) {
+    this->lastTurn = aNow;
+  }
+  this->Append(aEntry, team, false);
+  return result;
+}
+
+void AdmissionQueue::PushFront(const QueueEntry& aEntry)
+{
+  this->Append(aEntry, this->Activate(aEntry.team, aEntry.weight), true);
+}
+
+const AdmissionQueue::Team* AdmissionQueue::NextTeam() const
+{
+  const Team* next = nullptr;
+  for (const auto& [name, team] : this->teams) {
+    if (!team.requests.empty() && (!next || team.virtualStart < next->virtualStart)) {
+      next = &team;
+    }
+  }
+  return next;
+}
+
+RequestNumber AdmissionQueue::Front() const
+{
+  const Team* team = this->NextTeam();
+  return team ? team->requests.front().request : 0;
+}
+
+RequestNumber AdmissionQueue::Pop(TimePoint aNow)
+{
+  RequestNumber request = this->Front();
+  assert(request != 0);
+  Team& team = *this->waiting.at(request).team;
+  this->virtualTime = team.virtualStart;
+  team.virtualStart += 1.0 / team.weight;
+  double interval = static_cast<double>((aNow - this->lastTurn).count());
+  this->turnInterval = this->turnInterval == 0
+                         ? interval
+                         : this->turnInterval + (interval - this->turnInterval) * kRateSmoothing;
+  this->lastTurn = aNow;
+  this->Cancel(request);
+  return request;
+}
+
+bool AdmissionQueue::Cancel(RequestNumber aRequest)
+{
+  auto found = this->waiting.find(aRequest);
+  if (found == this->waiting.end()) {
+    return false;
+  }
+  auto& requests = found->second.team->requests;
+  requests.erase(requests.iterator_to(found->second));
+  this->waiting.erase(found);
+  return true;
+}
+
+std::size_t AdmissionQueue::Cancel(const std::vector<RequestNumber>& aRequests)
+{
+  std::size_t cancelled = 0;
+  for (RequestNumber request : aRequests) {
+    cancelled += this->Cancel(request) ? 1 : 0;
+  }
+  return cancelled;
+}
+
+std::vector<RequestNumber> AdmissionQueue::RequestsOf(const TeamName& aTeam) const
+{
+  std::vector<RequestNumber> requests;
+  auto found = this->teams.find(aTeam);
+  if (found != this->teams.end()) {
+    for (const Waiting& item : found->second.requests) {
+      requests.push_back(item.request);
+    }
+  }
+  return requests;
+}
+
+Duration AdmissionQueue::ExpectedWait(const TeamName& aTeam, double aWeight, TimePoint aNow) const
+{
+  if (this->waiting.empty() || this->turnInterval == 0) {
+    return Duration(0);
+  }
+  double weight = std::max(aWeight, kMinTeamWeight);
+  double activeWeight = weight;
+  double ownRequests = 1;
+  for (const auto& [name, team] : this->teams) {
+    if (name == aTeam) {
+      ownRequests += static_cast<double>(team.requests.size());
+    } else if (!team.requests.empty()) {
+      activeWeight += team.weight;
+    }
+  }
+  // The team's turns come at its share of the rate, but never later than all that wait now.
+  double turns =
+    std::min(static_cast<double>(this->waiting.size()) + 1, ownRequests * activeWeight / weight);
+  // A stall shows before the next turn does.
+  double interval =
+    std::max(this->turnInterval, static_cast<double>((aNow - this->lastTurn).count()));
+  return Duration(static_cast<std::int64_t>(turns * interval));
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/routing/tests/RequestRouterTest.cpp
@@ -0,0 +1,334 @@
+// Guards against: answers that say not_run of a started request, retries of requests that must not
+// be repeated, sends without a seat, answers crossed between requests, and a stop that interrupts
+// requests.
+
+#include "FakeUpstreams.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+namespace daisydrift {
+namespace {
+
+using namespace std::chrono_literals;
+
+class RequestRouterTest : public testing::Test
+{
+protected:
+  RequestRouterTest() { this->settings.failureDomain = "hobart"; }
+
+  RequestRouter& Router()
+  {
+    if (!this->router) {
+      RoutingHooks hooks;
+      hooks.maySend = [this] { return this->maySend; };
+      hooks.forwardToPeer = this->forward;
+      hooks.waitUntil =
+        [this](std::condition_variable&, std::unique_lock<std::mutex>&, TimePoint aUntil) {
+          this->clock.Advance(std::max(Duration(1), aUntil - this->clock.Now()));
+        };
+      this->router = std::make_unique<RequestRouter>(
+        this->settings, this->upstreams, this->clock, this->metrics, hooks);
+      this->router->UpdateUpstreams(UpstreamList(this->upstreamCount));
+      this->router->SetSeat(0);
+    }
+    return *this->router;
+  }
+
+  RoutedAnswer Route(const std::string& aBody, bool aIsRepeatable, Duration aDeadline = 10s)
+  {
+    UpstreamRequest request{ "POST", "/check", {}, aBody };
+    return this->Router().Route(
+      "desk", "a", 1, request, aIsRepeatable, this->clock.Now() + aDeadline);
+  }
+
+  unsigned Sends()
+  {
+    unsigned sum = 0;
+    for (const auto& [port, count] : this->upstreams.sends) {
+      sum += count;
+    }
+    return sum;
+  }
+
+  RoutingSettings settings;
+  ManualClock clock;
+  Metrics metrics;
+  FakeUpstreams upstreams{ &this->clock };
+  unsigned upstreamCount = 4;
+  bool maySend = true;
+  std::function<std::optional<RoutedAnswer>(const RoutedRequest&)> forward;
+  std::unique_ptr<RequestRouter> router;
+};
+
+struct FaultCase
+{
+  const char* name;
+  FakeFault fault;
+  bool isRepeatable;
+  int status;
+  const char* code;
+  RequestOutcome outcome;
+  /// Sends expected when every upstream has the fault.
+  unsigned sends;
+};
+
+const FaultCase kFaultCases[] = {
+  { "none", FakeFault::None, false, 200, "", RequestOutcome::Ran, 1 },
+  { "silent", FakeFault::Silent, false, 504, "upstream_no_answer", RequestOutcome::Unknown, 1 },
+  { "silent, repeatable",
+    FakeFault::Silent,
+    true,
+    504,
+    "upstream_no_answer",
+    RequestOutcome::Unknown,
+    1 },
+  { "half-open",
+    FakeFault::HalfOpen,
+    false,
+    504,
+    "upstream_no_answer",
+    RequestOutcome::Unknown,
+    1 },
+  { "slow", FakeFault::Slow, false, 504, "upstream_no_answer", RequestOutcome::Unknown, 1 },
+  { "closing", FakeFault::Closing, false, 504, "upstream_no_answer", RequestOutcome::Unknown, 1 },
+  { "closing, repeatable",
+    FakeFault::Closing,
+    true,
+    504,
+    "upstream_no_answer",
+    RequestOutcome::Unknown,
+    3 },
+  { "refusing",
+    FakeFault::Refusing,
+    false,
+    503,
+    "upstream_unreachable",
+    RequestOutcome::NotRun,
+    3 },
+  { "not started",
+    FakeFault::NotStarted,
+    false,
+    503,
+    "upstream_refused",
+    RequestOutcome::NotRun,
+    3 },
+  { "unavailable",
+    FakeFault::Unavailable,
+    false,
+    503,
+    "upstream_unavailable",
+    RequestOutcome::Unknown,
+    1 },
+  { "unavailable, repeatable",
+    FakeFault::Unavailable,
+    true,
+    503,
+    "upstream_unavailable",
+    RequestOutcome::Unknown,
+    3 },
+  { "server error", FakeFault::ServerError, true, 500, "", RequestOutcome::Ran, 1 },
+};
+
+// Guards against a retry or an outcome that the fault doesn't allow.
+TEST_F(RequestRouterTest, FaultTable)
+{
+  for (const FaultCase& item : kFaultCases) {
+    SCOPED_TRACE(item.name);
+    this->router.reset();
+    this->upstreams.sends.clear();
+    this->upstreams.starts.clear();
+    for (unsigned port = 1; port <= this->upstreamCount; ++port) {
+      this->upstreams.faults[port] = item.fault;
+    }
+    RoutedAnswer answer = this->Route("r1", item.isRepeatable);
+    EXPECT_EQ(answer.status, item.status);
+    EXPECT_EQ(answer.code, item.code);
+    EXPECT_EQ(answer.outcome, item.outcome);
+    EXPECT_EQ(this->Sends(), item.sends);
+    EXPECT_LE(item.isRepeatable ? 0 : this->upstreams.starts["r1"], 1u);
+  }
+}
+
+// Guards against a request that fails although another upstream could have run it.
+TEST_F(RequestRouterTest, RefusedRequestGoesToAnotherUpstream)
+{
+  for (FakeFault fault : { FakeFault::Refusing, FakeFault::NotStarted }) {
+    this->router.reset();
+    this->upstreams.faults = { { 1, fault }, { 2, fault } };
+    RoutedAnswer answer = this->Route("r", false);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "r");
+    EXPECT_EQ(answer.outcome, RequestOutcome::Ran);
+  }
+}
+
+// Guards against use of a seat that was lost between the decision and the send.
+TEST_F(RequestRouterTest, NothingIsSentWithoutTheSeat)
+{
+  this->Router();
+  this->maySend = false;
+  RoutedAnswer answer = this->Route("r", true);
+  EXPECT_EQ(answer.code, "not_permitted");
+  EXPECT_EQ(answer.outcome, RequestOutcome::NotRun);
+  EXPECT_EQ(this->Sends(), 0u);
+  EXPECT_EQ(this->Router().Counts("desk").slotsInUse, 0u);
+}
+
+// Guards against refusals without the truthful outcome and a reason.
+TEST_F(RequestRouterTest, RefusalsSayNotRunAndWhy)
+{
+  auto route = [this](const char* aService, Duration aDeadline) {
+    return this->Router().Route(
+      aService, "a", 1, { "GET", "/", {}, "x" }, true, this->clock.Now() + aDeadline);
+  };
+  EXPECT_EQ(route("other", 1s).code, "unknown_service");
+  EXPECT_EQ(route("desk", 0s).code, "deadline_exceeded");
+  this->Router().SetSeat(std::nullopt);
+  EXPECT_EQ(route("desk", 1s).code, "not_permitted");
+  this->Router().SetSeat(0);
+  auto list = UpstreamList(2);
+  list[0].state = list[1].state = InstanceState::Leaving;
+  this->Router().UpdateUpstreams(list);
+  EXPECT_EQ(route("desk", 1s).code, "no_upstream");
+  EXPECT_EQ(this->Sends(), 0u);
+}
+
+// Guards against a request that waits longer than its deadline when no slot becomes free, and
+// against slots given out again while a silent upstream may still run their requests.
+TEST_F(RequestRouterTest, SlotsOfUnansweredRequestsStayHeld)
+{
+  this->upstreamCount = 1;
+  this->upstreams.faults[1] = FakeFault::Silent;
+  unsigned slots = this->Router().Counts("desk").slots;
+  ASSERT_GE(slots, 1u);
+  for (unsigned i = 0; i < slots; ++i) {
+    EXPECT_EQ(this->Route("s" + std::to_string(i), false, 1s).outcome, RequestOutcome::Unknown);
+  }
+  EXPECT_EQ(this->Router().Counts("desk").slotsInUse, slots);
+  this->upstreams.faults[1] = FakeFault::None;
+  RoutedAnswer answer = this->Route("late", false, 1s);
+  EXPECT_EQ(answer.code, "deadline_exceeded");
+  EXPECT_EQ(answer.outcome, RequestOutcome::NotRun);
+  this->clock.Advance(30s);
+  EXPECT_EQ(this->Route("later", false, 1s).status, 200);
+}
+
+// Guards against a forwarded request that waits or hops again, and a peer's refusal that is final.
+TEST_F(RequestRouterTest, ForwardsOneHopWhenNoSlotIsFree)
+{
+  unsigned asked = 0;
+  RoutedAnswer fromPeer;
+  fromPeer.status = 200;
+  fromPeer.outcome = RequestOutcome::Ran;
+  this->forward = [&](const RoutedRequest&) {
+    ++asked;
+    return std::optional<RoutedAnswer>(fromPeer);
+  };
+  EXPECT_EQ(this->Route("r1", true).status, 200);
+  EXPECT_EQ(asked, 0u);
+  this->Router().SetSeat(std::nullopt);
+  EXPECT_EQ(this->Route("r2", true).status, 200);
+  EXPECT_EQ(asked, 1u);
+  RoutedRequest forwarded{ "desk", "a", 1, { "GET", "/", {}, "r3" }, true, this->clock.Now() + 1s };
+  forwarded.isForwarded = true;
+  EXPECT_EQ(this->Router().Route(forwarded).code, "no_free_slot");
+  EXPECT_EQ(asked, 1u);
+  fromPeer.outcome = RequestOutcome::NotRun;
+  EXPECT_EQ(this->Route("r4", true).code, "not_permitted");
+  EXPECT_EQ(asked, 2u);
+}
+
+// Guards against new requests during a drain, and a drain that claims to be clean while an upstream
+// may still run a request.
+TEST_F(RequestRouterTest, DrainRefusesAndWaitsForHeldSlots)
+{
+  this->upstreams.faults = { { 1, FakeFault::Silent }, { 2, FakeFault::Silent } };
+  this->Route("r1", false, 1s);
+  EXPECT_FALSE(this->Router().Drain(5s));
+  RoutedAnswer answer = this->Route("r2", false);
+  EXPECT_EQ(answer.code, "draining");
+  EXPECT_EQ(answer.outcome, RequestOutcome::NotRun);
+  EXPECT_TRUE(this->Router().Drain(60s));
+}
+
+// Guards against answers crossed between concurrent requests, and slots lost on the way.
+TEST_F(RequestRouterTest, ConcurrentRequestsGetTheirOwnAnswers)
+{
+  SteadyClock realClock;
+  FakeUpstreams fakes(nullptr);
+  fakes.faults = { { 3, FakeFault::NotStarted }, { 4, FakeFault::Refusing } };
+  RequestRouter concurrent(this->settings, fakes, realClock, this->metrics, {});
+  concurrent.UpdateUpstreams(UpstreamList(8));
+  concurrent.SetSeat(3);
+  std::atomic<unsigned> crossed{ 0 };
+  std::atomic<unsigned> answered{ 0 };
+  std::vector<std::thread> callers;
+  for (unsigned caller = 0; caller < 16; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (unsigned i = 0; i < 100; ++i) {
+        std::string body = std::to_string(caller) + "-" + std::to_string(i);
+        RoutedAnswer answer = concurrent.Route("desk",
+                                               "t" + std::to_string(caller % 3),
+                                               1,
+                                               { "POST", "/", {}, body },
+                                               caller % 2 == 0,
+                                               realClock.Now() + 30s);
+        bool isAnswer = answer.status == 200 && answer.body == body;
+        crossed += answer.status == 200 && answer.body != body ? 1 : 0;
+        answered += isAnswer ? 1 : 0;
+        crossed += answer.outcome == RequestOutcome::Ran && !isAnswer ? 1 : 0;
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(crossed, 0u);
+  EXPECT_GT(answered, 0u);
+  EXPECT_TRUE(concurrent.Drain(60s));
+  EXPECT_EQ(concurrent.Counts("desk").slotsInUse, 0u);
+}
+
+// Guards against a hedged try whose late loser is given to another request or frees a slot twice.
+TEST_F(RequestRouterTest, HedgedTryWinsAndTheLateAnswerIsDropped)
+{
+  SteadyClock realClock;
+  FakeUpstreams fakes(nullptr);
+  RequestRouter hedging(this->settings, fakes, realClock, this->metrics, {});
+  hedging.UpdateUpstreams(UpstreamList(4));
+  hedging.SetSeat(0);
+  auto route = [&](const std::string& aBody) {
+    return hedging.Route("desk", "a", 1, { "GET", "/", {}, aBody }, true, realClock.Now() + 30s);
+  };
+  for (unsigned i = 0; i < 64; ++i) {
+    ASSERT_EQ(route("warm" + std::to_string(i)).status, 200);
+  }
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool isReleased = false;
+  std::atomic<bool> isFirst{ true };
+  fakes.onSend = [&](const Endpoint&) {
+    if (isFirst.exchange(false)) {
+      std::unique_lock lock(mutex);
+      changed.wait(lock, [&] { return isReleased; });
+    }
+  };
+  RoutedAnswer answer = route("hedged");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "hedged");
+  EXPECT_EQ(hedging.Counts("desk").slotsInUse, 1u);
+  EXPECT_EQ(route("next").body, "next");
+  {
+    std::lock_guard lock(mutex);
+    isReleased = true;
+  }
+  changed.notify_all();
+  EXPECT_TRUE(hedging.Drain(60s));
+  EXPECT_EQ(hedging.Counts("desk").slotsInUse, 0u);
+}
+
+} // namespace
+} // namespace daisydrift
