--- /dev/null
+++ b/packages/daemon/src/ApiServer.cpp
@@ -0,0 +1,521 @@
+#include "ApiServer.h"
+
+#include "JobCodec.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <thread>
+
+namespace daisydrift {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::milliseconds kWatchPollInterval{ 250 };
+constexpr std::chrono::seconds kLongestWatch{ 25 };
+constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
+constexpr const char* kBearer = "Bearer ";
+
+std::string BearerKey(const httplib::Request& aRequest)
+{
+  std::string header = aRequest.get_header_value("Authorization");
+  return header.starts_with(kBearer) ? header.substr(std::string_view(kBearer).size()) : "";
+}
+
+/// Reads a whole number of milliseconds; returns aDefault when absent and nothing when malformed.
+std::optional<std::chrono::milliseconds> ReadMilliseconds(const std::string& aText, std::chrono::milliseconds aDefault)
+{
+  if (aText.empty()) {
+    return aDefault;
+  }
+  std::int64_t value = 0;
+  auto [next, error] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  if (error != std::errc() || next != aText.data() + aText.size() || value < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(value);
+}
+
+/// The deadline asked for, limited to the longest; an answer and nothing when malformed.
+std::optional<std::chrono::milliseconds> ReadDeadline(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  auto deadline = ReadMilliseconds(aRequest.get_header_value("Daisydrift-Deadline-Ms"), kDefaultDeadline);
+  if (!deadline || *deadline == std::chrono::milliseconds::zero()) {
+    SendProblem({ 400, "bad_deadline", "Daisydrift-Deadline-Ms must be a positive whole number", "not_run", {}, {} },
+                aResponse);
+    return std::nullopt;
+  }
+  return std::min<std::chrono::milliseconds>(*deadline, kLongestDeadline);
+}
+
+void SendReply(const CallReply& aReply, httplib::Response& aResponse)
+{
+  aResponse.status = aReply.status;
+  for (const auto& [name, value] : aReply.headers) {
+    aResponse.set_header(name, value);
+  }
+  aResponse.set_content(aReply.body, aReply.contentType);
+}
+
+std::string RegionOf(const std::string& aJobId)
+{
+  std::string region;
+  JobNumber job = 0;
+  ParseJobId(aJobId, region, job);
+  return region;
+}
+
+/// Fields of a request that are passed on to an upstream: without the key and the HTTP library's own entries.
+HeaderFields PassedHeaders(const httplib::Request& aRequest, const TeamName& aTeam)
+{
+  HeaderFields fields;
+  for (const auto& [name, value] : aRequest.headers) {
+    bool isOwn = strcasecmp(name.c_str(), "Authorization") == 0 || strcasecmp(name.c_str(), "Daisydrift-Team") == 0 ||
+                 name == "REMOTE_ADDR" || name == "REMOTE_PORT" || name == "LOCAL_ADDR" || name == "LOCAL_PORT";
+    if (!isOwn) {
+      fields.emplace_back(name, value);
+    }
+  }
+  fields.emplace_back("Daisydrift-Team", aTeam);
+  return fields;
+}
+
+const char* NameOf(RequestOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case RequestOutcome::Ran:
+      return "ran";
+    case RequestOutcome::NotRun:
+      return "not_run";
+    case RequestOutcome::Unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+ApiServer::ApiServer(ApiOptions aOptions, ApiHooks aHooks, const Clock& aClock, Metrics& aMetrics)
+  : options(std::move(aOptions))
+  , hooks(std::move(aHooks))
+  , clock(aClock)
+  , metrics(aMetrics)
+  , http(this->options.limits, this->options.tls)
+{
+  this->RegisterProbes();
+  this->RegisterJobs();
+  this->RegisterRequests();
+  if (this->options.port == ApiPort::Operators) {
+    this->RegisterAdmin();
+  }
+}
+
+void ApiServer::RegisterProbes()
+{
+  httplib::Server& server = this->http.Server();
+  server.Get("/healthz", [](const httplib::Request&, httplib::Response& aResponse) {
+    aResponse.set_content("ok\n", "text/plain");
+  });
+  server.Get("/readyz", [this](const httplib::Request&, httplib::Response& aResponse) {
+    bool isReady = this->hooks.isReady();
+    aResponse.status = isReady ? 200 : 503;
+    aResponse.set_content(isReady ? "ready\n" : "not ready\n", "text/plain");
+  });
+  server.Get("/metrics", [this](const httplib::Request&, httplib::Response& aResponse) {
+    aResponse.set_content(this->metrics.ToPrometheusText(), "text/plain; version=0.0.4");
+  });
+}
+
+void ApiServer::RegisterJobs()
+{
+  httplib::Server& server = this->http.Server();
+  server.Post("/v1/jobs", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+    this->Submit(aRequest, aResponse);
+  });
+  server.Post("/v1/jobs/cancel", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+    this->Cancel(aRequest, aResponse, aRequest.body);
+  });
+  auto query = [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+    this->Query(aRequest, aResponse);
+  };
+  server.Get("/v1/jobs", query);
+  server.Get("/v1/jobs/([^/]+)", query);
+  server.Get("/v1/jobs/([^/]+)/explain", query);
+  server.Get("/v1/jobs/([^/]+)/watch", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+    this->Watch(aRequest, aResponse);
+  });
+  server.Delete("/v1/jobs/([^/]+)", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+    this->Cancel(aRequest, aResponse, Json{ { "job", aRequest.matches[1].str() } }.dump());
+  });
+}
+
+void ApiServer::RegisterRequests()
+{
+  httplib::Server& server = this->http.Server();
+  const char* pattern = "/v1/services/([^/]+)/requests/(.*)";
+  auto pass = [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+    this->PassThrough(aRequest, aResponse);
+  };
+  server.Get(pattern, pass);
+  server.Post(pattern, pass);
+  server.Put(pattern, pass);
+  server.Patch(pattern, pass);
+  server.Delete(pattern, pass);
+}
+
+ApiServer::Identity ApiServer::Identify(const httplib::Request& aRequest) const
+{
+  Identity identity;
+  std::string key = BearerKey(aRequest);
+  if (this->options.port == ApiPort::Operators && !this->options.operatorKeyDigest.empty() && !key.empty() &&
+      EqualInConstantTime(KeyDigest(key), this->options.operatorKeyDigest)) {
+    identity.isAllowed = true;
+    identity.isOperator = true;
+    return identity;
+  }
+  if (!this->hooks.isConfigFresh()) {
+    identity.refusal = { 503,
+                         "configuration_unconfirmed",
+                         "this instance can't confirm that keys are still valid",
+                         "not_run",
+                         std::chrono::seconds(2),
+                         {} };
+    return identity;
+  }
+  Ref<const ConfigView> config = this->hooks.config();
+  if (key.empty()) {
+    TeamName team = aRequest.get_header_value("Daisydrift-Team");
+    auto found = config->Document().teams.find(team);
+    identity.isAllowed = found != config->Document().teams.end() && found->second.hasOpenQueue;
+    identity.team = team;
+    identity.refusal = { 401, "key_missing", "send a key as 'Authorization: Bearer KEY'", "not_run", {}, {} };
+    return identity;
+  }
+  Authentication authentication = config->Authenticate(key);
+  identity.isAllowed = authentication.refusal == KeyRefusal::None;
+  identity.team = authentication.team;
+  identity.refusal = { 401, "key_refused", Describe(authentication.refusal), "not_run", {}, {} };
+  return identity;
+}
+
+std::optional<ApiServer::Identity> ApiServer::Admit(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  Identity identity = this->Identify(aRequest);
+  if (!identity.isAllowed) {
+    this->metrics.Count("calls_refused_total{code=\"" + identity.refusal.code + "\"}");
+    SendProblem(identity.refusal, aResponse);
+    return std::nullopt;
+  }
+  return identity;
+}
+
+bool ApiServer::AdmitOperator(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  std::string key = BearerKey(aRequest);
+  bool isOperator = !this->options.operatorKeyDigest.empty() && !key.empty() &&
+                    EqualInConstantTime(KeyDigest(key), this->options.operatorKeyDigest);
+  if (!isOperator) {
+    SendProblem({ 401, "operator_key_refused", "this call needs the operators' key", "not_run", {}, {} }, aResponse);
+  }
+  return isOperator;
+}
+
+void ApiServer::Submit(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  std::optional<Identity> identity = this->Admit(aRequest, aResponse);
+  auto deadline = identity ? ReadDeadline(aRequest, aResponse) : std::nullopt;
+  if (!deadline) {
+    return;
+  }
+  if (identity->isOperator) {
+    SendProblem({ 403, "team_key_needed", "a job is submitted with the key of a team", "not_run", {}, {} }, aResponse);
+    return;
+  }
+  Call call;
+  call.kind = CallKind::Submit;
+  call.team = identity->team;
+  call.idempotencyKey = aRequest.get_header_value("Idempotency-Key");
+  call.body = aRequest.body;
+  call.deadline = *deadline;
+  Problem problem{ 400, "invalid_job", "the job is not valid", "not_run", {}, {} };
+  if (aRequest.body.size() > kMaxSubmissionBytes) {
+    SendProblem({ 413, "body_too_large", "a job has at most 64 KiB", "not_run", {}, {} }, aResponse);
+  } else if (call.idempotencyKey.size() > kMaxIdempotencyKeyBytes) {
+    SendProblem({ 400, "bad_idempotency_key", "Idempotency-Key has at most 200 bytes", "not_run", {}, {} }, aResponse);
+  } else if (!ParseJobSubmission(aRequest.body, problem.findings)) {
+    SendProblem(problem, aResponse);
+  } else {
+    SendReply(this->hooks.callLeader("", call), aResponse);
+  }
+}
+
+void ApiServer::Query(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  std::optional<Identity> identity = this->Admit(aRequest, aResponse);
+  auto deadline = identity ? ReadDeadline(aRequest, aResponse) : std::nullopt;
+  if (!deadline) {
+    return;
+  }
+  Call call;
+  call.kind = CallKind::Query;
+  call.team = identity->team;
+  call.path = aRequest.path;
+  call.deadline = *deadline;
+  std::string region = aRequest.matches.size() > 1 ? RegionOf(aRequest.matches[1]) : "";
+  SendReply(this->hooks.callLeader(region, call), aResponse);
+}
+
+void ApiServer::Watch(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  std::optional<Identity> identity = this->Admit(aRequest, aResponse);
+  if (!identity) {
+    return;
+  }
+  std::string jobId = aRequest.matches[1];
+  std::string seen = aRequest.get_param_value("state");
+  auto wait = ReadMilliseconds(aRequest.get_param_value("wait_ms"), std::chrono::seconds(10));
+  if (!wait) {
+    SendProblem({ 400, "bad_wait", "wait_ms must be a whole number", "not_run", {}, {} }, aResponse);
+    return;
+  }
+  TimePoint end = this->clock.Now() + std::min<std::chrono::milliseconds>(*wait, kLongestWatch);
+  Call call;
+  call.kind = CallKind::Query;
+  call.team = identity->team;
+  call.path = "/v1/jobs/" + jobId;
+  call.deadline = kDefaultDeadline;
+  while (true) {
+    CallReply reply = this->hooks.callLeader(RegionOf(jobId), call);
+    Json json = Json::parse(reply.body, nullptr, false);
+    bool isSame = reply.status == 200 && json.is_object() && json.value("state", std::string()) == seen;
+    if (!isSame || this->clock.Now() >= end) {
+      SendReply(reply, aResponse);
+      return;
+    }
+    std::this_thread::sleep_for(kWatchPollInterval);
+  }
+}
+
+void ApiServer::Cancel(const httplib::Request& aRequest, httplib::Response& aResponse, std::string aBody)
+{
+  std::optional<Identity> identity = this->Admit(aRequest, aResponse);
+  auto deadline = identity ? ReadDeadline(aRequest, aResponse) : std::nullopt;
+  if (!deadline) {
+    return;
+  }
+  Call call;
+  call.kind = CallKind::Cancel;
+  call.team = identity->team;
+  call.body = std::move(aBody);
+  call.deadline = *deadline;
+  std::string region = aRequest.matches.size() > 1 ? RegionOf(aRequest.matches[1]) : "";
+  SendReply(this->hooks.callLeader(region, call), aResponse);
+}
+
+void ApiServer::PassThrough(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  std::optional<Identity> identity = this->Admit(aRequest, aResponse);
+  auto deadline = identity ? ReadDeadline(aRequest, aResponse) : std::nullopt;
+  if (!deadline) {
+    return;
+  }
+  Ref<const ConfigView> config = this->hooks.config();
+  std::string service = aRequest.matches[1];
+  auto found = config->Document().services.find(service);
+  if (found == config->Document().services.end()) {
+    SendProblem({ 404, "unknown_service", "no service has this name", "not_run", {}, {} }, aResponse);
+    return;
+  }
+  const auto& teams = found->second.teams;
+  if (identity->isOperator ||
+      (!found->second.isOpenToAllTeams && std::find(teams.begin(), teams.end(), identity->team) == teams.end())) {
+    SendProblem({ 403, "service_not_allowed", "the team may not call this service", "not_run", {}, {} }, aResponse);
+    return;
+  }
+  RoutedRequest routed;
+  routed.service = service;
+  routed.team = identity->team;
+  auto team = config->Document().teams.find(identity->team);
+  routed.weight = team == config->Document().teams.end() ? 1 : team->second.weight;
+  routed.request.method = aRequest.method;
+  // The raw target keeps the caller's encoding of path and query.
+  std::string prefix = "/v1/services/" + service + "/requests";
+  std::size_t start = aRequest.target.find("/requests/");
+  routed.request.target = start == std::string::npos ? "/" : aRequest.target.substr(start + 9);
+  routed.request.headers = PassedHeaders(aRequest, identity->team);
+  routed.request.body = aRequest.body;
+  routed.isRepeatable = aRequest.get_header_value("Daisydrift-Repeatable") == "true";
+  routed.deadline = this->clock.Now() + *deadline;
+  TimePoint begin = this->clock.Now();
+  RoutedAnswer answer = this->hooks.route(routed);
+  this->metrics.Observe("request_seconds", this->clock.Now() - begin);
+  aResponse.set_header("Daisydrift-Outcome", NameOf(answer.outcome));
+  if (!answer.code.empty() && answer.body.empty()) {
+    SendProblem({ answer.status,
+                  answer.code,
+                  "the request has no answer of an upstream",
+                  NameOf(answer.outcome),
+                  answer.retryAfter.value_or(std::chrono::seconds(0)),
+                  {} },
+                aResponse);
+    return;
+  }
+  aResponse.status = answer.status;
+  for (const auto& [name, value] : answer.headers) {
+    aResponse.headers.emplace(name, value);
+  }
+  aResponse.body = answer.body;
+}
+
+void ApiServer::RegisterAdmin()
+{
+  httplib::Server& server = this->http.Server();
+  auto guarded = [this](std::function<void(const httplib::Request&, httplib::Response&)> aHandler) {
+    return [this, handler = std::move(aHandler)](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      if (this->AdmitOperator(aRequest, aResponse)) {
+        handler(aRequest, aResponse);
+      }
+    };
+  };
+  server.Get("/v1/admin/config", guarded([this](const httplib::Request&, httplib::Response& aResponse) {
+               aResponse.set_content(EncodeConfig(this->hooks.config()->Document(), KeyDigests::Omitted),
+                                     "application/json");
+             }));
+  server.Post("/v1/admin/config", guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+                this->EditConfig(aRequest, aResponse);
+              }));
+  server.Post("/v1/admin/keys", guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+                this->IssueKeyFor(aRequest, aResponse);
+              }));
+  server.Delete("/v1/admin/keys/([^/]+)",
+                guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+                  this->RevokeKeyOf(aRequest, aResponse);
+                }));
+  server.Post("/v1/admin/failure-domains/([^/]+)/(drain|return)",
+              guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+                this->ChangeDomain(aRequest, aResponse);
+              }));
+  server.Get("/v1/admin/status", guarded([this](const httplib::Request&, httplib::Response& aResponse) {
+               aResponse.set_content(this->hooks.status(), "application/json");
+             }));
+  server.Get("/v1/admin/audit", guarded([this](const httplib::Request&, httplib::Response& aResponse) {
+               aResponse.set_content(this->hooks.audit(), "application/json");
+             }));
+  server.Get("/v1/admin/queue", guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+               Call call;
+               call.kind = CallKind::Query;
+               call.path = aRequest.path;
+               call.deadline = kDefaultDeadline;
+               SendReply(this->hooks.callLeader("", call), aResponse);
+             }));
+}
+
+void ApiServer::EditConfig(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  Problem problem{ 422, "invalid_edit", "the edit is not valid", "not_run", {}, {} };
+  std::optional<EditRequest> request = ParseEdits(aRequest.body, "request body", problem.findings);
+  if (!request) {
+    SendProblem(problem, aResponse);
+    return;
+  }
+  this->SendEditOutcome(this->hooks.edit(*request), aResponse);
+}
+
+void ApiServer::ApplyEdit(Edit aEdit, const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  EditRequest request;
+  request.baseVersion = this->hooks.config()->Document().version;
+  request.actor = aRequest.has_header("Daisydrift-Actor") ? aRequest.get_header_value("Daisydrift-Actor") : "operator";
+  request.editId = aRequest.get_header_value("Idempotency-Key");
+  if (request.editId.empty()) {
+    Result<std::string> id = GenerateId();
+    if (!id) {
+      SendProblem({ 500, "no_random_numbers", "no edit id can be made", "not_run", {}, {} }, aResponse);
+      return;
+    }
+    request.editId = *id;
+  }
+  request.edits.push_back(std::move(aEdit));
+  this->SendEditOutcome(this->hooks.edit(request), aResponse);
+}
+
+void ApiServer::SendEditOutcome(const EditOutcome& aOutcome, httplib::Response& aResponse)
+{
+  if (!aOutcome.error) {
+    aResponse.set_content(Json{ { "version", aOutcome.version }, { "changed", aOutcome.hasChanged } }.dump(),
+                          "application/json");
+    return;
+  }
+  if (aOutcome.error == Errc::Conflict) {
+    Json conflicts = Json::array();
+    for (const EditConflict& conflict : aOutcome.conflicts) {
+      conflicts.push_back({ { "row", conflict.row }, { "message", conflict.message } });
+    }
+    Json json = Json::parse(EncodeProblem(
+      { 409, "edit_conflict", "rows were changed by another operator; nothing was changed", "not_run", {}, {} }));
+    json["conflicts"] = conflicts;
+    aResponse.status = 409;
+    aResponse.set_content(json.dump(), "application/problem+json");
+    return;
+  }
+  if (aOutcome.error == Errc::InvalidArgument) {
+    SendProblem(
+      { 422, "invalid_edit", "the edit is not valid; nothing was changed", "not_run", {}, aOutcome.findings }, aResponse);
+    return;
+  }
+  bool isUnknown = aOutcome.error == Errc::OutcomeUnknown;
+  SendProblem({ isUnknown ? 504 : 503,
+                isUnknown ? "outcome_unknown" : "store_unavailable",
+                isUnknown ? "the edit may or may not be in force; repeat it with the same edit id"
+                          : "the store can't be reached; nothing was changed",
+                isUnknown ? "unknown" : "not_run",
+                std::chrono::seconds(2),
+                {} },
+              aResponse);
+}
+
+void ApiServer::IssueKeyFor(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  Json json = Json::parse(aRequest.body, nullptr, false);
+  if (!json.is_object() || !json.contains("team") || !json["team"].is_string() ||
+      (json.contains("expires_s") && !json["expires_s"].is_number_unsigned())) {
+    SendProblem({ 400, "invalid_key_request", "expected {\"team\": NAME, \"expires_s\": SECONDS}", "not_run", {}, {} },
+                aResponse);
+    return;
+  }
+  Result<GeneratedKey> key = GenerateKey();
+  if (!key) {
+    SendProblem({ 500, "no_random_numbers", "no key can be made", "not_run", {}, {} }, aResponse);
+    return;
+  }
+  key->entry.team = json["team"].get<std::string>();
+  if (json.contains("expires_s")) {
+    auto now = std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
+    key->entry.expiry = now + std::chrono::seconds(json["expires_s"].get<std::uint32_t>());
+  }
+  this->ApplyEdit(IssueKey{ key->entry }, aRequest, aResponse);
+  if (aResponse.status == -1 || aResponse.status == 200) {
+    Json answer = Json::parse(aResponse.body);
+    answer["id"] = key->entry.id;
+    answer["prefix"] = key->entry.prefix;
+    answer["key"] = key->text;
+    aResponse.set_content(answer.dump(), "application/json");
+  }
+}
+
+void ApiServer::RevokeKeyOf(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  this->ApplyEdit(RevokeKey{ aRequest.matches[1] }, aRequest, aResponse);
+}
+
+void ApiServer::ChangeDomain(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  std::string name = aRequest.matches[1];
+  Edit edit = aRequest.matches[2] == "drain" ? Edit(DrainFailureDomain{ name }) : Edit(ReturnFailureDomain{ name });
+  this->ApplyEdit(std::move(edit), aRequest, aResponse);
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -0,0 +1,589 @@
+#include "RegionLeader.h"
+
+#include <algorithm>
+
+namespace daisydrift {
+
+namespace {
+
+EndOutcome ToEndOutcome(AttemptOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case AttemptOutcome::Succeeded:
+      return EndOutcome::Succeeded;
+    case AttemptOutcome::Failed:
+      return EndOutcome::Failed;
+    case AttemptOutcome::Interrupted:
+      return EndOutcome::Interrupted;
+    case AttemptOutcome::Rejected:
+      return EndOutcome::Rejected;
+  }
+  return EndOutcome::Interrupted;
+}
+
+/// Number of regions that the configuration names; each gets an equal part of every ceiling, so that the parts never
+/// sum to more than the ceiling.
+std::int64_t RegionCount(const ConfigDocument& aConfig)
+{
+  std::set<std::string> regions;
+  for (const auto& [name, domain] : aConfig.failureDomains) {
+    regions.insert(domain.region);
+  }
+  return std::max<std::int64_t>(1, static_cast<std::int64_t>(regions.size()));
+}
+
+std::vector<TeamPolicy> TeamsOf(const ConfigDocument& aConfig, const std::map<JobNumber, JobRecord>& aJobs)
+{
+  std::int64_t regions = RegionCount(aConfig);
+  std::map<TeamName, TeamPolicy> teams;
+  for (const auto& [name, entry] : aConfig.teams) {
+    Resources ceiling{ entry.ceiling.milliCores / regions,
+                       entry.ceiling.memoryMiB / regions,
+                       entry.ceiling.accelerators / regions };
+    teams[name] = { name, entry.weight, ceiling, static_cast<std::uint32_t>(entry.maxRunningTasks / regions) };
+  }
+  // A team that was removed keeps its accepted jobs visible, with nothing allowed to run.
+  for (const auto& [number, job] : aJobs) {
+    teams.try_emplace(job.team, TeamPolicy{ job.team, 1, {}, 0 });
+  }
+  std::vector<TeamPolicy> list;
+  for (const auto& [name, team] : teams) {
+    list.push_back(team);
+  }
+  return list;
+}
+
+std::set<FailureDomain> DrainedDomains(const ConfigDocument& aConfig)
+{
+  std::set<FailureDomain> drained;
+  for (const auto& [name, domain] : aConfig.failureDomains) {
+    if (domain.isDrained) {
+      drained.insert(name);
+    }
+  }
+  return drained;
+}
+
+} // namespace
+
+RegionLeader::RegionLeader(RegionLeaderOptions aOptions,
+                           RegionLeaderHooks aHooks,
+                           RegionOwnership aOwnership,
+                           const ConfigDocument& aConfig,
+                           const std::vector<InstanceInfo>& aInstances,
+                           TimePoint aNow)
+  : options(std::move(aOptions))
+  , hooks(std::move(aHooks))
+  , scheduler(this->options.policy)
+  , commits(std::move(aOwnership))
+  , configConfirmed(aNow)
+{
+  this->nextJob = this->commits.State().NextJob();
+  this->SetConfig(aConfig, aNow);
+  this->SetInstances(aInstances, aNow);
+  this->Restore(aNow);
+}
+
+void RegionLeader::SetConfig(const ConfigDocument& aConfig, TimePoint aNow)
+{
+  this->scheduler.SetTeams(TeamsOf(aConfig, this->commits.State().Jobs()), aNow);
+  this->scheduler.SetDrainedFailureDomains(DrainedDomains(aConfig), aNow);
+}
+
+void RegionLeader::Restore(TimePoint aNow)
+{
+  for (const auto& [number, job] : this->commits.State().Jobs()) {
+    if (!job.isFinished) {
+      this->RestoreJob(job, aNow);
+    }
+  }
+}
+
+void RegionLeader::RestoreJob(const JobRecord& aJob, TimePoint aNow)
+{
+  Findings findings;
+  std::optional<JobSubmission> submission = ParseJobSubmission(aJob.specification, findings);
+  if (!submission) {
+    LogLine(LogLevel::Error, "job_unreadable").Add("job", aJob.number).Add("findings", findings.ToText());
+    return;
+  }
+  JobSpec spec = submission->spec;
+  spec.number = aJob.number;
+  spec.team = aJob.team;
+  if (std::error_code error = this->scheduler.AddJob(spec, aNow)) {
+    LogLine(LogLevel::Error, "job_not_restored").Add("job", aJob.number).Add("error", error);
+    return;
+  }
+  this->payloads[aJob.number] = submission->payload;
+  if (spec.workClass == WorkClass::Gang) {
+    this->gangs.insert(aJob.number);
+  }
+  for (const TaskRecord& task : aJob.tasks) {
+    TaskId id{ aJob.number, task.index };
+    std::uint32_t ended = task.attemptsUsed - (task.current ? 1 : 0);
+    this->scheduler.RestoreTask(id, ended, task.failures, task.Succeeded());
+    if (task.current) {
+      AttemptId attempt{ id, task.attemptsUsed };
+      Worker& worker = this->WorkerOf(task.current->worker, aNow);
+      worker.assigned[attempt] = task.current->incarnation;
+      this->scheduler.RestoreAttempt(attempt, task.current->worker, task.current->limit, aNow);
+    }
+  }
+  if (aJob.isCancelled) {
+    static_cast<void>(this->scheduler.CancelJob(aJob.number, aNow));
+  }
+}
+
+RegionLeader::Worker& RegionLeader::WorkerOf(const WorkerId& aId, TimePoint aNow)
+{
+  auto found = this->workers.find(aId);
+  if (found != this->workers.end()) {
+    return found->second;
+  }
+  // A worker that the list does not name, perhaps because the list lags: silent until proved gone.
+  InstanceInfo info;
+  info.id = aId;
+  auto [it, isNew] =
+    this->workers.emplace(aId, Worker{ info, WorkerSession(aId, info.endpoint, aNow), {}, {}, {} });
+  this->Describe(it->second, aNow);
+  return it->second;
+}
+
+void RegionLeader::SetInstances(const std::vector<InstanceInfo>& aInstances, TimePoint aNow)
+{
+  for (const InstanceInfo& info : aInstances) {
+    if (info.kind != InstanceKind::Worker || info.region != this->options.region) {
+      continue;
+    }
+    auto [it, isNew] = this->workers.emplace(
+      info.id, Worker{ info, WorkerSession(info.id, info.endpoint, aNow), {}, {}, {} });
+    Worker& worker = it->second;
+    bool hasGone = info.state == InstanceState::Gone && worker.info.state != InstanceState::Gone;
+    worker.info = info;
+    worker.session.SetEndpoint(info.endpoint);
+    if (hasGone) {
+      this->EndAll(worker, AttemptOutcome::Interrupted, "the worker is gone", aNow);
+    }
+    this->Describe(worker, aNow);
+  }
+}
+
+void RegionLeader::Describe(Worker& aWorker, TimePoint aNow)
+{
+  WorkerDescription description;
+  description.id = aWorker.session.Id();
+  description.failureDomain = aWorker.info.failureDomain;
+  description.rack = aWorker.info.rack;
+  description.capacity = aWorker.capacity;
+  if (aWorker.info.state == InstanceState::Gone) {
+    description.health = WorkerHealth::Gone;
+  } else if (aWorker.session.IsSilent() || !aWorker.session.HasReported()) {
+    description.health = WorkerHealth::Silent;
+  } else {
+    description.health =
+      aWorker.info.state == InstanceState::Leaving ? WorkerHealth::Leaving : WorkerHealth::Live;
+  }
+  const WorkerDescription& last = aWorker.described;
+  bool isUnchanged = last.id == description.id && last.failureDomain == description.failureDomain &&
+                     last.rack == description.rack && last.capacity == description.capacity &&
+                     last.health == description.health;
+  if (!isUnchanged) {
+    this->scheduler.UpdateWorker(description, aNow);
+    aWorker.described = description;
+  }
+}
+
+void RegionLeader::OnSyncResult(const WorkerId& aWorker, const Result<SyncReport>& aResult, TimePoint aNow)
+{
+  auto found = this->workers.find(aWorker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  Worker& worker = found->second;
+  if (!aResult) {
+    worker.session.OnFailure(aNow);
+    if (aResult.Error() == Errc::Fenced) {
+      LogLine(LogLevel::Warning, "fenced_by_worker").Add("worker", aWorker).Add("epoch", this->options.epoch);
+      this->isDeposed = true;
+    }
+    this->Describe(worker, aNow);
+    return;
+  }
+  this->OnUpdate(worker, worker.session.OnReport(*aResult, aNow), aNow);
+}
+
+void RegionLeader::OnUpdate(Worker& aWorker, const SessionUpdate& aUpdate, TimePoint aNow)
+{
+  aWorker.capacity = aUpdate.report.capacity;
+  if (aUpdate.hasRestarted) {
+    for (const AttemptId& attempt : aUpdate.unsentStarts) {
+      this->EndAttempt(aWorker, attempt, AttemptOutcome::Rejected, "the worker restarted before the start", aNow);
+    }
+    this->EndAll(aWorker, AttemptOutcome::Interrupted, "the worker restarted", aNow);
+  }
+  for (const WorkerEvent& event : aUpdate.events) {
+    this->OnWorkerEvent(aWorker, event, aNow);
+  }
+  if (aUpdate.isFirstReport) {
+    this->Reconcile(aWorker, aUpdate.report, aNow);
+  }
+  for (const RunningAttempt& running : aUpdate.report.running) {
+    if (aWorker.assigned.contains(running.attempt)) {
+      this->scheduler.OnUsage(running.attempt, running.usage, aNow);
+    } else {
+      // Not assigned here by any record: the attempt must not go on.
+      aWorker.session.Enqueue({ WorkerCommandKind::Stop, running.attempt, {}, "", {} }, aNow);
+    }
+  }
+  this->Describe(aWorker, aNow);
+}
+
+void RegionLeader::Reconcile(Worker& aWorker, const SyncReport& aReport, TimePoint aNow)
+{
+  std::set<AttemptId> running;
+  for (const RunningAttempt& attempt : aReport.running) {
+    running.insert(attempt.attempt);
+  }
+  auto assigned = aWorker.assigned;
+  for (const auto& [attempt, incarnation] : assigned) {
+    if (incarnation != aReport.incarnation) {
+      this->EndAttempt(aWorker, attempt, AttemptOutcome::Interrupted, "the worker restarted", aNow);
+    } else if (running.contains(attempt)) {
+      this->scheduler.OnStarted(attempt, aNow);
+    } else {
+      // The start of the earlier leader may still be on its way. After this stop the worker refuses it, and its event
+      // tells that the attempt never ran.
+      aWorker.session.Enqueue({ WorkerCommandKind::Stop, attempt, {}, "", {} }, aNow);
+    }
+  }
+}
+
+void RegionLeader::OnWorkerEvent(Worker& aWorker, const WorkerEvent& aEvent, TimePoint aNow)
+{
+  WorkerId id = aWorker.session.Id();
+  std::string incarnation = aWorker.session.Incarnation();
+  std::uint64_t number = aEvent.number;
+  auto acknowledge = [this, id, incarnation, number](CommitOutcome aOutcome, TimePoint) {
+    auto found = this->workers.find(id);
+    if (aOutcome == CommitOutcome::Committed && found != this->workers.end()) {
+      found->second.session.AcknowledgeEvents(incarnation, number);
+    }
+  };
+  switch (aEvent.kind) {
+    case WorkerEventKind::Started:
+      this->scheduler.OnStarted(aEvent.attempt, aNow);
+      return;
+    case WorkerEventKind::Checkpointed:
+      this->scheduler.OnCheckpointed(aEvent.attempt, aNow);
+      return;
+    case WorkerEventKind::Succeeded:
+      this->EndAttempt(aWorker, aEvent.attempt, AttemptOutcome::Succeeded, aEvent.detail, aNow, acknowledge);
+      return;
+    case WorkerEventKind::Failed:
+      this->EndAttempt(aWorker, aEvent.attempt, AttemptOutcome::Failed, aEvent.detail, aNow, acknowledge);
+      return;
+    case WorkerEventKind::Stopped:
+      this->EndAttempt(aWorker, aEvent.attempt, AttemptOutcome::Interrupted, aEvent.detail, aNow, acknowledge);
+      return;
+    case WorkerEventKind::Rejected:
+      this->EndAttempt(aWorker, aEvent.attempt, AttemptOutcome::Rejected, aEvent.detail, aNow, acknowledge);
+      return;
+  }
+}
+
+void RegionLeader::EndAttempt(Worker& aWorker,
+                              AttemptId aAttempt,
+                              AttemptOutcome aOutcome,
+                              const std::string& aDetail,
+                              TimePoint aNow,
+                              CommitQueue::Action aAction)
+{
+  if (aWorker.assigned.erase(aAttempt) == 0) {
+    // Known as ended already: the event may be acknowledged as it is.
+    if (aAction) {
+      aAction(CommitOutcome::Committed, aNow);
+    }
+    return;
+  }
+  this->scheduler.OnEnded(aAttempt, aOutcome, aDetail, aNow);
+  this->commits.Add(AttemptEnded{ aAttempt, ToEndOutcome(aOutcome), aDetail }, std::move(aAction));
+}
+
+void RegionLeader::EndAll(Worker& aWorker, AttemptOutcome aOutcome, const std::string& aDetail, TimePoint aNow)
+{
+  auto assigned = aWorker.assigned;
+  for (const auto& [attempt, incarnation] : assigned) {
+    this->EndAttempt(aWorker, attempt, aOutcome, aDetail, aNow);
+  }
+}
+
+void RegionLeader::Submit(SubmitCall aCall, TimePoint aNow)
+{
+  SubmitReply reply;
+  std::optional<JobSubmission> submission = ParseJobSubmission(aCall.body, reply.findings);
+  if (!submission) {
+    reply.error = Errc::InvalidArgument;
+    aCall.reply(reply);
+    return;
+  }
+  std::string keyDigest = aCall.idempotencyKey.empty() ? "" : Sha256Hex(aCall.idempotencyKey);
+  std::string bodyDigest = Sha256Hex(aCall.body);
+  if (const IdempotencyRecord* earlier = this->commits.State().FindKey(aCall.team, keyDigest);
+      earlier != nullptr && !keyDigest.empty()) {
+    reply.isRepeat = true;
+    reply.job = earlier->job;
+    if (earlier->bodyDigest != bodyDigest) {
+      reply.error = Errc::Conflict;
+    }
+    aCall.reply(reply);
+    return;
+  }
+  JobSpec spec = submission->spec;
+  spec.team = aCall.team;
+  if (std::optional<Explanation> refusal = this->scheduler.CheckJob(spec)) {
+    reply.error = Errc::NotPermitted;
+    reply.explanation = *refusal;
+    aCall.reply(reply);
+    return;
+  }
+  bool isBlocked = this->commits.IsBlocked() &&
+                   aNow - this->commits.BlockedSince() > kMaxBlockedTimeForSubmissions;
+  if (isBlocked || this->IsDeposed()) {
+    reply.error = Errc::Overloaded;
+    aCall.reply(reply);
+    return;
+  }
+  auto key = std::make_pair(aCall.team, keyDigest);
+  if (!keyDigest.empty()) {
+    auto [it, isFirst] = this->followers.try_emplace(key);
+    if (!isFirst) {
+      // The first submission with this key is being committed; this one is judged again after it.
+      it->second.push_back(std::move(aCall));
+      return;
+    }
+  }
+  spec.number = this->nextJob++;
+  JobAccepted entry;
+  entry.job = spec.number;
+  entry.team = aCall.team;
+  entry.specification = aCall.body;
+  entry.idempotencyKeyDigest = keyDigest;
+  entry.bodyDigest = bodyDigest;
+  entry.wallSeconds = this->hooks.wallSeconds();
+  auto action = [this, spec, payload = submission->payload, reply, key, answer = aCall.reply](
+                  CommitOutcome aOutcome, TimePoint aTime) mutable {
+    if (aOutcome == CommitOutcome::Committed) {
+      reply.error = this->scheduler.AddJob(spec, aTime);
+      this->payloads[spec.number] = payload;
+      if (spec.workClass == WorkClass::Gang) {
+        this->gangs.insert(spec.number);
+      }
+      reply.job = spec.number;
+    } else {
+      reply.error = aOutcome == CommitOutcome::Unknown ? Errc::OutcomeUnknown : Errc::DeadlineExceeded;
+    }
+    answer(reply);
+    auto waiting = this->followers.extract(key);
+    if (!waiting.empty()) {
+      for (SubmitCall& call : waiting.mapped()) {
+        this->Submit(std::move(call), aTime);
+      }
+    }
+  };
+  this->commits.Add(std::move(entry), std::move(action), 0, aCall.deadline);
+}
+
+void RegionLeader::Cancel(const std::vector<JobNumber>& aJobs,
+                          TimePoint aNow,
+                          TimePoint aDeadline,
+                          std::function<void(std::error_code, std::size_t)> aReply)
+{
+  std::vector<JobNumber> open;
+  for (JobNumber job : aJobs) {
+    std::optional<JobStatus> status = this->scheduler.Status(job);
+    if (status && (status->state == JobState::Waiting || status->state == JobState::Running)) {
+      open.push_back(job);
+    }
+  }
+  if (open.empty()) {
+    aReply({}, 0);
+    return;
+  }
+  static_cast<void>(aNow);
+  // The deadline applies to the whole request: either all its entries are given up or none is, since they have the
+  // same deadline and are committed in order. The reply tells what the last one became.
+  for (std::size_t i = 0; i < open.size(); ++i) {
+    bool isLast = i + 1 == open.size();
+    auto action = [this, job = open[i], isLast, count = open.size(), aReply](CommitOutcome aOutcome, TimePoint aTime) {
+      if (aOutcome == CommitOutcome::Committed) {
+        static_cast<void>(this->scheduler.CancelJob(job, aTime));
+      }
+      if (isLast) {
+        std::error_code error;
+        if (aOutcome != CommitOutcome::Committed) {
+          error = aOutcome == CommitOutcome::Unknown ? Errc::OutcomeUnknown : Errc::DeadlineExceeded;
+        }
+        aReply(error, error ? 0 : count);
+      }
+    };
+    this->commits.Add(JobCancelled{ open[i] }, std::move(action), 0, aDeadline);
+  }
+}
+
+std::error_code RegionLeader::Step(TimePoint aNow)
+{
+  if (this->IsDeposed()) {
+    return Errc::Fenced;
+  }
+  this->CheckSilence(aNow);
+  bool isConfigFresh = aNow - this->configConfirmed <= kMaxConfigAgeForStarts;
+  if (isConfigFresh && !this->commits.IsBlocked()) {
+    this->Decide(aNow);
+  }
+  std::error_code error = this->commits.Flush(aNow, this->hooks.wallSeconds());
+  this->ForgetExpiredJobs();
+  this->BeginExchanges(aNow);
+  return error;
+}
+
+void RegionLeader::CheckSilence(TimePoint aNow)
+{
+  for (auto& [id, worker] : this->workers) {
+    for (const AttemptId& attempt : worker.session.TakeExpiredStarts(aNow)) {
+      this->EndAttempt(worker, attempt, AttemptOutcome::Rejected, "the start could not be sent in time", aNow);
+    }
+    bool isAbsent = worker.session.IsSilent() || !worker.session.HasReported();
+    if (isAbsent && !worker.assigned.empty() && worker.session.HasLapsed(aNow) &&
+        this->hooks.isSuccessionSettled()) {
+      LogLine(LogLevel::Warning, "worker_leases_lapsed").Add("worker", id).Add("attempts", worker.assigned.size());
+      this->EndAll(worker, AttemptOutcome::Interrupted, "the worker was silent until all leases ended", aNow);
+    }
+  }
+}
+
+void RegionLeader::BeginExchanges(TimePoint aNow)
+{
+  bool mayRenew = this->hooks.mayRenew();
+  for (auto& [id, worker] : this->workers) {
+    if (worker.info.state == InstanceState::Gone || worker.info.endpoint.port == 0) {
+      continue;
+    }
+    Duration interval = worker.assigned.empty() ? Duration(kRenewInterval) : this->options.syncInterval;
+    std::optional<SyncRequest> request = worker.session.Begin(this->options.epoch, aNow, interval, mayRenew);
+    if (request) {
+      this->hooks.beginSync(id, worker.info.endpoint, *request);
+    }
+  }
+}
+
+void RegionLeader::Decide(TimePoint aNow)
+{
+  std::vector<Decision> decisions = this->scheduler.Decide(aNow, kMaxStartsPerStep);
+  for (const Decision& decision : decisions) {
+    if (const auto* start = std::get_if<StartDecision>(&decision)) {
+      JobNumber job = start->attempt.task.job;
+      this->Carry(*start, this->gangs.contains(job) ? job : 0, aNow);
+    } else if (const auto* stop = std::get_if<StopDecision>(&decision)) {
+      this->Carry(*stop, aNow);
+    } else if (const auto* throttle = std::get_if<ThrottleDecision>(&decision)) {
+      this->Carry(*throttle, aNow);
+    } else {
+      this->Carry(std::get<JobFinishedDecision>(decision));
+    }
+  }
+}
+
+void RegionLeader::Carry(const StartDecision& aDecision, std::uint64_t aUnit, TimePoint aNow)
+{
+  Worker& worker = this->WorkerOf(aDecision.worker, aNow);
+  std::string incarnation = worker.session.Incarnation();
+  worker.assigned[aDecision.attempt] = incarnation;
+  auto action = [this, aDecision, incarnation](CommitOutcome aOutcome, TimePoint aTime) {
+    auto found = this->workers.find(aDecision.worker);
+    if (aOutcome != CommitOutcome::Committed || found == this->workers.end()) {
+      return;
+    }
+    Worker& target = found->second;
+    // The worker may have restarted, or the attempt may have been ended, while the record was being committed.
+    if (target.assigned.contains(aDecision.attempt) && target.session.Incarnation() == incarnation) {
+      ++this->starts;
+      target.session.Enqueue({ WorkerCommandKind::Start,
+                               aDecision.attempt,
+                               aDecision.limit,
+                               this->payloads[aDecision.attempt.task.job],
+                               {} },
+                             aTime);
+    }
+  };
+  this->commits.Add(TaskAssigned{ aDecision.attempt, aDecision.worker, incarnation, aDecision.limit },
+                    std::move(action),
+                    aUnit);
+}
+
+void RegionLeader::Carry(const StopDecision& aDecision, TimePoint aNow)
+{
+  Worker& worker = this->WorkerOf(aDecision.worker, aNow);
+  if (aDecision.checkpointFirst) {
+    worker.session.Enqueue({ WorkerCommandKind::Checkpoint, aDecision.attempt, {}, "", {} }, aNow);
+  }
+  auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(aDecision.grace);
+  worker.session.Enqueue({ WorkerCommandKind::Stop, aDecision.attempt, {}, "", grace }, aNow);
+  LogLine(LogLevel::Info, "task_stopped")
+    .Add("attempt", ToString(aDecision.attempt))
+    .Add("worker", aDecision.worker)
+    .Add("reason", NameOf(aDecision.reason));
+}
+
+void RegionLeader::Carry(const ThrottleDecision& aDecision, TimePoint aNow)
+{
+  Worker& worker = this->WorkerOf(aDecision.worker, aNow);
+  worker.session.Enqueue({ WorkerCommandKind::Throttle, aDecision.attempt, aDecision.limit, "", {} }, aNow);
+}
+
+void RegionLeader::Carry(const JobFinishedDecision& aDecision)
+{
+  LogLine(LogLevel::Info, "job_finished")
+    .Add("job", FormatJobId(this->options.region, aDecision.job))
+    .Add("state", NameOf(aDecision.state))
+    .Add("reason", aDecision.reason);
+  JobFinished entry{ aDecision.job,
+                     static_cast<std::uint8_t>(aDecision.state),
+                     aDecision.reason,
+                     this->hooks.wallSeconds() };
+  this->commits.Add(std::move(entry), {});
+}
+
+void RegionLeader::ForgetExpiredJobs()
+{
+  // Jobs expire from the state only when a snapshot is written, so the sizes differ rarely.
+  const auto& jobs = this->commits.State().Jobs();
+  if (this->payloads.size() <= jobs.size()) {
+    return;
+  }
+  std::erase_if(this->payloads, [&](const auto& aItem) {
+    if (jobs.contains(aItem.first)) {
+      return false;
+    }
+    static_cast<void>(this->scheduler.ForgetJob(aItem.first));
+    this->gangs.erase(aItem.first);
+    return true;
+  });
+}
+
+std::size_t RegionLeader::ReportingWorkerCount() const
+{
+  return static_cast<std::size_t>(std::count_if(this->workers.begin(), this->workers.end(), [](const auto& aItem) {
+    return aItem.second.session.HasReported() && !aItem.second.session.IsSilent();
+  }));
+}
+
+std::size_t RegionLeader::AssignedIn(const FailureDomain& aDomain) const
+{
+  std::size_t count = 0;
+  for (const auto& [id, worker] : this->workers) {
+    count += worker.info.failureDomain == aDomain ? worker.assigned.size() : 0;
+  }
+  return count;
+}
+
+} // namespace daisydrift
--- a/packages/daemon/src/WorkerSession.cpp
+++ b/packages/daemon/src/WorkerSession.cpp
@@ -94,6 +94,11 @@
   this->lastReport = aReport.number;
   if (update.hasRestarted) {
     // Commands were addressed to the earlier incarnation and have been ignored.
+    for (const QueuedCommand& queued : this->queue) {
+      if (queued.command.kind == WorkerCommandKind::Start && !queued.wasSent) {
+        update.unsentStarts.push_back(queued.command.attempt);
+      }
+    }
     this->queue.clear();
   } else {
     this->queue.erase(this->queue.begin(),
--- a/packages/daemon/src/WorkerSession.h
+++ b/packages/daemon/src/WorkerSession.h
@@ -31,6 +31,8 @@
   bool hasRestarted = false;
   /// First report to this leader.
   bool isFirstReport = false;
+  /// After a restart: starts that were never sent to the earlier incarnation; they never ran.
+  std::vector<AttemptId> unsentStarts;
   /// Events not seen before, in order.
   std::vector<WorkerEvent> events;
   /// The report itself.
