Packages settings and config, first complete version

Cause: the daemon needs its settings and the configuration document. Change: reader of JSON with comments that keeps places and goes on after an error; schema of the daemon's settings and the page made from it; document, codec, edits with conflicts by row, audit chain, keys, editor, table of teams. config depends on platform (Store) and settings (reader); the design page says so now. Ruled out: nlohmann-json for reading, which gives no line and column of a value; chunks of exactly 200 audit entries, which would leave an empty tail after each move, so that a lost answer could not be resolved from it. Conclusion: the interface can be built against; tests of config follow.

--- /dev/null
+++ b/packages/config/include/daisydrift/config.h
@@ -0,0 +1,12 @@
+#pragma once
+// The configuration of the fleet: document, edits, differences, table of teams, keys, audit chain.
+
+#include "daisydrift/config/Audit.h"
+#include "daisydrift/config/ConfigCodec.h"
+#include "daisydrift/config/ConfigDocument.h"
+#include "daisydrift/config/ConfigEditor.h"
+#include "daisydrift/config/Digest.h"
+#include "daisydrift/config/EditCodec.h"
+#include "daisydrift/config/Edits.h"
+#include "daisydrift/config/Keys.h"
+#include "daisydrift/config/TeamTable.h"
--- /dev/null
+++ b/packages/config/include/daisydrift/config/Digest.h
@@ -0,0 +1,15 @@
+#pragma once
+// SHA-256 digests.
+
+#include <string>
+#include <string_view>
+
+namespace daisydrift {
+
+/// SHA-256 of aText in lower-case hexadecimal, 64 characters.
+std::string Sha256Hex(std::string_view aText);
+
+/// True when both are equal; takes the same time wherever they differ.
+bool EqualInConstantTime(std::string_view aLeft, std::string_view aRight);
+
+} // namespace daisydrift
