--- /dev/null
+++ b/packages/daemon/include/daisydrift/daemon.h
@@ -0,0 +1,4 @@
+#pragma once
+// Public header of the package `daemon`.
+
+#include "daisydrift/daemon/Daemon.h"
--- /dev/null
+++ b/packages/daemon/src/ConfigFollower.cpp
@@ -0,0 +1,101 @@
+#include "ConfigFollower.h"
+
+#include <unistd.h>
+
+namespace daisydrift {
+
+namespace {
+
+constexpr std::chrono::milliseconds kReadTimeout{ 1000 };
+constexpr std::chrono::milliseconds kFirstRetry{ 50 };
+constexpr std::chrono::milliseconds kLongestRetry{ 1000 };
+
+} // namespace
+
+ConfigFollower::ConfigFollower(Store& aStore,
+                               ConfigHolder& aHolder,
+                               const Clock& aClock,
+                               std::function<void(std::error_code, TimePoint)> aOnCall,
+                               std::function<void()> aOnConfirmed)
+  : store(aStore)
+  , holder(aHolder)
+  , clock(aClock)
+  , onCall(std::move(aOnCall))
+  , onConfirmed(std::move(aOnConfirmed))
+  , delay(kFirstRetry, kLongestRetry, static_cast<std::uint64_t>(getpid()))
+{
+}
+
+ConfigFollower::~ConfigFollower()
+{
+  this->Stop();
+}
+
+void ConfigFollower::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void ConfigFollower::Stop()
+{
+  this->isStopping = true;
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+void ConfigFollower::Run()
+{
+  bool isCurrent = false;
+  while (!this->isStopping) {
+    // After a failed watch the document is read again: the watch may have missed a change.
+    bool isAnswered = isCurrent ? this->WatchOnce() : this->Read();
+    isCurrent = isAnswered;
+    if (isAnswered) {
+      this->delay.Reset();
+      this->onConfirmed();
+    } else {
+      std::this_thread::sleep_for(this->delay.Next());
+    }
+  }
+}
+
+bool ConfigFollower::Read()
+{
+  TimePoint sentAt = this->clock.Now();
+  Result<StoreEntry> entry = this->store.Get(kConfigKey, kReadTimeout);
+  this->onCall(entry.Error(), sentAt);
+  if (entry.Error() == Errc::NotFound) {
+    this->holder.OnStoreDocument({}, sentAt);
+    return true;
+  }
+  if (!entry) {
+    return false;
+  }
+  this->seen = entry->revision;
+  Findings findings;
+  std::optional<ConfigDocument> document = ParseConfig(entry->value, kConfigKey, findings);
+  if (!document) {
+    LogLine(LogLevel::Error, "configuration_unreadable").Add("findings", findings.ToText());
+    return false;
+  }
+  this->holder.OnStoreDocument(std::move(*document), sentAt);
+  return true;
+}
+
+bool ConfigFollower::WatchOnce()
+{
+  TimePoint sentAt = this->clock.Now();
+  Result<WatchResult> result = this->store.Watch(kConfigKey, this->seen, kConfigWatchWait);
+  this->onCall(result.Error(), sentAt);
+  if (!result) {
+    return false;
+  }
+  if (result->changes.empty()) {
+    this->holder.OnStoreUnchanged(sentAt);
+    return true;
+  }
+  return this->Read();
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/daemon/src/ConfigHolder.cpp
@@ -0,0 +1,103 @@
+#include "ConfigHolder.h"
+
+namespace daisydrift {
+
+ConfigHolder::ConfigHolder(const Clock& aClock)
+  : clock(aClock)
+  , view(MakeRef<const ConfigView>(ConfigDocument{}))
+{
+}
+
+Ref<const ConfigView> ConfigHolder::View() const
+{
+  std::lock_guard lock(this->mutex);
+  return this->view;
+}
+
+ConfigVersion ConfigHolder::Version() const
+{
+  return this->View()->Document().version;
+}
+
+void ConfigHolder::OnStoreDocument(ConfigDocument aDocument, TimePoint aSentAt)
+{
+  bool isNew = false;
+  {
+    std::lock_guard lock(this->mutex);
+    isNew = this->freshness.OnStoreAnswer(aDocument.version, aSentAt);
+    bool isConfirmed = aDocument.version >= this->freshness.Version();
+    this->confirmedAt = isConfirmed ? std::max(this->confirmedAt, aSentAt) : this->confirmedAt;
+    this->isKnown = true;
+  }
+  if (isNew) {
+    this->Adopt(std::move(aDocument));
+  }
+}
+
+void ConfigHolder::OnStoreUnchanged(TimePoint aSentAt)
+{
+  std::lock_guard lock(this->mutex);
+  this->freshness.OnWatchUnchanged(aSentAt);
+  this->confirmedAt = std::max(this->confirmedAt, aSentAt);
+}
+
+void ConfigHolder::OnPeerDocument(ConfigDocument aDocument)
+{
+  bool isNew = false;
+  {
+    std::lock_guard lock(this->mutex);
+    isNew = this->freshness.OnPeerDocument(aDocument.version);
+  }
+  if (isNew) {
+    this->Adopt(std::move(aDocument));
+  }
+}
+
+void ConfigHolder::OnOutageEvidence(TimePoint aSince)
+{
+  std::lock_guard lock(this->mutex);
+  this->freshness.OnOutageEvidence(aSince);
+}
+
+bool ConfigHolder::MayAcceptKeyedWork() const
+{
+  std::lock_guard lock(this->mutex);
+  return this->isKnown && this->freshness.MayAcceptKeyedWork(this->clock.Now());
+}
+
+bool ConfigHolder::IsKnown() const
+{
+  std::lock_guard lock(this->mutex);
+  return this->isKnown;
+}
+
+TimePoint ConfigHolder::ConfirmedAt() const
+{
+  std::lock_guard lock(this->mutex);
+  return this->confirmedAt;
+}
+
+bool ConfigHolder::IsFallbackReadDue(bool aIsLeader) const
+{
+  std::lock_guard lock(this->mutex);
+  return this->freshness.IsFallbackReadDue(this->clock.Now(), aIsLeader);
+}
+
+void ConfigHolder::Adopt(ConfigDocument aDocument)
+{
+  auto adopted = MakeRef<const ConfigView>(std::move(aDocument));
+  {
+    std::lock_guard lock(this->mutex);
+    if (adopted->Document().version < this->view->Document().version) {
+      return;
+    }
+    this->view = adopted;
+    this->isKnown = true;
+  }
+  LogLine(LogLevel::Info, "configuration_adopted").Add("version", adopted->Document().version);
+  if (this->listener) {
+    this->listener(*adopted);
+  }
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/daemon/src/Daemon.cpp
@@ -0,0 +1,540 @@
+#include "daisydrift/daemon/Daemon.h"
+
+#include "ApiServer.h"
+#include "ConfigFollower.h"
+#include "FleetStatus.h"
+#include "LeaderRunner.h"
+#include "Membership.h"
+
+#include "daisydrift/routing.h"
+
+#include <unistd.h>
+
+#include <condition_variable>
+#include <fstream>
+#include <sstream>
+
+namespace daisydrift {
+
+namespace {
+
+/// Time between telling the load balancer that this instance is not ready and refusing new requests. Balancers look
+/// at readiness about once a second.
+constexpr std::chrono::milliseconds kReadinessLead{ 2500 };
+constexpr std::chrono::milliseconds kPeerStopLimit{ 5000 };
+constexpr std::chrono::milliseconds kDirectoryTimeout{ 2000 };
+
+std::string ReadFirstLine(const std::string& aFile, const std::string& aSetting, Findings& aFindings)
+{
+  std::ifstream file(aFile);
+  std::string line;
+  if (!std::getline(file, line) || line.empty()) {
+    aFindings.Add({ aFile, 1, 1 }, "unreadable_file", "the file named by '" + aSetting + "' can't be read or is empty");
+  }
+  return line;
+}
+
+PolicySettings PolicyOf(const PolicyChoice& aChoice)
+{
+  PolicySettings policy =
+    aChoice.preset == PolicyPreset::Packing ? PolicySettings::ForPacking() : PolicySettings::ForWaitingTime();
+  policy.packingWeight = aChoice.packingWeight.value_or(policy.packingWeight);
+  policy.spreadWeight = aChoice.spreadWeight.value_or(policy.spreadWeight);
+  policy.acceleratorWeight = aChoice.acceleratorWeight.value_or(policy.acceleratorWeight);
+  policy.urgentTarget = aChoice.urgentTarget ? Duration(*aChoice.urgentTarget) : policy.urgentTarget;
+  policy.debtHalfLife = aChoice.debtHalfLife ? Duration(*aChoice.debtHalfLife) : policy.debtHalfLife;
+  policy.stopGrace = aChoice.stopGrace ? Duration(*aChoice.stopGrace) : policy.stopGrace;
+  policy.refillStartsPerSecond = aChoice.refillStartsPerSecond.value_or(policy.refillStartsPerSecond);
+  policy.poisonWorkerCount = aChoice.poisonWorkerCount.value_or(policy.poisonWorkerCount);
+  return policy;
+}
+
+Problem NoLeader(const std::string& aDetail)
+{
+  return { 503, "no_leader", aDetail, "not_run", std::chrono::seconds(1), {} };
+}
+
+CallReply ToReply(const Problem& aProblem)
+{
+  CallReply reply{ static_cast<std::uint16_t>(aProblem.status), "application/problem+json", EncodeProblem(aProblem), {} };
+  if (aProblem.retryAfter > std::chrono::seconds::zero()) {
+    reply.headers.emplace_back("Retry-After", std::to_string(aProblem.retryAfter.count()));
+  }
+  return reply;
+}
+
+RequestOutcome OutcomeFrom(const std::string& aText)
+{
+  if (aText == "ran") {
+    return RequestOutcome::Ran;
+  }
+  return aText == "not_run" ? RequestOutcome::NotRun : RequestOutcome::Unknown;
+}
+
+const char* NameOf(RequestOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case RequestOutcome::Ran:
+      return "ran";
+    case RequestOutcome::NotRun:
+      return "not_run";
+    case RequestOutcome::Unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+DaemonSecrets LoadSecrets(const DaemonSettings& aSettings, Findings& aFindings)
+{
+  DaemonSecrets secrets;
+  secrets.operatorKeyDigest = aSettings.operatorKeyDigest;
+  if (!aSettings.operatorKeyDigestFile.empty()) {
+    secrets.operatorKeyDigest =
+      ReadFirstLine(aSettings.operatorKeyDigestFile, "operators.key_digest_file", aFindings);
+  }
+  secrets.instanceSecret = ReadFirstLine(aSettings.instanceSecretFile, "instances.secret_file", aFindings);
+  return secrets;
+}
+
+struct Daemon::Parts : PeerService
+{
+  Parts(DaemonSettings aSettings, DaemonSecrets aSecrets)
+    : settings(std::move(aSettings))
+    , secrets(std::move(aSecrets))
+    , store(this->settings.storeEndpoints)
+    , directory(this->settings.directoryEndpoint)
+    , config(this->clock)
+    , loop(std::make_shared<RpcLoop>())
+    , channels(this->loop, ChannelOptions(this->secrets))
+    , peerServer(this->loop, *this, ServerOptions(this->secrets))
+  {
+  }
+
+  static PeerChannelOptions ChannelOptions(const DaemonSecrets& aSecrets)
+  {
+    PeerChannelOptions options;
+    options.secret = aSecrets.instanceSecret;
+    return options;
+  }
+  static PeerServerOptions ServerOptions(const DaemonSecrets& aSecrets)
+  {
+    PeerServerOptions options;
+    options.secret = aSecrets.instanceSecret;
+    return options;
+  }
+
+  bool Start(Findings& aFindings);
+  void MakeRouter();
+  void MakeLeader();
+  void MakeMembership(const Endpoint& aRpc, const Endpoint& aHttp);
+  std::unique_ptr<ApiServer> MakeApi(ApiPort aPort);
+  void FollowDirectory();
+  void OnInstances(const std::vector<InstanceInfo>& aInstances);
+  void Stop();
+
+  CallReply CallLeader(const std::string& aRegion, const Call& aCall);
+  std::optional<RoutedAnswer> ForwardToPeer(const RoutedRequest& aRequest);
+  std::vector<FreeSlots> CountFreeSlots() const;
+  EditOutcome ApplyEdit(const EditRequest& aRequest);
+  std::string Status();
+  std::string Audit();
+
+  Result<HeartbeatReply> OnHeartbeat(const Heartbeat& aHeartbeat) override;
+  Result<ConfigReply> OnFetchConfig() override;
+  Result<SuccessorAck> OnSuccessor(const SuccessorNotice& aNotice) override;
+  Result<CallReply> OnCall(const Call& aCall) override;
+  Result<ForwardedReply> OnForwardedRequest(const ForwardedRequest& aRequest) override;
+
+  DaemonSettings settings;
+  DaemonSecrets secrets;
+  SteadyClock clock;
+  Metrics metrics;
+  HttpStore store;
+  HttpInstanceDirectory directory;
+  HttpWorkerClient workers;
+  HttpUpstreamClient upstreams;
+  ConfigHolder config;
+  std::shared_ptr<RpcLoop> loop;
+  PeerChannels channels;
+  std::unique_ptr<RequestRouter> router;
+  std::unique_ptr<LeaderRunner> leader;
+  std::unique_ptr<Membership> membership;
+  std::unique_ptr<ConfigFollower> follower;
+  PeerServer peerServer;
+  std::unique_ptr<ApiServer> callers;
+  std::unique_ptr<ApiServer> operators;
+  std::atomic<bool> isReady{ false };
+  std::mutex directoryMutex;
+  std::condition_variable directoryWake;
+  bool isStopping = false;
+  bool isStopped = false;
+  std::thread directoryThread;
+};
+
+bool Daemon::Parts::Start(Findings& aFindings)
+{
+  if (this->settings.instanceId.empty()) {
+    Result<std::string> id = GenerateId();
+    this->settings.instanceId = id ? *id : std::to_string(getpid());
+  }
+  this->MakeRouter();
+  this->MakeLeader();
+  const ListenSettings& listen = this->settings.listen;
+  this->callers = this->MakeApi(ApiPort::Callers);
+  this->operators = this->MakeApi(ApiPort::Operators);
+  if (!this->callers->Http().IsValid() || !this->operators->Http().IsValid()) {
+    aFindings.Add({ this->settings.tlsCertificateFile, 0, 0 }, "unusable_certificate", "TLS can't be set up");
+    return false;
+  }
+  if (this->peerServer.Start({ listen.address, listen.rpcPort })) {
+    aFindings.Add({ "listen.rpc_port", 0, 0 }, "port_unavailable", "the port can't be bound");
+    return false;
+  }
+  Endpoint rpc{ this->settings.advertisedAddress, this->peerServer.Address().port };
+  // The membership must exist before the first HTTP request; its HTTP address is the port asked for.
+  this->MakeMembership(rpc, { this->settings.advertisedAddress, listen.httpPort });
+  this->follower = std::make_unique<ConfigFollower>(
+    this->store,
+    this->config,
+    this->clock,
+    [this](std::error_code aError, TimePoint aSentAt) { this->membership->OnStoreCall(aError, aSentAt); },
+    [this] { this->leader->ConfirmConfig(this->config.ConfirmedAt()); });
+  if (!this->callers->Http().Start({ listen.address, listen.httpPort })) {
+    aFindings.Add({ "listen.http_port", 0, 0 }, "port_unavailable", "the port can't be bound");
+    return false;
+  }
+  if (!this->operators->Http().Start({ listen.address, listen.operatorsPort })) {
+    aFindings.Add({ "listen.operators_port", 0, 0 }, "port_unavailable", "the port can't be bound");
+    return false;
+  }
+  this->follower->Start();
+  this->membership->Start();
+  this->directoryThread = std::thread([this] { this->FollowDirectory(); });
+  this->isReady = true;
+  LogLine(LogLevel::Info, "started")
+    .Add("instance", this->settings.instanceId)
+    .Add("region", this->settings.region)
+    .Add("failure_domain", this->settings.failureDomain)
+    .Add("http", ToString(this->callers->Http().Address()))
+    .Add("operators", ToString(this->operators->Http().Address()))
+    .Add("rpc", ToString(rpc));
+  return true;
+}
+
+void Daemon::Parts::MakeRouter()
+{
+  RoutingSettings routing;
+  routing.seats = this->settings.seats;
+  routing.failureDomain = this->settings.failureDomain;
+  routing.longestDeadline = kLongestDeadline;
+  routing.seed = std::hash<std::string>()(this->settings.instanceId);
+  RoutingHooks hooks;
+  hooks.maySend = [this] { return this->membership->MayUseSeat(); };
+  hooks.forwardToPeer = [this](const RoutedRequest& aRequest) { return this->ForwardToPeer(aRequest); };
+  this->router =
+    std::make_unique<RequestRouter>(routing, this->upstreams, this->clock, this->metrics, std::move(hooks));
+}
+
+void Daemon::Parts::MakeLeader()
+{
+  LeaderRunnerOptions options;
+  options.region = this->settings.region;
+  options.instance = this->settings.instanceId;
+  options.policy = PolicyOf(this->settings.policy);
+  options.syncInterval = this->settings.workerSyncInterval;
+  options.durable.callTimeout = this->settings.storeTimeout;
+  options.durable.maxAttempts = 2;
+  LeaderRunnerHooks hooks;
+  hooks.mayRenew = [this] { return this->membership->MayRenew(); };
+  hooks.isSuccessionSettled = [this] { return this->membership->IsSuccessionSettled(); };
+  hooks.onDeposed = [this] { this->membership->OnFenced(); };
+  this->leader = std::make_unique<LeaderRunner>(
+    std::move(options), std::move(hooks), this->store, this->workers, this->clock, this->metrics);
+  this->config.SetListener([this](const ConfigView& aView) {
+    this->leader->SetConfig(aView.Document(), this->config.ConfirmedAt());
+    for (const auto& [name, service] : aView.Document().services) {
+      this->router->SetLimits(name, { service.slotsPerUpstream, service.connectionsPerUpstream });
+    }
+  });
+}
+
+void Daemon::Parts::MakeMembership(const Endpoint& aRpc, const Endpoint& aHttp)
+{
+  MembershipOptions options{
+    this->settings.instanceId, this->settings.region, this->settings.failureDomain, aRpc, aHttp
+  };
+  MembershipHooks hooks;
+  hooks.onSeat = [this](std::optional<unsigned> aSeat) { this->router->SetSeat(aSeat); };
+  hooks.onElected = [this](Epoch aEpoch) { this->leader->Lead(aEpoch); };
+  hooks.onLost = [this] { this->leader->StepDown(); };
+  hooks.freeSlots = [this] { return this->CountFreeSlots(); };
+  this->membership = std::make_unique<Membership>(
+    std::move(options), std::move(hooks), this->store, this->channels, this->config, this->clock, this->metrics);
+}
+
+std::unique_ptr<ApiServer> Daemon::Parts::MakeApi(ApiPort aPort)
+{
+  ApiOptions options;
+  options.port = aPort;
+  options.limits.maxBodyBytes = this->settings.limits.bodyBytes;
+  options.limits.readTimeout = this->settings.limits.headerTimeout;
+  options.tls = { this->settings.tlsCertificateFile, this->settings.tlsKeyFile };
+  options.operatorKeyDigest = this->secrets.operatorKeyDigest;
+  options.limits.threads = aPort == ApiPort::Callers ? 96 : 16;
+  ApiHooks hooks;
+  hooks.config = [this] { return this->config.View(); };
+  hooks.isConfigFresh = [this] { return this->config.MayAcceptKeyedWork(); };
+  hooks.callLeader = [this](const std::string& aRegion, const Call& aCall) {
+    return this->CallLeader(aRegion, aCall);
+  };
+  hooks.route = [this](const RoutedRequest& aRequest) { return this->router->Route(aRequest); };
+  hooks.edit = [this](const EditRequest& aRequest) { return this->ApplyEdit(aRequest); };
+  hooks.status = [this] { return this->Status(); };
+  hooks.audit = [this] { return this->Audit(); };
+  hooks.isReady = [this] { return this->isReady && this->config.IsKnown() && this->membership->Seat().has_value(); };
+  return std::make_unique<ApiServer>(std::move(options), std::move(hooks), this->clock, this->metrics);
+}
+
+void Daemon::Parts::FollowDirectory()
+{
+  std::unique_lock lock(this->directoryMutex);
+  while (!this->isStopping) {
+    lock.unlock();
+    Result<std::vector<InstanceInfo>> instances = this->directory.List(kDirectoryTimeout);
+    if (instances) {
+      this->OnInstances(*instances);
+    } else {
+      this->metrics.Count("directory_errors_total");
+    }
+    lock.lock();
+    this->directoryWake.wait_for(
+      lock, this->settings.directoryPollInterval, [this] { return this->isStopping; });
+  }
+}
+
+void Daemon::Parts::OnInstances(const std::vector<InstanceInfo>& aInstances)
+{
+  this->router->UpdateUpstreams(aInstances);
+  this->leader->SetInstances(aInstances);
+}
+
+CallReply Daemon::Parts::CallLeader(const std::string& aRegion, const Call& aCall)
+{
+  std::string region = aRegion.empty() ? this->settings.region : aRegion;
+  if (region == this->settings.region && this->leader->IsLeading()) {
+    return this->leader->Handle(aCall);
+  }
+  std::optional<Endpoint> endpoint = this->membership->LeaderOf(region);
+  if (!endpoint) {
+    return ToReply(NoLeader("no leader of region '" + region + "' is known"));
+  }
+  auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(aCall.deadline) + std::chrono::milliseconds(200);
+  PeerResult<CallReply> reply = this->channels.At(*endpoint)->SendCall(aCall, timeout);
+  if (reply) {
+    return *reply;
+  }
+  if (reply.Error() == Errc::OutcomeUnknown && aCall.kind != CallKind::Query) {
+    return ToReply({ 504,
+                     "outcome_unknown",
+                     "the call may or may not have been carried out; repeat it with the same Idempotency-Key",
+                     "unknown",
+                     std::chrono::seconds(1),
+                     {} });
+  }
+  return ToReply(NoLeader("the leader did not take the call: " + reply.Error().message()));
+}
+
+std::optional<RoutedAnswer> Daemon::Parts::ForwardToPeer(const RoutedRequest& aRequest)
+{
+  TimePoint now = this->clock.Now();
+  std::optional<PeerInfo> peer = this->membership->Peers().WithFreeSlots(aRequest.service, now);
+  if (!peer || aRequest.deadline <= now) {
+    return std::nullopt;
+  }
+  ForwardedRequest forwarded;
+  forwarded.service = aRequest.service;
+  forwarded.team = aRequest.team;
+  forwarded.weight = static_cast<std::uint32_t>(aRequest.weight);
+  forwarded.method = aRequest.request.method;
+  forwarded.target = aRequest.request.target;
+  forwarded.headers = aRequest.request.headers;
+  forwarded.body = aRequest.request.body;
+  forwarded.isRepeatable = aRequest.isRepeatable;
+  forwarded.deadline = aRequest.deadline - now;
+  auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(forwarded.deadline);
+  PeerResult<ForwardedReply> reply = this->channels.At(peer->rpc)->ForwardRequest(forwarded, timeout);
+  RoutedAnswer answer;
+  if (reply) {
+    if (reply->outcome == "not_run") {
+      return std::nullopt;
+    }
+    answer.status = reply->status;
+    answer.headers = reply->headers;
+    answer.body = reply->body;
+    answer.outcome = OutcomeFrom(reply->outcome);
+    answer.code = reply->code;
+    return answer;
+  }
+  if (reply.Error() != Errc::OutcomeUnknown) {
+    return std::nullopt;
+  }
+  answer.status = 504;
+  answer.code = "peer_no_answer";
+  answer.outcome = RequestOutcome::Unknown;
+  return answer;
+}
+
+std::vector<FreeSlots> Daemon::Parts::CountFreeSlots() const
+{
+  std::vector<FreeSlots> free;
+  for (const auto& [name, service] : this->config.View()->Document().services) {
+    UpstreamCounts counts = this->router->Counts(name);
+    std::size_t waiting = this->router->Waiting(name);
+    std::uint32_t slots = counts.slots > counts.slotsInUse ? counts.slots - counts.slotsInUse : 0;
+    free.push_back({ name, waiting > 0 || !this->membership->MayUseSeat() ? 0 : slots });
+  }
+  return free;
+}
+
+EditOutcome Daemon::Parts::ApplyEdit(const EditRequest& aRequest)
+{
+  ConfigEditor::Options options;
+  options.timeout = this->settings.storeTimeout;
+  ConfigEditor editor(this->store, options);
+  EditOutcome outcome = editor.Apply(aRequest);
+  LogLine(LogLevel::Info, "configuration_edit")
+    .Add("actor", aRequest.actor)
+    .Add("edit_id", aRequest.editId)
+    .Add("edits", aRequest.edits.size())
+    .Add("version", outcome.version)
+    .Add("result", outcome.error ? outcome.error.message() : "accepted");
+  return outcome;
+}
+
+std::string Daemon::Parts::Status()
+{
+  Call call;
+  call.kind = CallKind::Query;
+  call.path = "/v1/admin/region";
+  call.deadline = std::chrono::seconds(2);
+  CallReply region = this->CallLeader("", call);
+  OwnStatus own{ this->settings.instanceId,
+                 this->membership->Seat(),
+                 this->settings.region,
+                 this->settings.failureDomain,
+                 this->config.Version(),
+                 this->leader->IsLeading(),
+                 this->membership->IsStoreReachable() };
+  return FleetStatusJson(own, this->membership->Peers().All(), this->clock.Now(), region);
+}
+
+std::string Daemon::Parts::Audit()
+{
+  return AuditJson(this->config.View()->Document());
+}
+
+Result<HeartbeatReply> Daemon::Parts::OnHeartbeat(const Heartbeat& aHeartbeat)
+{
+  if (!this->membership) {
+    return Errc::NotPermitted;
+  }
+  return this->membership->OnHeartbeat(aHeartbeat);
+}
+
+Result<ConfigReply> Daemon::Parts::OnFetchConfig()
+{
+  Ref<const ConfigView> view = this->config.View();
+  return ConfigReply{ view->Document().version, EncodeConfig(view->Document()) };
+}
+
+Result<SuccessorAck> Daemon::Parts::OnSuccessor(const SuccessorNotice& aNotice)
+{
+  if (!this->membership) {
+    return Errc::NotPermitted;
+  }
+  return this->membership->OnSuccessor(aNotice);
+}
+
+Result<CallReply> Daemon::Parts::OnCall(const Call& aCall)
+{
+  if (!this->leader->IsLeading()) {
+    return ToReply(NoLeader("this instance does not lead the region"));
+  }
+  return this->leader->Handle(aCall);
+}
+
+Result<ForwardedReply> Daemon::Parts::OnForwardedRequest(const ForwardedRequest& aRequest)
+{
+  RoutedRequest request;
+  request.service = aRequest.service;
+  request.team = aRequest.team;
+  request.weight = aRequest.weight;
+  request.request = { aRequest.method, aRequest.target, aRequest.headers, aRequest.body };
+  request.isRepeatable = aRequest.isRepeatable;
+  request.deadline = this->clock.Now() + aRequest.deadline;
+  request.isForwarded = true;
+  RoutedAnswer answer = this->router->Route(request);
+  return ForwardedReply{
+    static_cast<std::uint16_t>(answer.status), answer.headers, answer.body, NameOf(answer.outcome), answer.code
+  };
+}
+
+void Daemon::Parts::Stop()
+{
+  if (this->isStopped || !this->membership) {
+    return;
+  }
+  this->isStopped = true;
+  LogLine(LogLevel::Info, "stopping").Add("instance", this->settings.instanceId);
+  this->isReady = false;
+  this->leader->StepDown();
+  this->membership->BeginStop();
+  std::this_thread::sleep_for(kReadinessLead);
+  bool isClean = this->router->Drain(kLongestDeadline + std::chrono::seconds(2));
+  this->callers->Http().Stop();
+  this->operators->Http().Stop();
+  {
+    std::lock_guard lock(this->directoryMutex);
+    this->isStopping = true;
+  }
+  this->directoryWake.notify_all();
+  if (this->directoryThread.joinable()) {
+    this->directoryThread.join();
+  }
+  this->follower->Stop();
+  this->membership->Stop(isClean);
+  this->peerServer.Stop(kPeerStopLimit);
+  LogLine(LogLevel::Info, "stopped").Add("instance", this->settings.instanceId).Add("clean", isClean);
+}
+
+Daemon::Daemon(DaemonSettings aSettings, DaemonSecrets aSecrets)
+  : parts(std::make_unique<Parts>(std::move(aSettings), std::move(aSecrets)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::Start(Findings& aFindings)
+{
+  return this->parts->Start(aFindings);
+}
+
+void Daemon::Stop()
+{
+  this->parts->Stop();
+}
+
+void Daemon::ReloadCertificate()
+{
+  TlsFiles files{ this->parts->settings.tlsCertificateFile, this->parts->settings.tlsKeyFile };
+  if (!files.IsSet()) {
+    return;
+  }
+  bool isLoaded =
+    this->parts->callers->Http().ReloadCertificate(files) && this->parts->operators->Http().ReloadCertificate(files);
+  LogLine(isLoaded ? LogLevel::Info : LogLevel::Error, "certificate_reload").Add("loaded", isLoaded);
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/daemon/src/FleetStatus.cpp
@@ -0,0 +1,73 @@
+#include "FleetStatus.h"
+
+#include <nlohmann/json.hpp>
+
+namespace daisydrift {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// A peer silent for longer is shown as not answering.
+constexpr std::chrono::seconds kAnswerMaxAge{ 5 };
+
+Json OwnJson(const OwnStatus& aOwn)
+{
+  Json json = { { "id", aOwn.instance },
+                { "region", aOwn.region },
+                { "failure_domain", aOwn.failureDomain },
+                { "config_version", aOwn.configVersion },
+                { "is_leader", aOwn.isLeader },
+                { "store_reachable", aOwn.isStoreReachable },
+                { "answers", true } };
+  json["seat"] = aOwn.seat ? Json(*aOwn.seat) : Json();
+  return json;
+}
+
+Json PeerJson(const PeerInfo& aPeer, TimePoint aNow)
+{
+  bool answers = aPeer.last && !aPeer.isRefused && aNow - aPeer.lastAnswered <= kAnswerMaxAge;
+  return { { "id", aPeer.seat.instance },
+           { "seat", aPeer.seat.seat },
+           { "region", aPeer.seat.region },
+           { "failure_domain", aPeer.seat.failureDomain },
+           { "config_version", aPeer.last ? aPeer.last->configVersion : 0 },
+           { "is_leader", answers && aPeer.last->highestEpoch != 0 },
+           { "store_reachable", answers && aPeer.last->isStoreReachable },
+           { "answers", answers } };
+}
+
+} // namespace
+
+std::string FleetStatusJson(const OwnStatus& aOwn,
+                            const std::vector<PeerInfo>& aPeers,
+                            TimePoint aNow,
+                            const CallReply& aRegion)
+{
+  Json instances = Json::array({ OwnJson(aOwn) });
+  for (const PeerInfo& peer : aPeers) {
+    instances.push_back(PeerJson(peer, aNow));
+  }
+  Json leader;
+  for (const Json& instance : instances) {
+    if (instance["is_leader"].get<bool>()) {
+      leader = instance["id"];
+    }
+  }
+  Json region = aRegion.status == 200 ? Json::parse(aRegion.body, nullptr, false) : Json();
+  Json teams = region.is_object() && region.contains("teams") ? region["teams"] : Json::array();
+  Json json = { { "instances", instances }, { "leader", leader }, { "teams", teams }, { "region", region } };
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string AuditJson(const ConfigDocument& aDocument)
+{
+  Json entries = Json::array();
+  for (const AuditEntry& entry : aDocument.audit) {
+    entries.push_back(Json::parse(ToJsonText(EncodeAuditEntry(entry)), nullptr, false));
+  }
+  return Json{ { "entries", entries }, { "anchor", aDocument.auditAnchor }, { "chunks", aDocument.auditChunks } }.dump(
+    -1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/daemon/src/PeerTable.cpp
@@ -0,0 +1,79 @@
+#include "PeerTable.h"
+
+#include <set>
+
+namespace daisydrift {
+
+namespace {
+
+/// A peer silent for longer gets no forwarded requests.
+constexpr std::chrono::seconds kForwardMaxAge{ 3 };
+
+} // namespace
+
+void PeerTable::SetSeats(const std::vector<SeatRecord>& aSeats, const InstanceId& aSelf)
+{
+  std::lock_guard lock(this->mutex);
+  std::set<InstanceId> listed;
+  for (const SeatRecord& seat : aSeats) {
+    if (seat.instance == aSelf) {
+      continue;
+    }
+    listed.insert(seat.instance);
+    PeerInfo& peer = this->peers[seat.instance];
+    peer.seat = seat;
+    ParseEndpoint(seat.address, peer.rpc);
+  }
+  std::erase_if(this->peers, [&](const auto& aItem) { return !listed.contains(aItem.first); });
+}
+
+void PeerTable::OnAnswer(const InstanceId& aPeer, const Heartbeat& aAnswer, TimePoint aNow)
+{
+  std::lock_guard lock(this->mutex);
+  auto found = this->peers.find(aPeer);
+  if (found != this->peers.end()) {
+    found->second.last = aAnswer;
+    found->second.lastAnswered = aNow;
+    found->second.isRefused = false;
+  }
+}
+
+void PeerTable::OnRefused(const InstanceId& aPeer)
+{
+  std::lock_guard lock(this->mutex);
+  auto found = this->peers.find(aPeer);
+  if (found != this->peers.end()) {
+    found->second.isRefused = true;
+  }
+}
+
+std::vector<PeerInfo> PeerTable::All() const
+{
+  std::lock_guard lock(this->mutex);
+  std::vector<PeerInfo> list;
+  for (const auto& [id, peer] : this->peers) {
+    list.push_back(peer);
+  }
+  return list;
+}
+
+std::optional<PeerInfo> PeerTable::WithFreeSlots(const std::string& aService, TimePoint aNow) const
+{
+  std::lock_guard lock(this->mutex);
+  const PeerInfo* best = nullptr;
+  std::uint32_t bestSlots = 0;
+  for (const auto& [id, peer] : this->peers) {
+    if (!peer.last || peer.isRefused || peer.last->isStopping || aNow - peer.lastAnswered > kForwardMaxAge) {
+      continue;
+    }
+    for (const FreeSlots& free : peer.last->freeSlots) {
+      if (free.service == aService && free.slots > bestSlots) {
+        best = &peer;
+        bestSlots = free.slots;
+      }
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional<PeerInfo>(*best);
+}
+
+} // namespace daisydrift
--- a/packages/platform/include/daisydrift/platform/HttpStore.h
+++ b/packages/platform/include/daisydrift/platform/HttpStore.h
@@ -16,6 +16,8 @@
 {
 public:
   explicit HttpStore(Endpoint aEndpoint);
+  /// The endpoints belong to one store. A call that certainly did not reach one is tried at the next.
+  explicit HttpStore(std::vector<Endpoint> aEndpoints);
   ~HttpStore() override;
 
   Result<StoreEntry> Get(const std::string& aKey, std::chrono::milliseconds aTimeout) override;
@@ -38,7 +40,7 @@
   std::error_code RevokeLease(LeaseId aLease, std::chrono::milliseconds aTimeout) override;
 
 private:
-  Endpoint endpoint;
+  std::vector<Endpoint> endpoints;
   std::unique_ptr<HttpConnections> connections;
 };
 
--- a/packages/platform/src/HttpStore.cpp
+++ b/packages/platform/src/HttpStore.cpp
@@ -64,10 +64,32 @@
   return result;
 }
 
+/// Makes one exchange with the first endpoint that can be reached.
+HttpOutcome ExchangeWithAny(HttpConnections& aConnections,
+                            const std::vector<Endpoint>& aEndpoints,
+                            const httplib::Request& aRequest,
+                            std::chrono::milliseconds aTimeout)
+{
+  HttpOutcome outcome;
+  outcome.error = Errc::Unreachable;
+  for (const Endpoint& endpoint : aEndpoints) {
+    outcome = aConnections.Exchange(endpoint, aRequest, aTimeout);
+    if (outcome.error != Errc::Unreachable) {
+      return outcome;
+    }
+  }
+  return outcome;
+}
+
 } // namespace
 
 HttpStore::HttpStore(Endpoint aEndpoint)
-  : endpoint(std::move(aEndpoint))
+  : HttpStore(std::vector<Endpoint>{ std::move(aEndpoint) })
+{
+}
+
+HttpStore::HttpStore(std::vector<Endpoint> aEndpoints)
+  : endpoints(std::move(aEndpoints))
   , connections(std::make_unique<HttpConnections>())
 {
 }
@@ -76,8 +98,8 @@
 
 Result<StoreEntry> HttpStore::Get(const std::string& aKey, std::chrono::milliseconds aTimeout)
 {
-  HttpOutcome outcome = this->connections->Exchange(
-    this->endpoint, MakeRequest("GET", "/v1/kv/" + Escape(aKey)), aTimeout);
+  HttpOutcome outcome = ExchangeWithAny(
+    *this->connections, this->endpoints, MakeRequest("GET", "/v1/kv/" + Escape(aKey)), aTimeout);
   if (std::error_code error = ErrorOf(outcome)) {
     return error;
   }
@@ -91,8 +113,8 @@
 Result<std::vector<StoreEntry>> HttpStore::List(const std::string& aPrefix,
                                                 std::chrono::milliseconds aTimeout)
 {
-  HttpOutcome outcome = this->connections->Exchange(
-    this->endpoint, MakeRequest("GET", "/v1/kv?prefix=" + Escape(aPrefix)), aTimeout);
+  HttpOutcome outcome = ExchangeWithAny(
+    *this->connections, this->endpoints, MakeRequest("GET", "/v1/kv?prefix=" + Escape(aPrefix)), aTimeout);
   if (std::error_code error = ErrorOf(outcome)) {
     return error;
   }
@@ -114,7 +136,7 @@
     path += "&lease=" + std::to_string(aLease);
   }
   HttpOutcome outcome =
-    this->connections->Exchange(this->endpoint, MakeRequest("PUT", path, aValue), aTimeout);
+    ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("PUT", path, aValue), aTimeout);
   if (std::error_code error = ErrorOf(outcome)) {
     return error;
   }
@@ -131,7 +153,7 @@
 {
   std::string path = "/v1/kv/" + Escape(aKey) + "?expected=" + std::to_string(aExpected);
   return ErrorOf(
-    this->connections->Exchange(this->endpoint, MakeRequest("DELETE", path), aTimeout));
+    ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("DELETE", path), aTimeout));
 }
 
 Result<WatchResult> HttpStore::Watch(const std::string& aPrefix,
@@ -141,7 +163,7 @@
   std::string path = "/v1/watch?prefix=" + Escape(aPrefix) + "&after=" + std::to_string(aAfter) +
                      "&wait_ms=" + std::to_string(aWait.count());
   HttpOutcome outcome =
-    this->connections->Exchange(this->endpoint, MakeRequest("GET", path), aWait + kWatchSlack);
+    ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("GET", path), aWait + kWatchSlack);
   if (std::error_code error = ErrorOf(outcome)) {
     return error;
   }
@@ -151,8 +173,8 @@
 Result<LeaseId> HttpStore::GrantLease(std::chrono::milliseconds aTtl,
                                       std::chrono::milliseconds aTimeout)
 {
-  HttpOutcome outcome = this->connections->Exchange(
-    this->endpoint,
+  HttpOutcome outcome = ExchangeWithAny(
+    *this->connections, this->endpoints,
     MakeRequest("POST", "/v1/leases?ttl_ms=" + std::to_string(aTtl.count())),
     aTimeout);
   if (std::error_code error = ErrorOf(outcome)) {
@@ -169,7 +191,7 @@
 {
   std::string path = "/v1/leases/" + std::to_string(aLease) + "/keepalive";
   std::error_code error =
-    ErrorOf(this->connections->Exchange(this->endpoint, MakeRequest("POST", path), aTimeout));
+    ErrorOf(ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("POST", path), aTimeout));
   return error == Errc::NotFound ? make_error_code(Errc::LeaseExpired) : error;
 }
 
@@ -177,7 +199,7 @@
 {
   std::string path = "/v1/leases/" + std::to_string(aLease);
   std::error_code error =
-    ErrorOf(this->connections->Exchange(this->endpoint, MakeRequest("DELETE", path), aTimeout));
+    ErrorOf(ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("DELETE", path), aTimeout));
   return error == Errc::NotFound ? make_error_code(Errc::LeaseExpired) : error;
 }
 
--- a/packages/rpc/include/daisydrift/rpc/PeerMessages.h
+++ b/packages/rpc/include/daisydrift/rpc/PeerMessages.h
@@ -143,6 +143,8 @@
   Epoch epoch = 0;
   /// Seat of the sender.
   std::uint32_t seat = 0;
+  /// Epochs of the earlier holders of the scope that may still be acting.
+  std::vector<Epoch> formers;
 
   bool operator==(const SuccessorNotice&) const = default;
 };
--- a/packages/rpc/schema/peer.capnp
+++ b/packages/rpc/schema/peer.capnp
@@ -107,6 +107,8 @@
   scope @0 :Text;
   epoch @1 :UInt64;
   seat @2 :Int32;
+  formers @3 :List(UInt64);
+  # Epochs of the earlier holders that may still be acting.
 }
 
 struct SuccessorAck {
--- a/packages/rpc/src/WireCodec.cpp
+++ b/packages/rpc/src/WireCodec.cpp
@@ -232,10 +232,21 @@
   aOut.setScope(ToText(aValue.scope));
   aOut.setEpoch(aValue.epoch);
   aOut.setSeat(static_cast<std::int32_t>(aValue.seat));
+  auto formers = aOut.initFormers(static_cast<unsigned>(aValue.formers.size()));
+  for (unsigned i = 0; i < formers.size(); ++i) {
+    formers.set(i, aValue.formers[i]);
+  }
 }
 
 bool Decode(wire::SuccessorNotice::Reader aIn, SuccessorNotice& aOut)
 {
+  if (aIn.getFormers().size() > kMaxListItems) {
+    return false;
+  }
+  aOut.formers.clear();
+  for (std::uint64_t epoch : aIn.getFormers()) {
+    aOut.formers.push_back(epoch);
+  }
   aOut.scope = FromText(aIn.getScope());
   aOut.epoch = aIn.getEpoch();
   aOut.seat = static_cast<std::uint32_t>(aIn.getSeat());
@@ -299,7 +310,7 @@
 
 std::size_t WireBytes(const SuccessorNotice& aValue)
 {
-  return kFixedBytes + aValue.scope.size();
+  return kFixedBytes + aValue.scope.size() + aValue.formers.size() * sizeof(Epoch);
 }
 
 std::size_t WireBytes(const SuccessorAck&)
