Decision library: all calls of the scheduler with their policies

Cause: the daemon needs a working decision library. Change: state with one owner of all sums, ordered worker index, team shares with debt, gangs with one reservation and backfill, preemption, enforcement of ceilings and evacuation, usage control, worker quarantine, explanations, and the task life cycle as an embedded state chart translated to a table. Added to the interface: RestoreLostTask, SizeEstimates, shareReclaimDelay. Ruled out: one queue over all waiting tasks; jobs of the same shape are grouped so that one failed search sets aside all of them.

--- a/packages/core/include/daisydrift/core/PolicySettings.h
+++ b/packages/core/include/daisydrift/core/PolicySettings.h
@@ -24,6 +24,9 @@
   std::uint32_t refillStartsPerSecond = 200;
   /// Different workers on which a task must fail before its job is held to be at fault.
   std::uint32_t poisonWorkerCount = 3;
+  /// Time for which a team must have waited below its fair share before work of teams above theirs
+  /// is stopped for it. Bounds starvation by services and long tasks.
+  Duration shareReclaimDelay = std::chrono::seconds(30);
 
   /// Favours short waits and smooth departures of failure domains.
   static PolicySettings ForWaitingTime();
--- a/packages/core/include/daisydrift/core/Scheduler.h
+++ b/packages/core/include/daisydrift/core/Scheduler.h
@@ -64,6 +64,9 @@
                    std::uint32_t aFailures,
                    bool aHasSucceeded);
 
+  /// Recovery: a task that is not repeatable and has ended without an outcome. It is not run again.
+  void RestoreLostTask(const TaskId& aTask, std::uint32_t aAttempts);
+
   /// Makes decisions at aNow, at most aMaxStarts starts (a gang counts whole and may exceed it).
   std::vector<Decision> Decide(TimePoint aNow, std::size_t aMaxStarts);
 
@@ -75,6 +78,8 @@
   std::optional<Explanation> Explain(JobNumber aJob, TimePoint aNow) const;
   /// Usage and share of each team, by name.
   std::vector<TeamUsage> Teams(TimePoint aNow) const;
+  /// Size and run-time estimates with their errors, by team and kind.
+  std::vector<SizeEstimate> SizeEstimates() const;
   /// Sum of limits committed on a worker; zero when unknown.
   Resources Committed(const WorkerId& aWorker) const;
 
--- a/packages/core/include/daisydrift/core/Types.h
+++ b/packages/core/include/daisydrift/core/Types.h
@@ -195,4 +195,20 @@
   double fairShare = 0;
 };
 
+/// What is known of the size and run time of one kind of jobs of one team.
+struct SizeEstimate
+{
+  TeamName team;
+  std::string kind;
+  /// Ended attempts whose usage was seen.
+  std::uint32_t samples = 0;
+  /// Mean of the highest usage of an attempt, and its mean deviation as a part of the mean.
+  Resources meanPeak;
+  double coresError = 0;
+  double memoryError = 0;
+  /// Mean run time of successful attempts; zero when none was seen.
+  Duration meanRunTime{ 0 };
+  double runTimeError = 0;
+};
+
 } // namespace daisydrift
--- /dev/null
+++ b/packages/core/src/Explainer.cpp
@@ -0,0 +1,211 @@
+#include "Explainer.h"
+
+#include <cstdio>
+
+namespace daisydrift::core {
+
+namespace {
+
+std::string Percent(double aShare)
+{
+  char text[32];
+  std::snprintf(text, sizeof text, "%.1f%%", aShare * 100);
+  return text;
+}
+
+/// Workers that are not gone.
+std::size_t PresentWorkers(const ClusterState& aState)
+{
+  std::size_t count = 0;
+  for (const Worker& worker : aState.workers) {
+    count += worker.health == WorkerHealth::Gone ? 0 : 1;
+  }
+  return count;
+}
+
+} // namespace
+
+std::string ToText(const Resources& aResources)
+{
+  char text[96];
+  std::snprintf(text,
+                sizeof text,
+                "%.3g cores, %lld MiB, %lld accelerators",
+                static_cast<double>(aResources.milliCores) / 1000.0,
+                static_cast<long long>(aResources.memoryMiB),
+                static_cast<long long>(aResources.accelerators));
+  return text;
+}
+
+Explainer::Explainer(const ClusterState& aState,
+                     const TeamShares& aShares,
+                     const GangPlanner& aGangs,
+                     const Preemption& aPreemption,
+                     const WorkerTrust& aTrust)
+  : state(aState)
+  , shares(aShares)
+  , gangs(aGangs)
+  , preemption(aPreemption)
+  , trust(aTrust)
+{
+}
+
+std::optional<Explanation> Explainer::CheckJob(const JobSpec& aSpec) const
+{
+  const Team* team = this->state.FindTeam(aSpec.team);
+  if (team == nullptr || !team->isConfigured) {
+    return Explanation{ "unknown_team",
+                        "team '" + aSpec.team + "' is not configured",
+                        "create the team or submit with the key of another team" };
+  }
+  if (auto explanation = this->CheckCeiling(aSpec)) {
+    return explanation;
+  }
+  return this->CheckWorkers(aSpec);
+}
+
+std::optional<Explanation> Explainer::CheckCeiling(const JobSpec& aSpec) const
+{
+  const TeamPolicy& policy = this->state.FindTeam(aSpec.team)->policy;
+  bool isGang = aSpec.workClass == WorkClass::Gang;
+  std::uint32_t together = isGang ? aSpec.taskCount : 1;
+  Resources need = Times(aSpec.size, together);
+  std::string what = isGang ? "the gang needs " : "a task needs ";
+  if (!need.FitsIn(policy.ceiling)) {
+    return Explanation{ "ceiling_too_low",
+                        what + ToText(need) + " at once; the ceiling of team '" + aSpec.team +
+                          "' is " + ToText(policy.ceiling),
+                        "raise the team's ceiling or declare smaller tasks" };
+  }
+  if (together > policy.maxRunningTasks) {
+    return Explanation{ "ceiling_too_low",
+                        what + std::to_string(together) + " running tasks at once; team '" +
+                          aSpec.team + "' may have " + std::to_string(policy.maxRunningTasks),
+                        "raise the team's limit of running tasks or use fewer tasks" };
+  }
+  return std::nullopt;
+}
+
+std::optional<Explanation> Explainer::CheckWorkers(const JobSpec& aSpec) const
+{
+  if (PresentWorkers(this->state) == 0) {
+    // Nothing is known of the fleet yet, so nothing can be ruled out.
+    return std::nullopt;
+  }
+  std::uint64_t slots = 0;
+  for (const Worker& worker : this->state.workers) {
+    if (worker.health == WorkerHealth::Gone || !aSpec.size.FitsIn(worker.capacity)) {
+      continue;
+    }
+    slots += GangPlanner::Slots(worker.capacity, aSpec.size, aSpec.taskCount);
+    if (aSpec.workClass != WorkClass::Gang || slots >= aSpec.taskCount) {
+      break;
+    }
+  }
+  if (slots == 0) {
+    return Explanation{ "no_worker_fits",
+                        "a task needs " + ToText(aSpec.size) +
+                          "; no worker is as large, the largest amounts are " +
+                          ToText(this->state.largestWorker),
+                        "declare smaller tasks or add larger workers" };
+  }
+  if (aSpec.workClass == WorkClass::Gang && slots < aSpec.taskCount) {
+    return Explanation{ "fleet_too_small",
+                        "the gang has " + std::to_string(aSpec.taskCount) +
+                          " tasks; all workers together hold " + std::to_string(slots),
+                        "use fewer or smaller tasks or add workers" };
+  }
+  return std::nullopt;
+}
+
+std::optional<Explanation> Explainer::Explain(const Job& aJob, TimePoint aNow) const
+{
+  if (aJob.isEnding || (aJob.WaitingCount() == 0 && aJob.delayedCount == 0)) {
+    return std::nullopt;
+  }
+  if (auto never = this->CheckJob(aJob.spec)) {
+    return never;
+  }
+  if (aJob.WaitingCount() == 0) {
+    return Explanation{ "backing_off",
+                        "a task ended soon after its start and is started again after a delay",
+                        "look at the task's last error" };
+  }
+  if (aJob.IsGang() && aJob.activeCount > 0) {
+    return Explanation{ "gang_incomplete",
+                        "a task of the gang ended, so the others are stopped first",
+                        "no action needed" };
+  }
+  Resources size = this->state.SizeOf(aJob);
+  std::uint32_t together = aJob.IsGang() ? aJob.WaitingCount() : 1;
+  if (!ClusterState::FitsCeiling(*aJob.team, size, together)) {
+    return this->CeilingReached(aJob, size);
+  }
+  if (this->preemption.HeldFor(aJob) > 0) {
+    return Explanation{ "preempting",
+                        "other work is being stopped to make room",
+                        "no action needed" };
+  }
+  if (aJob.IsGang()) {
+    return this->GangWaits(aJob, aNow);
+  }
+  return this->FleetFull(aJob, size);
+}
+
+Explanation Explainer::CeilingReached(const Job& aJob, const Resources& aSize) const
+{
+  const Team& team = *aJob.team;
+  return { "ceiling_reached",
+           "team '" + team.policy.name + "' runs " + ToText(team.running) + " in " +
+             std::to_string(team.runningTasks) + " tasks; its ceiling is " +
+             ToText(team.policy.ceiling) + " in " + std::to_string(team.policy.maxRunningTasks) +
+             " tasks; a task needs " + ToText(aSize),
+           "wait for the team's work to end, cancel some of it, or raise the ceiling" };
+}
+
+Explanation Explainer::GangWaits(const Job& aJob, TimePoint aNow) const
+{
+  std::string tasks = std::to_string(aJob.WaitingCount()) + " tasks must start together";
+  if (this->gangs.Holder() == aJob.spec.number && this->gangs.ExpectedStart()) {
+    double seconds = std::chrono::duration<double>(*this->gangs.ExpectedStart() - aNow).count();
+    return { "gang_reserved",
+             tasks + "; workers are reserved, start expected in " +
+               std::to_string(static_cast<long long>(std::max(0.0, seconds))) + " s",
+             "no action needed" };
+  }
+  if (this->gangs.Holder() != 0) {
+    return { "behind_reservation",
+             tasks + "; freed capacity is reserved for job " + std::to_string(this->gangs.Holder()),
+             "wait, or use fewer or smaller tasks" };
+  }
+  return { "fleet_full", tasks + " and do not fit at the moment", "wait, or use fewer tasks" };
+}
+
+Explanation Explainer::FleetFull(const Job& aJob, const Resources& aSize) const
+{
+  const Team& team = *aJob.team;
+  std::string message = "no worker has " + ToText(aSize) + " free";
+  std::string advice = "wait for work to end or add workers";
+  if (this->state.index.MayFit(aSize)) {
+    message = "waits for its turn";
+    advice = "no action needed";
+  }
+  message += "; the team runs " + Percent(this->shares.Share(team)) +
+             " of the region, its fair share is " + Percent(team.fairShare);
+  for (const Domain& domain : this->state.domains) {
+    if (domain.isDrained) {
+      message += "; failure domain '" + domain.name + "' is out of service";
+      advice = "return the failure domain to service or wait";
+    }
+  }
+  if (this->trust.QuarantinedCount() > 0) {
+    message += "; " + std::to_string(this->trust.QuarantinedCount()) +
+               " workers are quarantined because everything fails on them";
+  }
+  if (this->gangs.Holder() != 0) {
+    message += "; capacity is reserved for job " + std::to_string(this->gangs.Holder());
+  }
+  return { "fleet_full", message, advice };
+}
+
+} // namespace daisydrift::core
--- /dev/null
+++ b/packages/core/src/Explainer.h
@@ -0,0 +1,42 @@
+#pragma once
+// Reasons for people why a job cannot run or waits.
+
+#include "GangPlanner.h"
+#include "Preemption.h"
+#include "WorkerTrust.h"
+
+namespace daisydrift::core {
+
+/// Builds explanations from the state without changing it.
+class Explainer
+{
+public:
+  Explainer(const ClusterState& aState,
+            const TeamShares& aShares,
+            const GangPlanner& aGangs,
+            const Preemption& aPreemption,
+            const WorkerTrust& aTrust);
+
+  /// Why a job can never run, or nothing.
+  std::optional<Explanation> CheckJob(const JobSpec& aSpec) const;
+  /// Why the job waits, or nothing when it does not.
+  std::optional<Explanation> Explain(const Job& aJob, TimePoint aNow) const;
+
+private:
+  std::optional<Explanation> CheckCeiling(const JobSpec& aSpec) const;
+  std::optional<Explanation> CheckWorkers(const JobSpec& aSpec) const;
+  Explanation CeilingReached(const Job& aJob, const Resources& aSize) const;
+  Explanation FleetFull(const Job& aJob, const Resources& aSize) const;
+  Explanation GangWaits(const Job& aJob, TimePoint aNow) const;
+
+  const ClusterState& state;
+  const TeamShares& shares;
+  const GangPlanner& gangs;
+  const Preemption& preemption;
+  const WorkerTrust& trust;
+};
+
+/// Text such as "2.5 cores, 1024 MiB, 1 accelerator".
+std::string ToText(const Resources& aResources);
+
+} // namespace daisydrift::core
--- /dev/null
+++ b/packages/core/src/PolicySettings.cpp
@@ -0,0 +1,23 @@
+#include "daisydrift/core/PolicySettings.h"
+
+namespace daisydrift {
+
+PolicySettings PolicySettings::ForWaitingTime()
+{
+  PolicySettings settings;
+  settings.packingWeight = 0.5;
+  settings.spreadWeight = 1.0;
+  return settings;
+}
+
+PolicySettings PolicySettings::ForPacking()
+{
+  PolicySettings settings;
+  settings.packingWeight = 2.0;
+  settings.spreadWeight = 0.25;
+  // A shorter memory keeps shares closer to fair at each moment.
+  settings.debtHalfLife = std::chrono::minutes(3);
+  return settings;
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/core/src/SchedulerImpl.cpp
@@ -0,0 +1,283 @@
+#include "SchedulerImpl.h"
+
+#include <algorithm>
+
+namespace daisydrift {
+
+using core::Attempt;
+using core::Job;
+using core::Position;
+using core::Task;
+using core::TaskEvent;
+using core::TaskState;
+using core::Team;
+using core::Worker;
+
+Scheduler::Impl::Impl(const PolicySettings& aSettings)
+  : settings(aSettings)
+  , commands(this->state, this->settings)
+  , placer(this->state, this->settings)
+  , trust(this->state)
+  , outcomes(this->state, this->settings, this->trust, this->timers)
+  , shares(this->state, this->settings)
+  , preemption(this->state, this->commands)
+  , gangs(this->state, this->placer, this->commands)
+  , enforcement(this->state, this->settings, this->commands)
+  , usage(this->state, this->commands)
+  , starts(this->state,
+           this->settings,
+           this->placer,
+           this->commands,
+           this->gangs,
+           this->preemption,
+           this->shares,
+           this->trust)
+  , explainer(this->state, this->shares, this->gangs, this->preemption, this->trust)
+{
+}
+
+std::error_code Scheduler::Impl::AddJob(const JobSpec& aSpec, TimePoint aNow)
+{
+  bool hasSize =
+    aSpec.size.milliCores > 0 || aSpec.size.memoryMiB > 0 || aSpec.size.accelerators > 0;
+  if (aSpec.number == 0 || aSpec.taskCount == 0 || !Resources().FitsIn(aSpec.size) || !hasSize ||
+      aSpec.declaredRunTime < Duration::zero()) {
+    return Errc::InvalidArgument;
+  }
+  if (this->state.FindTeam(aSpec.team) == nullptr) {
+    return Errc::NotFound;
+  }
+  if (this->state.FindJob(aSpec.number) != nullptr) {
+    return Errc::Conflict;
+  }
+  this->state.AddJob(aSpec, aNow);
+  return {};
+}
+
+std::error_code Scheduler::Impl::CancelJob(JobNumber aJob)
+{
+  Job* job = this->state.FindJob(aJob);
+  if (job == nullptr) {
+    return Errc::NotFound;
+  }
+  this->outcomes.EndJob(*job, JobState::Cancelled, "cancelled");
+  return {};
+}
+
+std::error_code Scheduler::Impl::ForgetJob(JobNumber aJob)
+{
+  Job* job = this->state.FindJob(aJob);
+  if (job == nullptr) {
+    return Errc::NotFound;
+  }
+  if (!job->isFinished) {
+    return Errc::NotPermitted;
+  }
+  this->trust.ForgetJob(*job);
+  this->state.RemoveJob(aJob);
+  return {};
+}
+
+void Scheduler::Impl::SetTeams(const std::vector<TeamPolicy>& aTeams)
+{
+  for (Team& team : this->state.teams) {
+    team.isConfigured = false;
+    team.policy.ceiling = {};
+    team.policy.maxRunningTasks = 0;
+  }
+  for (const TeamPolicy& policy : aTeams) {
+    Team& team = this->state.EnsureTeam(policy.name);
+    team.isConfigured = true;
+    team.policy = policy;
+    team.policy.weight = std::max(1U, policy.weight);
+  }
+  for (Team& team : this->state.teams) {
+    core::TeamQueue::RetryCeiling(team);
+  }
+  this->enforcement.OnCeilingsChanged();
+}
+
+void Scheduler::Impl::SetDrained(const std::set<FailureDomain>& aDrained, TimePoint aNow)
+{
+  for (Position i = 0; i < this->state.domains.size(); ++i) {
+    const core::Domain& domain = this->state.domains[i];
+    if (domain.isDrained && !aDrained.contains(domain.name)) {
+      this->placer.OnDomainReturned(i, aNow);
+    }
+  }
+  this->state.SetDrained(aDrained);
+  for (Position i = 0; i < this->state.workers.size(); ++i) {
+    this->enforcement.OnWorkerChanged(i);
+  }
+}
+
+void Scheduler::Impl::UpdateWorker(const WorkerDescription& aWorker, TimePoint aNow)
+{
+  Position position = this->state.WorkerPosition(aWorker.id);
+  Worker& worker = this->state.workers[position];
+  bool isReplaced = aWorker.health == WorkerHealth::Gone || worker.health == WorkerHealth::Gone;
+  this->state.DescribeWorker(position, aWorker);
+  this->enforcement.OnWorkerChanged(position);
+  if (isReplaced) {
+    this->trust.Reset(position);
+  }
+  while (aWorker.health == WorkerHealth::Gone && !worker.attempts.empty()) {
+    this->outcomes.OnEnded(
+      worker.attempts.front(), AttemptOutcome::Interrupted, "worker gone", aNow);
+  }
+}
+
+void Scheduler::Impl::OnStarted(const AttemptId& aAttempt, TimePoint aNow)
+{
+  Attempt* attempt = this->state.FindAttempt(aAttempt);
+  if (attempt == nullptr || attempt->hasStarted) {
+    return;
+  }
+  this->state.Apply(attempt->job->tasks[attempt->taskIndex], TaskEvent::Start);
+  attempt->hasStarted = true;
+  attempt->workSavedAt = aNow;
+  attempt->expectedEnd += aNow - attempt->assignedAt;
+}
+
+void Scheduler::Impl::OnEnded(const AttemptId& aAttempt,
+                              AttemptOutcome aOutcome,
+                              const std::string& aDetail,
+                              TimePoint aNow)
+{
+  Attempt* attempt = this->state.FindAttempt(aAttempt);
+  if (attempt != nullptr) {
+    this->outcomes.OnEnded(*attempt, aOutcome, aDetail, aNow);
+  }
+}
+
+void Scheduler::Impl::OnCheckpointed(const AttemptId& aAttempt, TimePoint aNow)
+{
+  Attempt* attempt = this->state.FindAttempt(aAttempt);
+  if (attempt != nullptr) {
+    attempt->workSavedAt = aNow;
+  }
+}
+
+void Scheduler::Impl::OnUsage(const AttemptId& aAttempt, const Resources& aUsage, TimePoint aNow)
+{
+  Attempt* attempt = this->state.FindAttempt(aAttempt);
+  if (attempt != nullptr) {
+    this->usage.OnUsage(*attempt, aUsage, aNow);
+  }
+}
+
+Task* Scheduler::Impl::TakeWaitingTask(const TaskId& aTask)
+{
+  Job* job = this->state.FindJob(aTask.job);
+  if (job == nullptr || aTask.index >= job->tasks.size()) {
+    return nullptr;
+  }
+  auto first = job->waiting.begin() + static_cast<std::ptrdiff_t>(job->waitingHead);
+  auto it = std::find(first, job->waiting.end(), aTask.index);
+  if (it == job->waiting.end()) {
+    return nullptr;
+  }
+  job->waiting.erase(it);
+  return &job->tasks[aTask.index];
+}
+
+void Scheduler::Impl::RestoreAttempt(const AttemptId& aAttempt,
+                                     const WorkerId& aWorker,
+                                     const Resources& aLimit,
+                                     TimePoint aNow)
+{
+  if (this->TakeWaitingTask(aAttempt.task) == nullptr) {
+    return;
+  }
+  Job& job = *this->state.FindJob(aAttempt.task.job);
+  this->state.AddAttempt(
+    job, aAttempt.task.index, aAttempt.attempt, this->state.WorkerPosition(aWorker), aLimit, aNow);
+  job.state = JobState::Running;
+  this->state.Requeue(job);
+  // A gang of which only a part is restored must be stopped.
+  this->outcomes.Review(job);
+  this->enforcement.OnCeilingsChanged();
+}
+
+void Scheduler::Impl::RestoreTask(const TaskId& aTask,
+                                  std::uint32_t aAttempts,
+                                  std::uint32_t aFailures,
+                                  bool aHasSucceeded)
+{
+  Job* job = this->state.FindJob(aTask.job);
+  if (job == nullptr || aTask.index >= job->tasks.size()) {
+    return;
+  }
+  Task& task = job->tasks[aTask.index];
+  task.attempts = std::max(task.attempts, aAttempts);
+  task.failures = std::max(task.failures, aFailures);
+  bool hasFailed = task.failures >= job->spec.maxFailures && !job->IsService();
+  if ((!aHasSucceeded && !hasFailed) || this->TakeWaitingTask(aTask) == nullptr) {
+    return;
+  }
+  this->state.Apply(task, aHasSucceeded ? TaskEvent::Succeed : TaskEvent::Exhaust);
+  ++(aHasSucceeded ? job->succeededCount : job->failedCount);
+  job->hasHealthyTask |= aHasSucceeded;
+  this->state.Requeue(*job);
+  this->outcomes.Review(*job);
+}
+
+void Scheduler::Impl::RestoreLostTask(const TaskId& aTask, std::uint32_t aAttempts)
+{
+  Task* task = this->TakeWaitingTask(aTask);
+  if (task == nullptr) {
+    return;
+  }
+  Job& job = *this->state.FindJob(aTask.job);
+  task->attempts = std::max(task->attempts, aAttempts);
+  this->state.Apply(*task, TaskEvent::Lose);
+  ++job.unknownCount;
+  job.reason = "task " + std::to_string(aTask.index) + " ended without an outcome";
+  this->state.Requeue(job);
+  this->outcomes.Review(job);
+}
+
+void Scheduler::Impl::FireTimers(TimePoint aNow)
+{
+  while (auto timer = this->timers.Pop(aNow)) {
+    if (timer->task.job != 0) {
+      this->outcomes.OnDelayOver(timer->task);
+      continue;
+    }
+    this->state.workers[timer->worker].isRejecting = false;
+    this->state.RefreshWorker(timer->worker);
+  }
+}
+
+std::vector<Decision> Scheduler::Impl::Decide(TimePoint aNow, std::size_t aMaxStarts)
+{
+  this->commands.Clear();
+  this->FireTimers(aNow);
+  this->placer.Advance(aNow);
+  this->shares.Advance(aNow);
+  this->outcomes.Settle(this->commands);
+  this->enforcement.Run(aNow);
+  this->usage.Run(aNow);
+  this->starts.Run(aNow, aMaxStarts);
+  return this->commands.Take();
+}
+
+std::vector<TeamUsage> Scheduler::Impl::Teams() const
+{
+  std::vector<TeamUsage> all;
+  for (const Team& team : this->state.teams) {
+    all.push_back({ team.policy.name,
+                    team.policy.weight,
+                    team.running,
+                    team.runningTasks,
+                    team.waitingTasks,
+                    core::DominantShare(team.running, this->state.regionCapacity),
+                    team.fairShare });
+  }
+  std::sort(all.begin(), all.end(), [](const TeamUsage& aLeft, const TeamUsage& aRight) {
+    return aLeft.team < aRight.team;
+  });
+  return all;
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/core/src/WorkerIndex.cpp
@@ -0,0 +1,202 @@
+#include "WorkerIndex.h"
+
+namespace daisydrift::core {
+
+namespace {
+
+/// Workers looked at in one ordered set before giving up. Bounds the cost of a placement when many
+/// workers have cores but no memory; CollectAny is exact.
+constexpr std::size_t kMaxExamined = 48;
+
+/// Less than any free amount, so that a worker that is out never fits.
+constexpr Resources kNothingFits{ -1, -1, -1 };
+
+} // namespace
+
+WorkerIndex::Key WorkerIndex::KeyOf(const Entry& aEntry, Position aWorker)
+{
+  return { aEntry.free.accelerators, aEntry.free.milliCores, aWorker };
+}
+
+WorkerIndex::OrderedSet& WorkerIndex::SetOf(const Entry& aEntry)
+{
+  DomainSets& sets = this->domains[aEntry.domain];
+  return aEntry.hasAccelerators ? sets.accelerated : sets.plain;
+}
+
+void WorkerIndex::Put(Position aWorker,
+                      Position aDomain,
+                      bool aHasAccelerators,
+                      const Resources& aFree)
+{
+  if (aWorker >= this->entries.size()) {
+    this->entries.resize(aWorker + 1);
+    this->GrowTree();
+  }
+  if (aDomain >= this->domains.size()) {
+    this->domains.resize(aDomain + 1);
+  }
+  Entry& entry = this->entries[aWorker];
+  if (entry.isIn && entry.domain == aDomain && entry.hasAccelerators == aHasAccelerators) {
+    if (entry.free == aFree) {
+      return;
+    }
+    // Reuses the node of the set.
+    OrderedSet& set = this->SetOf(entry);
+    auto node = set.extract(KeyOf(entry, aWorker));
+    this->totalFree += aFree - entry.free;
+    entry.free = aFree;
+    node.value() = KeyOf(entry, aWorker);
+    set.insert(std::move(node));
+    this->SetLeaf(aWorker, aFree);
+    return;
+  }
+  this->Remove(aWorker);
+  entry = { true, aHasAccelerators, aDomain, aFree };
+  this->SetOf(entry).insert(KeyOf(entry, aWorker));
+  this->totalFree += aFree;
+  this->SetLeaf(aWorker, aFree);
+}
+
+void WorkerIndex::Remove(Position aWorker)
+{
+  if (!this->Contains(aWorker)) {
+    return;
+  }
+  Entry& entry = this->entries[aWorker];
+  this->SetOf(entry).erase(KeyOf(entry, aWorker));
+  this->totalFree -= entry.free;
+  entry.isIn = false;
+  this->SetLeaf(aWorker, kNothingFits);
+}
+
+void WorkerIndex::GrowTree()
+{
+  if (this->entries.size() <= this->leafCount) {
+    return;
+  }
+  std::size_t leaves = this->leafCount == 0 ? 64 : this->leafCount;
+  while (leaves < this->entries.size()) {
+    leaves *= 2;
+  }
+  this->leafCount = leaves;
+  this->tree.assign(2 * leaves, kNothingFits);
+  for (std::size_t i = 0; i < this->entries.size(); ++i) {
+    if (this->entries[i].isIn) {
+      this->tree[leaves + i] = this->entries[i].free;
+    }
+  }
+  for (std::size_t node = leaves - 1; node >= 1; --node) {
+    this->tree[node] = Max(this->tree[2 * node], this->tree[2 * node + 1]);
+  }
+}
+
+void WorkerIndex::SetLeaf(Position aWorker, const Resources& aFree)
+{
+  std::size_t node = this->leafCount + aWorker;
+  this->tree[node] = aFree;
+  for (node /= 2; node >= 1; node /= 2) {
+    Resources larger = Max(this->tree[2 * node], this->tree[2 * node + 1]);
+    if (larger == this->tree[node]) {
+      return;
+    }
+    this->tree[node] = larger;
+  }
+}
+
+void WorkerIndex::CollectTightest(Position aDomain,
+                                  const Resources& aNeed,
+                                  const Filter& aFilter,
+                                  std::size_t aLimit,
+                                  std::vector<Position>& aOut) const
+{
+  if (aDomain >= this->domains.size()) {
+    return;
+  }
+  std::size_t before = aOut.size();
+  if (aNeed.accelerators == 0) {
+    this->CollectFrom(this->domains[aDomain].plain, aNeed, aFilter, aLimit, aOut);
+  }
+  std::size_t found = aOut.size() - before;
+  if (found < aLimit) {
+    this->CollectFrom(this->domains[aDomain].accelerated, aNeed, aFilter, aLimit - found, aOut);
+  }
+}
+
+void WorkerIndex::CollectFrom(const OrderedSet& aSet,
+                              const Resources& aNeed,
+                              const Filter& aFilter,
+                              std::size_t aLimit,
+                              std::vector<Position>& aOut) const
+{
+  std::size_t examined = 0;
+  std::size_t found = 0;
+  auto it = aSet.lower_bound({ aNeed.accelerators, aNeed.milliCores, 0 });
+  while (it != aSet.end() && found < aLimit && ++examined <= kMaxExamined) {
+    auto [accelerators, cores, worker] = *it;
+    if (cores < aNeed.milliCores) {
+      it = aSet.lower_bound({ accelerators, aNeed.milliCores, 0 });
+      continue;
+    }
+    if (aNeed.FitsIn(this->entries[worker].free) && aFilter(worker)) {
+      aOut.push_back(worker);
+      ++found;
+    }
+    ++it;
+  }
+}
+
+void WorkerIndex::CollectLoosest(Position aDomain,
+                                 const Resources& aNeed,
+                                 const Filter& aFilter,
+                                 std::size_t aLimit,
+                                 std::vector<Position>& aOut) const
+{
+  if (aDomain >= this->domains.size()) {
+    return;
+  }
+  const DomainSets& sets = this->domains[aDomain];
+  const OrderedSet& set = aNeed.accelerators == 0 ? sets.plain : sets.accelerated;
+  std::size_t examined = 0;
+  std::size_t found = 0;
+  for (auto it = set.rbegin(); it != set.rend() && found < aLimit && ++examined <= kMaxExamined;
+       ++it) {
+    Position worker = std::get<2>(*it);
+    if (aNeed.FitsIn(this->entries[worker].free) && aFilter(worker)) {
+      aOut.push_back(worker);
+      ++found;
+    }
+  }
+}
+
+void WorkerIndex::CollectAny(const Resources& aNeed,
+                             const Filter& aFilter,
+                             std::size_t aLimit,
+                             std::vector<Position>& aOut) const
+{
+  if (!this->tree.empty()) {
+    this->VisitTree(1, aNeed, aFilter, aOut.size() + aLimit, aOut);
+  }
+}
+
+bool WorkerIndex::VisitTree(std::size_t aNode,
+                            const Resources& aNeed,
+                            const Filter& aFilter,
+                            std::size_t aLimit,
+                            std::vector<Position>& aOut) const
+{
+  if (!aNeed.FitsIn(this->tree[aNode])) {
+    return true;
+  }
+  if (aNode >= this->leafCount) {
+    auto worker = static_cast<Position>(aNode - this->leafCount);
+    if (aFilter(worker)) {
+      aOut.push_back(worker);
+    }
+    return aOut.size() < aLimit;
+  }
+  return this->VisitTree(2 * aNode, aNeed, aFilter, aLimit, aOut) &&
+         this->VisitTree(2 * aNode + 1, aNeed, aFilter, aLimit, aOut);
+}
+
+} // namespace daisydrift::core
