--- a/packages/daemon/include/daisydrift/daemon/Daemon.h
+++ b/packages/daemon/include/daisydrift/daemon/Daemon.h
@@ -29,7 +29,8 @@
 
   /// Binds all ports and starts. Problems are added to aFindings; returns false when there are any.
   bool Start(Findings& aFindings);
-  /// Graceful stop: hands the leadership over, finishes the requests under way, leaves the seat, and returns.
+  /// Graceful stop: hands the leadership over, finishes the requests under way, leaves the seat,
+  /// and returns.
   void Stop();
   /// Reads the certificate and its key again.
   void ReloadCertificate();
--- a/packages/daemon/programs/Main.cpp
+++ b/packages/daemon/programs/Main.cpp
@@ -21,7 +21,10 @@
 constexpr const char* kVersion = "0.1.0";
 
 /// Reads and checks the settings; prints all findings. Returns false when there are any.
-bool LoadSettings(const std::string& aFile, DaemonSettings& aSettings, DaemonSecrets& aSecrets, bool aWithSecrets)
+bool LoadSettings(const std::string& aFile,
+                  DaemonSettings& aSettings,
+                  DaemonSecrets& aSecrets,
+                  bool aWithSecrets)
 {
   std::ifstream file(aFile);
   if (!file) {
@@ -81,7 +84,9 @@
   add("help", "print this text");
   add("version", "print the version");
   add("settings", options::value<std::string>(), "file of settings, JSON with comments");
-  add("check-settings", options::value<std::string>(), "check a file of settings and print all findings");
+  add("check-settings",
+      options::value<std::string>(),
+      "check a file of settings and print all findings");
   add("describe-settings", "print a page of all settings");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description), values);
@@ -101,7 +106,8 @@
     return kExitOk;
   }
   if (values.count("check-settings") != 0) {
-    bool isGood = LoadSettings(values["check-settings"].as<std::string>(), settings, secrets, false);
+    bool isGood =
+      LoadSettings(values["check-settings"].as<std::string>(), settings, secrets, false);
     std::cout << (isGood ? "settings are valid\n" : "");
     return isGood ? kExitOk : kExitBadInput;
   }
--- a/packages/daemon/src/ApiServer.cpp
+++ b/packages/daemon/src/ApiServer.cpp
@@ -26,7 +26,8 @@
 }
 
 /// Reads a whole number of milliseconds; returns aDefault when absent and nothing when malformed.
-std::optional<std::chrono::milliseconds> ReadMilliseconds(const std::string& aText, std::chrono::milliseconds aDefault)
+std::optional<std::chrono::milliseconds> ReadMilliseconds(const std::string& aText,
+                                                          std::chrono::milliseconds aDefault)
 {
   if (aText.empty()) {
     return aDefault;
@@ -40,11 +41,18 @@
 }
 
 /// The deadline asked for, limited to the longest; an answer and nothing when malformed.
-std::optional<std::chrono::milliseconds> ReadDeadline(const httplib::Request& aRequest, httplib::Response& aResponse)
+std::optional<std::chrono::milliseconds> ReadDeadline(const httplib::Request& aRequest,
+                                                      httplib::Response& aResponse)
 {
-  auto deadline = ReadMilliseconds(aRequest.get_header_value("Daisydrift-Deadline-Ms"), kDefaultDeadline);
+  auto deadline =
+    ReadMilliseconds(aRequest.get_header_value("Daisydrift-Deadline-Ms"), kDefaultDeadline);
   if (!deadline || *deadline == std::chrono::milliseconds::zero()) {
-    SendProblem({ 400, "bad_deadline", "Daisydrift-Deadline-Ms must be a positive whole number", "not_run", {}, {} },
+    SendProblem({ 400,
+                  "bad_deadline",
+                  "Daisydrift-Deadline-Ms must be a positive whole number",
+                  "not_run",
+                  {},
+                  {} },
                 aResponse);
     return std::nullopt;
   }
@@ -68,13 +76,15 @@
   return region;
 }
 
-/// Fields of a request that are passed on to an upstream: without the key and the HTTP library's own entries.
+/// Fields of a request that are passed on to an upstream: without the key and the HTTP library's
+/// own entries.
 HeaderFields PassedHeaders(const httplib::Request& aRequest, const TeamName& aTeam)
 {
   HeaderFields fields;
   for (const auto& [name, value] : aRequest.headers) {
-    bool isOwn = strcasecmp(name.c_str(), "Authorization") == 0 || strcasecmp(name.c_str(), "Daisydrift-Team") == 0 ||
-                 name == "REMOTE_ADDR" || name == "REMOTE_PORT" || name == "LOCAL_ADDR" || name == "LOCAL_PORT";
+    bool isOwn = strcasecmp(name.c_str(), "Authorization") == 0 ||
+                 strcasecmp(name.c_str(), "Daisydrift-Team") == 0 || name == "REMOTE_ADDR" ||
+                 name == "REMOTE_PORT" || name == "LOCAL_ADDR" || name == "LOCAL_PORT";
     if (!isOwn) {
       fields.emplace_back(name, value);
     }
@@ -135,21 +145,24 @@
   server.Post("/v1/jobs", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
     this->Submit(aRequest, aResponse);
   });
-  server.Post("/v1/jobs/cancel", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-    this->Cancel(aRequest, aResponse, aRequest.body);
-  });
+  server.Post("/v1/jobs/cancel",
+              [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+                this->Cancel(aRequest, aResponse, aRequest.body);
+              });
   auto query = [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
     this->Query(aRequest, aResponse);
   };
   server.Get("/v1/jobs", query);
   server.Get("/v1/jobs/([^/]+)", query);
   server.Get("/v1/jobs/([^/]+)/explain", query);
-  server.Get("/v1/jobs/([^/]+)/watch", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-    this->Watch(aRequest, aResponse);
-  });
-  server.Delete("/v1/jobs/([^/]+)", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-    this->Cancel(aRequest, aResponse, Json{ { "job", aRequest.matches[1].str() } }.dump());
-  });
+  server.Get("/v1/jobs/([^/]+)/watch",
+             [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+               this->Watch(aRequest, aResponse);
+             });
+  server.Delete(
+    "/v1/jobs/([^/]+)", [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      this->Cancel(aRequest, aResponse, Json{ { "job", aRequest.matches[1].str() } }.dump());
+    });
 }
 
 void ApiServer::RegisterRequests()
@@ -170,8 +183,8 @@
 {
   Identity identity;
   std::string key = BearerKey(aRequest);
-  if (this->options.port == ApiPort::Operators && !this->options.operatorKeyDigest.empty() && !key.empty() &&
-      EqualInConstantTime(KeyDigest(key), this->options.operatorKeyDigest)) {
+  if (this->options.port == ApiPort::Operators && !this->options.operatorKeyDigest.empty() &&
+      !key.empty() && EqualInConstantTime(KeyDigest(key), this->options.operatorKeyDigest)) {
     identity.isAllowed = true;
     identity.isOperator = true;
     return identity;
@@ -191,7 +204,9 @@
     auto found = config->Document().teams.find(team);
     identity.isAllowed = found != config->Document().teams.end() && found->second.hasOpenQueue;
     identity.team = team;
-    identity.refusal = { 401, "key_missing", "send a key as 'Authorization: Bearer KEY'", "not_run", {}, {} };
+    identity.refusal = {
+      401, "key_missing", "send a key as 'Authorization: Bearer KEY'", "not_run", {}, {}
+    };
     return identity;
   }
   Authentication authentication = config->Authenticate(key);
@@ -201,7 +216,8 @@
   return identity;
 }
 
-std::optional<ApiServer::Identity> ApiServer::Admit(const httplib::Request& aRequest, httplib::Response& aResponse)
+std::optional<ApiServer::Identity> ApiServer::Admit(const httplib::Request& aRequest,
+                                                    httplib::Response& aResponse)
 {
   Identity identity = this->Identify(aRequest);
   if (!identity.isAllowed) {
@@ -218,7 +234,9 @@
   bool isOperator = !this->options.operatorKeyDigest.empty() && !key.empty() &&
                     EqualInConstantTime(KeyDigest(key), this->options.operatorKeyDigest);
   if (!isOperator) {
-    SendProblem({ 401, "operator_key_refused", "this call needs the operators' key", "not_run", {}, {} }, aResponse);
+    SendProblem(
+      { 401, "operator_key_refused", "this call needs the operators' key", "not_run", {}, {} },
+      aResponse);
   }
   return isOperator;
 }
@@ -231,7 +249,9 @@
     return;
   }
   if (identity->isOperator) {
-    SendProblem({ 403, "team_key_needed", "a job is submitted with the key of a team", "not_run", {}, {} }, aResponse);
+    SendProblem(
+      { 403, "team_key_needed", "a job is submitted with the key of a team", "not_run", {}, {} },
+      aResponse);
     return;
   }
   Call call;
@@ -242,9 +262,12 @@
   call.deadline = *deadline;
   Problem problem{ 400, "invalid_job", "the job is not valid", "not_run", {}, {} };
   if (aRequest.body.size() > kMaxSubmissionBytes) {
-    SendProblem({ 413, "body_too_large", "a job has at most 64 KiB", "not_run", {}, {} }, aResponse);
+    SendProblem({ 413, "body_too_large", "a job has at most 64 KiB", "not_run", {}, {} },
+                aResponse);
   } else if (call.idempotencyKey.size() > kMaxIdempotencyKeyBytes) {
-    SendProblem({ 400, "bad_idempotency_key", "Idempotency-Key has at most 200 bytes", "not_run", {}, {} }, aResponse);
+    SendProblem(
+      { 400, "bad_idempotency_key", "Idempotency-Key has at most 200 bytes", "not_run", {}, {} },
+      aResponse);
   } else if (!ParseJobSubmission(aRequest.body, problem.findings)) {
     SendProblem(problem, aResponse);
   } else {
@@ -278,7 +301,8 @@
   std::string seen = aRequest.get_param_value("state");
   auto wait = ReadMilliseconds(aRequest.get_param_value("wait_ms"), std::chrono::seconds(10));
   if (!wait) {
-    SendProblem({ 400, "bad_wait", "wait_ms must be a whole number", "not_run", {}, {} }, aResponse);
+    SendProblem({ 400, "bad_wait", "wait_ms must be a whole number", "not_run", {}, {} },
+                aResponse);
     return;
   }
   TimePoint end = this->clock.Now() + std::min<std::chrono::milliseconds>(*wait, kLongestWatch);
@@ -290,7 +314,8 @@
   while (true) {
     CallReply reply = this->hooks.callLeader(RegionOf(jobId), call);
     Json json = Json::parse(reply.body, nullptr, false);
-    bool isSame = reply.status == 200 && json.is_object() && json.value("state", std::string()) == seen;
+    bool isSame =
+      reply.status == 200 && json.is_object() && json.value("state", std::string()) == seen;
     if (!isSame || this->clock.Now() >= end) {
       SendReply(reply, aResponse);
       return;
@@ -299,7 +324,9 @@
   }
 }
 
-void ApiServer::Cancel(const httplib::Request& aRequest, httplib::Response& aResponse, std::string aBody)
+void ApiServer::Cancel(const httplib::Request& aRequest,
+                       httplib::Response& aResponse,
+                       std::string aBody)
 {
   std::optional<Identity> identity = this->Admit(aRequest, aResponse);
   auto deadline = identity ? ReadDeadline(aRequest, aResponse) : std::nullopt;
@@ -326,13 +353,17 @@
   std::string service = aRequest.matches[1];
   auto found = config->Document().services.find(service);
   if (found == config->Document().services.end()) {
-    SendProblem({ 404, "unknown_service", "no service has this name", "not_run", {}, {} }, aResponse);
+    SendProblem({ 404, "unknown_service", "no service has this name", "not_run", {}, {} },
+                aResponse);
     return;
   }
   const auto& teams = found->second.teams;
   if (identity->isOperator ||
-      (!found->second.isOpenToAllTeams && std::find(teams.begin(), teams.end(), identity->team) == teams.end())) {
-    SendProblem({ 403, "service_not_allowed", "the team may not call this service", "not_run", {}, {} }, aResponse);
+      (!found->second.isOpenToAllTeams &&
+       std::find(teams.begin(), teams.end(), identity->team) == teams.end())) {
+    SendProblem(
+      { 403, "service_not_allowed", "the team may not call this service", "not_run", {}, {} },
+      aResponse);
     return;
   }
   RoutedRequest routed;
@@ -374,20 +405,24 @@
 {
   httplib::Server& server = this->http.Server();
   auto guarded = [this](std::function<void(const httplib::Request&, httplib::Response&)> aHandler) {
-    return [this, handler = std::move(aHandler)](const httplib::Request& aRequest, httplib::Response& aResponse) {
+    return [this, handler = std::move(aHandler)](const httplib::Request& aRequest,
+                                                 httplib::Response& aResponse) {
       if (this->AdmitOperator(aRequest, aResponse)) {
         handler(aRequest, aResponse);
       }
     };
   };
-  server.Get("/v1/admin/config", guarded([this](const httplib::Request&, httplib::Response& aResponse) {
-               aResponse.set_content(EncodeConfig(this->hooks.config()->Document(), KeyDigests::Omitted),
-                                     "application/json");
-             }));
-  server.Post("/v1/admin/config", guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+  server.Get(
+    "/v1/admin/config", guarded([this](const httplib::Request&, httplib::Response& aResponse) {
+      aResponse.set_content(EncodeConfig(this->hooks.config()->Document(), KeyDigests::Omitted),
+                            "application/json");
+    }));
+  server.Post("/v1/admin/config",
+              guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
                 this->EditConfig(aRequest, aResponse);
               }));
-  server.Post("/v1/admin/keys", guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+  server.Post("/v1/admin/keys",
+              guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
                 this->IssueKeyFor(aRequest, aResponse);
               }));
   server.Delete("/v1/admin/keys/([^/]+)",
@@ -398,13 +433,16 @@
               guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
                 this->ChangeDomain(aRequest, aResponse);
               }));
-  server.Get("/v1/admin/status", guarded([this](const httplib::Request&, httplib::Response& aResponse) {
+  server.Get("/v1/admin/status",
+             guarded([this](const httplib::Request&, httplib::Response& aResponse) {
                aResponse.set_content(this->hooks.status(), "application/json");
              }));
-  server.Get("/v1/admin/audit", guarded([this](const httplib::Request&, httplib::Response& aResponse) {
+  server.Get("/v1/admin/audit",
+             guarded([this](const httplib::Request&, httplib::Response& aResponse) {
                aResponse.set_content(this->hooks.audit(), "application/json");
              }));
-  server.Get("/v1/admin/queue", guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+  server.Get("/v1/admin/queue",
+             guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
                Call call;
                call.kind = CallKind::Query;
                call.path = aRequest.path;
@@ -424,16 +462,21 @@
   this->SendEditOutcome(this->hooks.edit(*request), aResponse);
 }
 
-void ApiServer::ApplyEdit(Edit aEdit, const httplib::Request& aRequest, httplib::Response& aResponse)
+void ApiServer::ApplyEdit(Edit aEdit,
+                          const httplib::Request& aRequest,
+                          httplib::Response& aResponse)
 {
   EditRequest request;
   request.baseVersion = this->hooks.config()->Document().version;
-  request.actor = aRequest.has_header("Daisydrift-Actor") ? aRequest.get_header_value("Daisydrift-Actor") : "operator";
+  request.actor = aRequest.has_header("Daisydrift-Actor")
+                    ? aRequest.get_header_value("Daisydrift-Actor")
+                    : "operator";
   request.editId = aRequest.get_header_value("Idempotency-Key");
   if (request.editId.empty()) {
     Result<std::string> id = GenerateId();
     if (!id) {
-      SendProblem({ 500, "no_random_numbers", "no edit id can be made", "not_run", {}, {} }, aResponse);
+      SendProblem({ 500, "no_random_numbers", "no edit id can be made", "not_run", {}, {} },
+                  aResponse);
       return;
     }
     request.editId = *id;
@@ -445,8 +488,9 @@
 void ApiServer::SendEditOutcome(const EditOutcome& aOutcome, httplib::Response& aResponse)
 {
   if (!aOutcome.error) {
-    aResponse.set_content(Json{ { "version", aOutcome.version }, { "changed", aOutcome.hasChanged } }.dump(),
-                          "application/json");
+    aResponse.set_content(
+      Json{ { "version", aOutcome.version }, { "changed", aOutcome.hasChanged } }.dump(),
+      "application/json");
     return;
   }
   if (aOutcome.error == Errc::Conflict) {
@@ -454,16 +498,26 @@
     for (const EditConflict& conflict : aOutcome.conflicts) {
       conflicts.push_back({ { "row", conflict.row }, { "message", conflict.message } });
     }
-    Json json = Json::parse(EncodeProblem(
-      { 409, "edit_conflict", "rows were changed by another operator; nothing was changed", "not_run", {}, {} }));
+    Json json =
+      Json::parse(EncodeProblem({ 409,
+                                  "edit_conflict",
+                                  "rows were changed by another operator; nothing was changed",
+                                  "not_run",
+                                  {},
+                                  {} }));
     json["conflicts"] = conflicts;
     aResponse.status = 409;
     aResponse.set_content(json.dump(), "application/problem+json");
     return;
   }
   if (aOutcome.error == Errc::InvalidArgument) {
-    SendProblem(
-      { 422, "invalid_edit", "the edit is not valid; nothing was changed", "not_run", {}, aOutcome.findings }, aResponse);
+    SendProblem({ 422,
+                  "invalid_edit",
+                  "the edit is not valid; nothing was changed",
+                  "not_run",
+                  {},
+                  aOutcome.findings },
+                aResponse);
     return;
   }
   bool isUnknown = aOutcome.error == Errc::OutcomeUnknown;
@@ -482,7 +536,12 @@
   Json json = Json::parse(aRequest.body, nullptr, false);
   if (!json.is_object() || !json.contains("team") || !json["team"].is_string() ||
       (json.contains("expires_s") && !json["expires_s"].is_number_unsigned())) {
-    SendProblem({ 400, "invalid_key_request", "expected {\"team\": NAME, \"expires_s\": SECONDS}", "not_run", {}, {} },
+    SendProblem({ 400,
+                  "invalid_key_request",
+                  "expected {\"team\": NAME, \"expires_s\": SECONDS}",
+                  "not_run",
+                  {},
+                  {} },
                 aResponse);
     return;
   }
@@ -514,7 +573,8 @@
 void ApiServer::ChangeDomain(const httplib::Request& aRequest, httplib::Response& aResponse)
 {
   std::string name = aRequest.matches[1];
-  Edit edit = aRequest.matches[2] == "drain" ? Edit(DrainFailureDomain{ name }) : Edit(ReturnFailureDomain{ name });
+  Edit edit = aRequest.matches[2] == "drain" ? Edit(DrainFailureDomain{ name })
+                                             : Edit(ReturnFailureDomain{ name });
   this->ApplyEdit(std::move(edit), aRequest, aResponse);
 }
 
--- a/packages/daemon/src/CommitQueue.cpp
+++ b/packages/daemon/src/CommitQueue.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Bytes of one record that are left for entries; the journal's own limit is higher, so that the estimate of an
-/// entry's size need not be exact.
+/// Bytes of one record that are left for entries; the journal's own limit is higher, so that the
+/// estimate of an entry's size need not be exact.
 constexpr std::size_t kGroupBytes = 192 * 1024;
 /// Upper estimate of an entry without its variable texts.
 constexpr std::size_t kEntryBytes = 48;
@@ -170,7 +170,8 @@
   this->entries.clear();
   for (std::size_t i = 0; i < abandoned.size(); ++i) {
     if (abandoned[i].action) {
-      abandoned[i].action(i < this->openCount ? CommitOutcome::Unknown : CommitOutcome::NotCommitted, aNow);
+      abandoned[i].action(
+        i < this->openCount ? CommitOutcome::Unknown : CommitOutcome::NotCommitted, aNow);
     }
   }
   this->openCount = 0;
--- a/packages/daemon/src/CommitQueue.h
+++ b/packages/daemon/src/CommitQueue.h
@@ -32,18 +32,21 @@
 
   explicit CommitQueue(RegionOwnership aOwnership);
 
-  /// Adds an entry. Entries with the same non-zero unit are committed in one record. An entry with a deadline is
-  /// given up as NotCommitted when the deadline passes before it was tried, or after a try that proved it uncommitted.
+  /// Adds an entry. Entries with the same non-zero unit are committed in one record. An entry with
+  /// a deadline is given up as NotCommitted when the deadline passes before it was tried, or after
+  /// a try that proved it uncommitted.
   void Add(JournalEntry aEntry,
            Action aAction,
            std::uint64_t aUnit = 0,
            std::optional<TimePoint> aDeadline = std::nullopt);
 
-  /// Resolves an open write or commits the next group when one is due, and works on a snapshot when one is needed.
-  /// Makes few store calls. Returns the error of the store when nothing could be committed.
+  /// Resolves an open write or commits the next group when one is due, and works on a snapshot when
+  /// one is needed. Makes few store calls. Returns the error of the store when nothing could be
+  /// committed.
   std::error_code Flush(TimePoint aNow, std::int64_t aWallSeconds);
 
-  /// Gives up all entries after this leader was replaced: NotCommitted for those never tried, Unknown for the others.
+  /// Gives up all entries after this leader was replaced: NotCommitted for those never tried,
+  /// Unknown for the others.
   void Abandon(TimePoint aNow);
 
   /// True while the last try failed or its outcome is open: no further decisions should be made.
--- a/packages/daemon/src/ConfigFollower.h
+++ b/packages/daemon/src/ConfigFollower.h
@@ -11,15 +11,17 @@
 
 namespace daisydrift {
 
-/// Longest wait of one watch. An unchanged answer confirms the configuration as of the time the watch was sent, so the
-/// wait must be well below the age at which the leader stops starting tasks (4 s).
+/// Longest wait of one watch. An unchanged answer confirms the configuration as of the time the
+/// watch was sent, so the wait must be well below the age at which the leader stops starting tasks
+/// (4 s).
 constexpr std::chrono::milliseconds kConfigWatchWait{ 1000 };
 
 /// Owns the thread that follows the configuration.
 class ConfigFollower
 {
 public:
-  /// aOnCall is told of the outcome of each store call and when it was sent; aOnConfirmed of each confirmation.
+  /// aOnCall is told of the outcome of each store call and when it was sent; aOnConfirmed of each
+  /// confirmation.
   ConfigFollower(Store& aStore,
                  ConfigHolder& aHolder,
                  const Clock& aClock,
--- a/packages/daemon/src/ConfigHolder.cpp
+++ b/packages/daemon/src/ConfigHolder.cpp
@@ -24,7 +24,8 @@
   bool isNew = false;
   {
     std::lock_guard lock(this->mutex);
-    isNew = this->freshness.OnStoreAnswer(aDocument.version, aSentAt);
+    // The first answer is passed on even when there is no document yet, so that a leader can begin.
+    isNew = this->freshness.OnStoreAnswer(aDocument.version, aSentAt) || !this->isKnown;
     bool isConfirmed = aDocument.version >= this->freshness.Version();
     this->confirmedAt = isConfirmed ? std::max(this->confirmedAt, aSentAt) : this->confirmedAt;
     this->isKnown = true;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -18,33 +18,41 @@
 
 namespace {
 
-/// Time between telling the load balancer that this instance is not ready and refusing new requests. Balancers look
-/// at readiness about once a second.
+/// Time between telling the load balancer that this instance is not ready and refusing new
+/// requests. Balancers look at readiness about once a second.
 constexpr std::chrono::milliseconds kReadinessLead{ 2500 };
 constexpr std::chrono::milliseconds kPeerStopLimit{ 5000 };
 constexpr std::chrono::milliseconds kDirectoryTimeout{ 2000 };
 
-std::string ReadFirstLine(const std::string& aFile, const std::string& aSetting, Findings& aFindings)
+std::string ReadFirstLine(const std::string& aFile,
+                          const std::string& aSetting,
+                          Findings& aFindings)
 {
   std::ifstream file(aFile);
   std::string line;
   if (!std::getline(file, line) || line.empty()) {
-    aFindings.Add({ aFile, 1, 1 }, "unreadable_file", "the file named by '" + aSetting + "' can't be read or is empty");
+    aFindings.Add({ aFile, 1, 1 },
+                  "unreadable_file",
+                  "the file named by '" + aSetting + "' can't be read or is empty");
   }
   return line;
 }
 
 PolicySettings PolicyOf(const PolicyChoice& aChoice)
 {
-  PolicySettings policy =
-    aChoice.preset == PolicyPreset::Packing ? PolicySettings::ForPacking() : PolicySettings::ForWaitingTime();
+  PolicySettings policy = aChoice.preset == PolicyPreset::Packing
+                            ? PolicySettings::ForPacking()
+                            : PolicySettings::ForWaitingTime();
   policy.packingWeight = aChoice.packingWeight.value_or(policy.packingWeight);
   policy.spreadWeight = aChoice.spreadWeight.value_or(policy.spreadWeight);
   policy.acceleratorWeight = aChoice.acceleratorWeight.value_or(policy.acceleratorWeight);
-  policy.urgentTarget = aChoice.urgentTarget ? Duration(*aChoice.urgentTarget) : policy.urgentTarget;
-  policy.debtHalfLife = aChoice.debtHalfLife ? Duration(*aChoice.debtHalfLife) : policy.debtHalfLife;
+  policy.urgentTarget =
+    aChoice.urgentTarget ? Duration(*aChoice.urgentTarget) : policy.urgentTarget;
+  policy.debtHalfLife =
+    aChoice.debtHalfLife ? Duration(*aChoice.debtHalfLife) : policy.debtHalfLife;
   policy.stopGrace = aChoice.stopGrace ? Duration(*aChoice.stopGrace) : policy.stopGrace;
-  policy.refillStartsPerSecond = aChoice.refillStartsPerSecond.value_or(policy.refillStartsPerSecond);
+  policy.refillStartsPerSecond =
+    aChoice.refillStartsPerSecond.value_or(policy.refillStartsPerSecond);
   policy.poisonWorkerCount = aChoice.poisonWorkerCount.value_or(policy.poisonWorkerCount);
   return policy;
 }
@@ -56,7 +64,10 @@
 
 CallReply ToReply(const Problem& aProblem)
 {
-  CallReply reply{ static_cast<std::uint16_t>(aProblem.status), "application/problem+json", EncodeProblem(aProblem), {} };
+  CallReply reply{ static_cast<std::uint16_t>(aProblem.status),
+                   "application/problem+json",
+                   EncodeProblem(aProblem),
+                   {} };
   if (aProblem.retryAfter > std::chrono::seconds::zero()) {
     reply.headers.emplace_back("Retry-After", std::to_string(aProblem.retryAfter.count()));
   }
@@ -94,7 +105,8 @@
     secrets.operatorKeyDigest =
       ReadFirstLine(aSettings.operatorKeyDigestFile, "operators.key_digest_file", aFindings);
   }
-  secrets.instanceSecret = ReadFirstLine(aSettings.instanceSecretFile, "instances.secret_file", aFindings);
+  secrets.instanceSecret =
+    ReadFirstLine(aSettings.instanceSecretFile, "instances.secret_file", aFindings);
   return secrets;
 }
 
@@ -185,7 +197,8 @@
   this->callers = this->MakeApi(ApiPort::Callers);
   this->operators = this->MakeApi(ApiPort::Operators);
   if (!this->callers->Http().IsValid() || !this->operators->Http().IsValid()) {
-    aFindings.Add({ this->settings.tlsCertificateFile, 0, 0 }, "unusable_certificate", "TLS can't be set up");
+    aFindings.Add(
+      { this->settings.tlsCertificateFile, 0, 0 }, "unusable_certificate", "TLS can't be set up");
     return false;
   }
   if (this->peerServer.Start({ listen.address, listen.rpcPort })) {
@@ -193,13 +206,16 @@
     return false;
   }
   Endpoint rpc{ this->settings.advertisedAddress, this->peerServer.Address().port };
-  // The membership must exist before the first HTTP request; its HTTP address is the port asked for.
+  // The membership must exist before the first HTTP request; its HTTP address is the port asked
+  // for.
   this->MakeMembership(rpc, { this->settings.advertisedAddress, listen.httpPort });
   this->follower = std::make_unique<ConfigFollower>(
     this->store,
     this->config,
     this->clock,
-    [this](std::error_code aError, TimePoint aSentAt) { this->membership->OnStoreCall(aError, aSentAt); },
+    [this](std::error_code aError, TimePoint aSentAt) {
+      this->membership->OnStoreCall(aError, aSentAt);
+    },
     [this] { this->leader->ConfirmConfig(this->config.ConfirmedAt()); });
   if (!this->callers->Http().Start({ listen.address, listen.httpPort })) {
     aFindings.Add({ "listen.http_port", 0, 0 }, "port_unavailable", "the port can't be bound");
@@ -232,9 +248,11 @@
   routing.seed = std::hash<std::string>()(this->settings.instanceId);
   RoutingHooks hooks;
   hooks.maySend = [this] { return this->membership->MayUseSeat(); };
-  hooks.forwardToPeer = [this](const RoutedRequest& aRequest) { return this->ForwardToPeer(aRequest); };
-  this->router =
-    std::make_unique<RequestRouter>(routing, this->upstreams, this->clock, this->metrics, std::move(hooks));
+  hooks.forwardToPeer = [this](const RoutedRequest& aRequest) {
+    return this->ForwardToPeer(aRequest);
+  };
+  this->router = std::make_unique<RequestRouter>(
+    routing, this->upstreams, this->clock, this->metrics, std::move(hooks));
 }
 
 void Daemon::Parts::MakeLeader()
@@ -270,8 +288,13 @@
   hooks.onElected = [this](Epoch aEpoch) { this->leader->Lead(aEpoch); };
   hooks.onLost = [this] { this->leader->StepDown(); };
   hooks.freeSlots = [this] { return this->CountFreeSlots(); };
-  this->membership = std::make_unique<Membership>(
-    std::move(options), std::move(hooks), this->store, this->channels, this->config, this->clock, this->metrics);
+  this->membership = std::make_unique<Membership>(std::move(options),
+                                                  std::move(hooks),
+                                                  this->store,
+                                                  this->channels,
+                                                  this->config,
+                                                  this->clock,
+                                                  this->metrics);
 }
 
 std::unique_ptr<ApiServer> Daemon::Parts::MakeApi(ApiPort aPort)
@@ -293,8 +316,11 @@
   hooks.edit = [this](const EditRequest& aRequest) { return this->ApplyEdit(aRequest); };
   hooks.status = [this] { return this->Status(); };
   hooks.audit = [this] { return this->Audit(); };
-  hooks.isReady = [this] { return this->isReady && this->config.IsKnown() && this->membership->Seat().has_value(); };
-  return std::make_unique<ApiServer>(std::move(options), std::move(hooks), this->clock, this->metrics);
+  hooks.isReady = [this] {
+    return this->isReady && this->config.IsKnown() && this->membership->Seat().has_value();
+  };
+  return std::make_unique<ApiServer>(
+    std::move(options), std::move(hooks), this->clock, this->metrics);
 }
 
 void Daemon::Parts::FollowDirectory()
@@ -330,18 +356,20 @@
   if (!endpoint) {
     return ToReply(NoLeader("no leader of region '" + region + "' is known"));
   }
-  auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(aCall.deadline) + std::chrono::milliseconds(200);
+  auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(aCall.deadline) +
+                 std::chrono::milliseconds(200);
   PeerResult<CallReply> reply = this->channels.At(*endpoint)->SendCall(aCall, timeout);
   if (reply) {
     return *reply;
   }
   if (reply.Error() == Errc::OutcomeUnknown && aCall.kind != CallKind::Query) {
-    return ToReply({ 504,
-                     "outcome_unknown",
-                     "the call may or may not have been carried out; repeat it with the same Idempotency-Key",
-                     "unknown",
-                     std::chrono::seconds(1),
-                     {} });
+    return ToReply(
+      { 504,
+        "outcome_unknown",
+        "the call may or may not have been carried out; repeat it with the same Idempotency-Key",
+        "unknown",
+        std::chrono::seconds(1),
+        {} });
   }
   return ToReply(NoLeader("the leader did not take the call: " + reply.Error().message()));
 }
@@ -364,7 +392,8 @@
   forwarded.isRepeatable = aRequest.isRepeatable;
   forwarded.deadline = aRequest.deadline - now;
   auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(forwarded.deadline);
-  PeerResult<ForwardedReply> reply = this->channels.At(peer->rpc)->ForwardRequest(forwarded, timeout);
+  PeerResult<ForwardedReply> reply =
+    this->channels.At(peer->rpc)->ForwardRequest(forwarded, timeout);
   RoutedAnswer answer;
   if (reply) {
     if (reply->outcome == "not_run") {
@@ -420,13 +449,11 @@
   call.path = "/v1/admin/region";
   call.deadline = std::chrono::seconds(2);
   CallReply region = this->CallLeader("", call);
-  OwnStatus own{ this->settings.instanceId,
-                 this->membership->Seat(),
-                 this->settings.region,
-                 this->settings.failureDomain,
-                 this->config.Version(),
-                 this->leader->IsLeading(),
-                 this->membership->IsStoreReachable() };
+  OwnStatus own{
+    this->settings.instanceId,           this->membership->Seat(), this->settings.region,
+    this->settings.failureDomain,        this->config.Version(),   this->leader->IsLeading(),
+    this->membership->IsStoreReachable()
+  };
   return FleetStatusJson(own, this->membership->Peers().All(), this->clock.Now(), region);
 }
 
@@ -476,9 +503,11 @@
   request.deadline = this->clock.Now() + aRequest.deadline;
   request.isForwarded = true;
   RoutedAnswer answer = this->router->Route(request);
-  return ForwardedReply{
-    static_cast<std::uint16_t>(answer.status), answer.headers, answer.body, NameOf(answer.outcome), answer.code
-  };
+  return ForwardedReply{ static_cast<std::uint16_t>(answer.status),
+                         answer.headers,
+                         answer.body,
+                         NameOf(answer.outcome),
+                         answer.code };
 }
 
 void Daemon::Parts::Stop()
@@ -506,7 +535,9 @@
   this->follower->Stop();
   this->membership->Stop(isClean);
   this->peerServer.Stop(kPeerStopLimit);
-  LogLine(LogLevel::Info, "stopped").Add("instance", this->settings.instanceId).Add("clean", isClean);
+  LogLine(LogLevel::Info, "stopped")
+    .Add("instance", this->settings.instanceId)
+    .Add("clean", isClean);
 }
 
 Daemon::Daemon(DaemonSettings aSettings, DaemonSecrets aSecrets)
@@ -532,9 +563,10 @@
   if (!files.IsSet()) {
     return;
   }
-  bool isLoaded =
-    this->parts->callers->Http().ReloadCertificate(files) && this->parts->operators->Http().ReloadCertificate(files);
-  LogLine(isLoaded ? LogLevel::Info : LogLevel::Error, "certificate_reload").Add("loaded", isLoaded);
+  bool isLoaded = this->parts->callers->Http().ReloadCertificate(files) &&
+                  this->parts->operators->Http().ReloadCertificate(files);
+  LogLine(isLoaded ? LogLevel::Info : LogLevel::Error, "certificate_reload")
+    .Add("loaded", isLoaded);
 }
 
 } // namespace daisydrift
--- a/packages/daemon/src/FleetStatus.cpp
+++ b/packages/daemon/src/FleetStatus.cpp
@@ -56,7 +56,9 @@
   }
   Json region = aRegion.status == 200 ? Json::parse(aRegion.body, nullptr, false) : Json();
   Json teams = region.is_object() && region.contains("teams") ? region["teams"] : Json::array();
-  Json json = { { "instances", instances }, { "leader", leader }, { "teams", teams }, { "region", region } };
+  Json json = {
+    { "instances", instances }, { "leader", leader }, { "teams", teams }, { "region", region }
+  };
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -66,8 +68,9 @@
   for (const AuditEntry& entry : aDocument.audit) {
     entries.push_back(Json::parse(ToJsonText(EncodeAuditEntry(entry)), nullptr, false));
   }
-  return Json{ { "entries", entries }, { "anchor", aDocument.auditAnchor }, { "chunks", aDocument.auditChunks } }.dump(
-    -1, ' ', false, Json::error_handler_t::replace);
+  return Json{
+    { "entries", entries }, { "anchor", aDocument.auditAnchor }, { "chunks", aDocument.auditChunks }
+  }.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 } // namespace daisydrift
--- a/packages/daemon/src/FleetStatus.h
+++ b/packages/daemon/src/FleetStatus.h
@@ -20,8 +20,8 @@
   bool isStoreReachable = false;
 };
 
-/// `{"instances": [...], "leader": ID or null, "teams": [...], "region": {...}}`. aRegion is the leader's answer about
-/// its region; when it is no success the region is null.
+/// `{"instances": [...], "leader": ID or null, "teams": [...], "region": {...}}`. aRegion is the
+/// leader's answer about its region; when it is no success the region is null.
 std::string FleetStatusJson(const OwnStatus& aOwn,
                             const std::vector<PeerInfo>& aPeers,
                             TimePoint aNow,
--- a/packages/daemon/src/HttpServer.cpp
+++ b/packages/daemon/src/HttpServer.cpp
@@ -92,11 +92,9 @@
 
 std::string EncodeProblem(const Problem& aProblem)
 {
-  nlohmann::json json = {
-    { "type", "about:blank" },     { "title", httplib::detail::status_message(aProblem.status) },
-    { "status", aProblem.status }, { "code", aProblem.code },
-    { "detail", aProblem.detail }, { "outcome", aProblem.outcome }
-  };
+  nlohmann::json json = { { "type", "about:blank" },     { "title", aProblem.code },
+                          { "status", aProblem.status }, { "code", aProblem.code },
+                          { "detail", aProblem.detail }, { "outcome", aProblem.outcome } };
   if (!aProblem.findings.Empty()) {
     json["findings"] = nlohmann::json::array();
     for (const Finding& finding : aProblem.findings.Items()) {
--- a/packages/daemon/src/JobViews.cpp
+++ b/packages/daemon/src/JobViews.cpp
@@ -46,7 +46,9 @@
   return status;
 }
 
-std::optional<JobStatus> FindStatus(const RegionLeader& aLeader, JobNumber aJob, const TeamName& aTeam)
+std::optional<JobStatus> FindStatus(const RegionLeader& aLeader,
+                                    JobNumber aJob,
+                                    const TeamName& aTeam)
 {
   std::optional<JobStatus> status = aLeader.Decisions().Status(aJob);
   if (!status) {
@@ -87,7 +89,9 @@
   return Dump(ToJson(*status, aRegion));
 }
 
-std::string JobListJson(const RegionLeader& aLeader, const std::string& aRegion, const TeamName& aTeam)
+std::string JobListJson(const RegionLeader& aLeader,
+                        const std::string& aRegion,
+                        const TeamName& aTeam)
 {
   Json list = Json::array();
   for (const auto& [number, record] : aLeader.Commits().State().Jobs()) {
@@ -165,12 +169,15 @@
                 { "failure_domains", domains } });
 }
 
-std::vector<JobNumber> SelectJobs(const RegionLeader& aLeader, const TeamName& aTeam, const std::string& aName)
+std::vector<JobNumber> SelectJobs(const RegionLeader& aLeader,
+                                  const TeamName& aTeam,
+                                  const std::string& aName)
 {
   std::vector<JobNumber> selected;
   for (const JobStatus& status : aLeader.Decisions().Jobs()) {
     bool isOpen = status.state == JobState::Waiting || status.state == JobState::Running;
-    bool matches = (aTeam.empty() || status.team == aTeam) && (aName.empty() || status.name == aName);
+    bool matches =
+      (aTeam.empty() || status.team == aTeam) && (aName.empty() || status.name == aName);
     if (isOpen && matches) {
       selected.push_back(status.job);
     }
--- a/packages/daemon/src/LeaderRunner.cpp
+++ b/packages/daemon/src/LeaderRunner.cpp
@@ -25,7 +25,8 @@
 constexpr std::chrono::milliseconds kStepDelay{ 2 };
 /// Time between two tries to take over.
 constexpr std::chrono::milliseconds kTakeOverRetry{ 200 };
-/// Callers get this much less time at the leader than they have, so that its answer still reaches them.
+/// Callers get this much less time at the leader than they have, so that its answer still reaches
+/// them.
 constexpr std::chrono::milliseconds kReplyReserve{ 50 };
 
 CallReply JsonReply(std::uint16_t aStatus, std::string aBody)
@@ -47,7 +48,12 @@
 
 Problem NotLeadingProblem()
 {
-  return { 503, "no_leader", "no leader of the region is known at the moment", "not_run", std::chrono::seconds(1), {} };
+  return { 503,
+           "no_leader",
+           "no leader of the region is known at the moment",
+           "not_run",
+           std::chrono::seconds(1),
+           {} };
 }
 
 Problem UnknownProblem()
@@ -78,19 +84,23 @@
 CallReply ToReply(const SubmitReply& aReply, const std::string& aRegion)
 {
   if (!aReply.error) {
-    Json json = { { "job", FormatJobId(aRegion, aReply.job) }, { "state", "waiting" }, { "repeated", aReply.isRepeat } };
+    Json json = { { "job", FormatJobId(aRegion, aReply.job) },
+                  { "state", "waiting" },
+                  { "repeated", aReply.isRepeat } };
     return JsonReply(202, json.dump());
   }
   if (aReply.error == Errc::InvalidArgument) {
-    return ProblemReply({ 400, "invalid_job", "the job is not valid", "not_run", {}, aReply.findings });
+    return ProblemReply(
+      { 400, "invalid_job", "the job is not valid", "not_run", {}, aReply.findings });
   }
   if (aReply.error == Errc::Conflict) {
-    return ProblemReply({ 422,
-                          "idempotency_key_reused",
-                          "the Idempotency-Key was used with another body for " + FormatJobId(aRegion, aReply.job),
-                          "not_run",
-                          {},
-                          {} });
+    return ProblemReply(
+      { 422,
+        "idempotency_key_reused",
+        "the Idempotency-Key was used with another body for " + FormatJobId(aRegion, aReply.job),
+        "not_run",
+        {},
+        {} });
   }
   if (aReply.error == Errc::NotPermitted) {
     return ProblemReply({ 422,
@@ -151,15 +161,19 @@
   void EndLeading();
   /// Runs aWork on the leader's thread and steps soon after.
   void Post(std::function<void()> aWork);
-  /// Runs aWork on the leader's thread with the leader, or returns nothing when there is none or time runs out.
+  /// Runs aWork on the leader's thread with the leader, or returns nothing when there is none or
+  /// time runs out.
   template<typename Answer>
-  std::optional<Answer> Ask(std::function<void(RegionLeader&, std::function<void(Answer)>)> aWork, Duration aLimit);
+  std::optional<Answer> Ask(std::function<void(RegionLeader&, std::function<void(Answer)>)> aWork,
+                            Duration aLimit);
 
   CallReply Submit(const Call& aCall);
   CallReply Cancel(const Call& aCall);
   CallReply Query(const Call& aCall);
   CallReply QueryJob(const Call& aCall, const std::vector<std::string>& aParts);
-  std::optional<CallReply> AnswerQuery(RegionLeader& aLeader, const std::vector<std::string>& aParts, const TeamName& aTeam);
+  std::optional<CallReply> AnswerQuery(RegionLeader& aLeader,
+                                       const std::vector<std::string>& aParts,
+                                       const TeamName& aTeam);
 
   LeaderRunnerOptions options;
   LeaderRunnerHooks hooks;
@@ -204,13 +218,18 @@
     this->ScheduleStep(kTakeOverRetry);
     return;
   }
-  Result<RegionOwnership> ownership =
-    TakeOver(this->store, this->options.region, this->wantedEpoch, this->options.instance, this->options.durable);
+  Result<RegionOwnership> ownership = TakeOver(this->store,
+                                               this->options.region,
+                                               this->wantedEpoch,
+                                               this->options.instance,
+                                               this->options.durable);
   if (ownership) {
     this->BeginLeading(std::move(*ownership));
     return;
   }
-  LogLine(LogLevel::Warning, "takeover_failed").Add("epoch", this->wantedEpoch).Add("error", ownership.Error());
+  LogLine(LogLevel::Warning, "takeover_failed")
+    .Add("epoch", this->wantedEpoch)
+    .Add("error", ownership.Error());
   if (ownership.Error() == Errc::Fenced) {
     this->EndLeading();
     return;
@@ -224,11 +243,13 @@
   leaderHooks.mayRenew = this->hooks.mayRenew;
   leaderHooks.isSuccessionSettled = this->hooks.isSuccessionSettled;
   leaderHooks.wallSeconds = [] {
-    return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch())
+    return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::system_clock::now().time_since_epoch())
       .count();
   };
-  leaderHooks.beginSync = [this, mine = this->generation](
-                            const WorkerId& aWorker, const Endpoint& aEndpoint, const SyncRequest& aRequest) {
+  leaderHooks.beginSync = [this, mine = this->generation](const WorkerId& aWorker,
+                                                          const Endpoint& aEndpoint,
+                                                          const SyncRequest& aRequest) {
     asio::post(this->syncPool, [this, mine, aWorker, aEndpoint, aRequest] {
       auto result = std::make_shared<Result<SyncReport>>(
         this->workers.Sync(aEndpoint, aRequest, this->options.syncTimeout));
@@ -254,8 +275,12 @@
   leaderOptions.policy = this->options.policy;
   leaderOptions.syncInterval = this->options.syncInterval;
   std::size_t jobs = aOwnership.state.Jobs().size();
-  this->leader = std::make_unique<RegionLeader>(
-    leaderOptions, this->LeaderHooks(), std::move(aOwnership), *this->config, this->instances, this->clock.Now());
+  this->leader = std::make_unique<RegionLeader>(leaderOptions,
+                                                this->LeaderHooks(),
+                                                std::move(aOwnership),
+                                                *this->config,
+                                                this->instances,
+                                                this->clock.Now());
   this->leader->ConfirmConfig(this->configConfirmed);
   this->isLeading = true;
   this->metrics.Observe("takeover_seconds", this->clock.Now() - this->takeOverStart);
@@ -343,10 +368,12 @@
 
 CallReply LeaderRunner::State::Submit(const Call& aCall)
 {
-  TimePoint deadline = this->clock.Now() + std::max(Duration(0), aCall.deadline - Duration(kReplyReserve));
+  TimePoint deadline =
+    this->clock.Now() + std::max(Duration(0), aCall.deadline - Duration(kReplyReserve));
   auto reply = this->Ask<SubmitReply>(
     [this, call = aCall, deadline](RegionLeader& aLeader, std::function<void(SubmitReply)> aReply) {
-      aLeader.Submit({ call.team, call.idempotencyKey, call.body, deadline, std::move(aReply) }, this->clock.Now());
+      aLeader.Submit({ call.team, call.idempotencyKey, call.body, deadline, std::move(aReply) },
+                     this->clock.Now());
     },
     aCall.deadline + Duration(kReplyReserve));
   return reply ? ToReply(*reply, this->options.region) : ProblemReply(NotLeadingProblem());
@@ -356,21 +383,25 @@
 {
   Json json = Json::parse(aCall.body, nullptr, false);
   if (!json.is_object()) {
-    return ProblemReply({ 400, "malformed_json", "the body must be a JSON object", "not_run", {}, {} });
+    return ProblemReply(
+      { 400, "malformed_json", "the body must be a JSON object", "not_run", {}, {} });
   }
   for (const char* field : { "job", "team", "name" }) {
     if (json.contains(field) && !json[field].is_string()) {
-      return ProblemReply({ 400, "wrong_type", std::string("'") + field + "' must be a text", "not_run", {}, {} });
+      return ProblemReply(
+        { 400, "wrong_type", std::string("'") + field + "' must be a text", "not_run", {}, {} });
     }
   }
   // Members may cancel the work of their own team only; operators have no team and select any.
   TeamName team = aCall.team.empty() ? json.value("team", std::string()) : aCall.team;
   std::string name = json.value("name", std::string());
   std::string jobId = json.value("job", std::string());
-  TimePoint deadline = this->clock.Now() + std::max(Duration(0), aCall.deadline - Duration(kReplyReserve));
+  TimePoint deadline =
+    this->clock.Now() + std::max(Duration(0), aCall.deadline - Duration(kReplyReserve));
   using Outcome = std::pair<std::error_code, std::size_t>;
   auto outcome = this->Ask<Outcome>(
-    [this, team, name, jobId, deadline](RegionLeader& aLeader, std::function<void(Outcome)> aReply) {
+    [this, team, name, jobId, deadline](RegionLeader& aLeader,
+                                        const std::function<void(Outcome)>& aReply) {
       std::vector<JobNumber> jobs;
       std::string region;
       JobNumber number = 0;
@@ -383,9 +414,10 @@
         aReply({ make_error_code(Errc::NotFound), 0 });
         return;
       }
-      aLeader.Cancel(jobs, this->clock.Now(), deadline, [aReply](std::error_code aError, std::size_t aCount) {
-        aReply({ aError, aCount });
-      });
+      aLeader.Cancel(
+        jobs, this->clock.Now(), deadline, [aReply](std::error_code aError, std::size_t aCount) {
+          aReply({ aError, aCount });
+        });
     },
     aCall.deadline + Duration(kReplyReserve));
   if (!outcome) {
@@ -433,14 +465,16 @@
 {
   std::vector<std::string> parts = SplitPath(aCall.path);
   auto reply = this->Ask<std::optional<CallReply>>(
-    [this, parts, team = aCall.team](RegionLeader& aLeader, std::function<void(std::optional<CallReply>)> aReply) {
+    [this, parts, team = aCall.team](RegionLeader& aLeader,
+                                     const std::function<void(std::optional<CallReply>)>& aReply) {
       aReply(this->AnswerQuery(aLeader, parts, team));
     },
     aCall.deadline);
   if (!reply) {
     return ProblemReply(NotLeadingProblem());
   }
-  return *reply ? **reply : ProblemReply({ 404, "unknown_path", "no such resource", "not_run", {}, {} });
+  return *reply ? **reply
+                : ProblemReply({ 404, "unknown_path", "no such resource", "not_run", {}, {} });
 }
 
 LeaderRunner::LeaderRunner(LeaderRunnerOptions aOptions,
@@ -449,7 +483,12 @@
                            WorkerClient& aWorkers,
                            const Clock& aClock,
                            Metrics& aMetrics)
-  : state(std::make_shared<State>(std::move(aOptions), std::move(aHooks), aStore, aWorkers, aClock, aMetrics))
+  : state(std::make_shared<State>(std::move(aOptions),
+                                  std::move(aHooks),
+                                  aStore,
+                                  aWorkers,
+                                  aClock,
+                                  aMetrics))
   , isLeading(this->state->isLeading)
 {
   this->state->thread = std::thread([state = this->state.get()] {
@@ -540,7 +579,8 @@
   } catch (const std::future_error&) {
     return ProblemReply(UnknownProblem());
   }
-  return ProblemReply({ 400, "unknown_call", "this call is not for the leader", "not_run", {}, {} });
+  return ProblemReply(
+    { 400, "unknown_call", "this call is not for the leader", "not_run", {}, {} });
 }
 
 } // namespace daisydrift
--- a/packages/daemon/src/LeaderRunner.h
+++ b/packages/daemon/src/LeaderRunner.h
@@ -1,5 +1,6 @@
 #pragma once
-// Runs a RegionLeader on its own thread and carries its exchanges with workers to a pool of threads.
+// Runs a RegionLeader on its own thread and carries its exchanges with workers to a pool of
+// threads.
 
 #include "RegionLeader.h"
 
@@ -46,7 +47,8 @@
                Metrics& aMetrics);
   ~LeaderRunner();
 
-  /// Begins to lead with aEpoch: takes over the durable state, trying again until it succeeds or Stop is called.
+  /// Begins to lead with aEpoch: takes over the durable state, trying again until it succeeds or
+  /// Stop is called.
   void Lead(Epoch aEpoch);
   /// Stops leading; open calls are answered as unknown or not run.
   void StepDown();
--- a/packages/daemon/src/Membership.cpp
+++ b/packages/daemon/src/Membership.cpp
@@ -26,7 +26,8 @@
   return { std::chrono::milliseconds(3000), std::chrono::milliseconds(400), 1 };
 }
 
-/// Shorter than the seat's, so that a dead leader is replaced well within the target for urgent work (4.5 s).
+/// Shorter than the seat's, so that a dead leader is replaced well within the target for urgent
+/// work (4.5 s).
 LeaseOptions LeaderLease()
 {
   return { std::chrono::milliseconds(2000), std::chrono::milliseconds(400), 1 };
@@ -66,9 +67,19 @@
   , metrics(aMetrics)
   , seat(aStore,
          aClock,
-         { 0, this->options.instance, ToString(this->options.rpc), this->options.failureDomain, this->options.region, 0 },
+         { 0,
+           this->options.instance,
+           ToString(this->options.rpc),
+           this->options.failureDomain,
+           this->options.region,
+           0 },
          SeatLease())
-  , leadership(aStore, aClock, this->options.region, this->options.instance, ToString(this->options.rpc), LeaderLease())
+  , leadership(aStore,
+               aClock,
+               this->options.region,
+               this->options.instance,
+               ToString(this->options.rpc),
+               LeaderLease())
   , claimDelay(kFirstClaimDelay, kLongestClaimDelay, SeedOf(this->options.instance))
   , reachability(SeedOf(this->options.instance))
   , beatPool(std::make_unique<asio::thread_pool>(kHeartbeatThreads))
@@ -249,6 +260,7 @@
   this->publishedSeat = held ? static_cast<int>(*held) : -1;
   this->publishedSeatEpoch = held ? this->seat.SeatEpoch() : 0;
   this->seatHeldSince = ToRep(this->seat.HeldSince());
+  this->isSeatConfirmed = this->seat.StateName() == "held";
   std::optional<unsigned> usable = mayAct ? held : std::nullopt;
   if (usable != this->announcedSeat) {
     this->announcedSeat = usable;
@@ -301,7 +313,8 @@
 {
   Heartbeat answer = this->OwnState();
   std::lock_guard lock(this->ledgerMutex);
-  // Tells the sender which of its roles has a successor that this instance knows or has acknowledged.
+  // Tells the sender which of its roles has a successor that this instance knows or has
+  // acknowledged.
   if (aHeartbeat.seat && !this->ledger.Supports(SeatRole(*aHeartbeat.seat), aHeartbeat.seatEpoch)) {
     answer.successors.push_back({ SeatRole(*aHeartbeat.seat), aHeartbeat.seatEpoch + 1 });
   }
@@ -321,7 +334,9 @@
   std::chrono::milliseconds ttl = std::max(SeatLease().ttl, LeaderLease().ttl);
   std::lock_guard lock(this->ledgerMutex);
   ack.isAcknowledged =
-    ack.seat && this->ledger.Acknowledge(aNotice.scope, aNotice.epoch, aNotice.formers, heldSince, ttl);
+    ack.seat &&
+    this->ledger.Acknowledge(
+      aNotice.scope, aNotice.epoch, aNotice.formers, heldSince, this->isSeatConfirmed, ttl);
   return ack;
 }
 
@@ -362,7 +377,8 @@
   TimePoint sentAt = this->clock.Now();
   auto channel = this->channels.At(aPeer.rpc);
   PeerResult<HeartbeatReply> reply = channel->SendHeartbeat(this->OwnState(), kHeartbeatTimeout);
-  this->metrics.Count(reply ? "heartbeats_total{result=\"ok\"}" : "heartbeats_total{result=\"error\"}");
+  this->metrics.Count(reply ? "heartbeats_total{result=\"ok\"}"
+                            : "heartbeats_total{result=\"error\"}");
   if (reply) {
     this->peers.OnAnswer(aPeer.seat.instance, *reply, this->clock.Now());
     this->TakeAnswer(aPeer, *reply, sentAt);
@@ -386,7 +402,8 @@
     this->leadership.Evidence().OnAnswer(aPeer.seat.instance, PeerAnswer::Refused, aSentAt);
     return;
   }
-  PeerAnswer plain = aAnswer.isStoreReachable ? PeerAnswer::StoreReachable : PeerAnswer::StoreUnreachable;
+  PeerAnswer plain =
+    aAnswer.isStoreReachable ? PeerAnswer::StoreReachable : PeerAnswer::StoreUnreachable;
   PeerAnswer forSeat = plain;
   PeerAnswer forLeader = plain;
   for (const KnownSuccessor& successor : aAnswer.successors) {
@@ -429,7 +446,8 @@
   {
     std::lock_guard lock(this->rolesMutex);
     if (this->seat.Seat() && !this->seat.Formers().empty() && this->seat.StateName() == "waiting") {
-      notices.push_back({ SeatRole(*this->seat.Seat()), this->seat.SeatEpoch(), *this->seat.Seat(), {} });
+      notices.push_back(
+        { SeatRole(*this->seat.Seat()), this->seat.SeatEpoch(), *this->seat.Seat(), {} });
       for (const RoleHolder& former : this->seat.Formers()) {
         notices.back().formers.push_back(former.epoch);
       }
@@ -437,7 +455,8 @@
     bool isUnsettled = !this->leadership.FormersStoppedAt(this->clock.Now());
     if (this->leadership.LeaderEpoch() != 0 && isUnsettled) {
       std::uint32_t seatNumber = this->seat.Seat().value_or(0);
-      notices.push_back({ LeaderRole(this->options.region), this->leadership.LeaderEpoch(), seatNumber, {} });
+      notices.push_back(
+        { LeaderRole(this->options.region), this->leadership.LeaderEpoch(), seatNumber, {} });
       for (const RoleHolder& former : this->leadership.Formers()) {
         notices.back().formers.push_back(former.epoch);
       }
@@ -445,7 +464,8 @@
   }
   for (const SuccessorNotice& notice : notices) {
     TimePoint sentAt = this->clock.Now();
-    PeerResult<SuccessorAck> ack = this->channels.At(aPeer.rpc)->NotifySuccessor(notice, kHeartbeatTimeout);
+    PeerResult<SuccessorAck> ack =
+      this->channels.At(aPeer.rpc)->NotifySuccessor(notice, kHeartbeatTimeout);
     if (!ack || !ack->isAcknowledged) {
       continue;
     }
@@ -466,8 +486,10 @@
     if (this->seat.StateName() == "waiting") {
       formers = this->seat.Formers();
     }
-    if (this->leadership.LeaderEpoch() != 0 && !this->leadership.FormersStoppedAt(this->clock.Now())) {
-      formers.insert(formers.end(), this->leadership.Formers().begin(), this->leadership.Formers().end());
+    if (this->leadership.LeaderEpoch() != 0 &&
+        !this->leadership.FormersStoppedAt(this->clock.Now())) {
+      formers.insert(
+        formers.end(), this->leadership.Formers().begin(), this->leadership.Formers().end());
     }
   }
   for (const RoleHolder& former : formers) {
@@ -475,7 +497,8 @@
     if (!ParseEndpoint(former.address, endpoint)) {
       continue;
     }
-    PeerResult<HeartbeatReply> reply = this->channels.At(endpoint)->SendHeartbeat(this->OwnState(), kHeartbeatTimeout);
+    PeerResult<HeartbeatReply> reply =
+      this->channels.At(endpoint)->SendHeartbeat(this->OwnState(), kHeartbeatTimeout);
     bool isReplaced = reply && reply->instance != former.instance;
     if (isReplaced || (!reply && reply.Failure() == PeerFailure::Refused)) {
       std::lock_guard lock(this->rolesMutex);
--- a/packages/daemon/src/Membership.h
+++ b/packages/daemon/src/Membership.h
@@ -1,5 +1,6 @@
 #pragma once
-// The threads that hold the seat and campaign for the leadership, and exchange heartbeats with the other instances.
+// The threads that hold the seat and campaign for the leadership, and exchange heartbeats with the
+// other instances.
 
 #include "ConfigHolder.h"
 #include "PeerTable.h"
@@ -20,8 +21,9 @@
 
 namespace daisydrift {
 
-/// Time for which a check of the seat or the leadership is relied on. A successor waits for kEvidenceAge and
-/// kClockMargin after the acknowledgements, so this must not be longer than kClockMargin.
+/// Time for which a check of the seat or the leadership is relied on. A successor waits for
+/// kEvidenceAge and kClockMargin after the acknowledgements, so this must not be longer than
+/// kClockMargin.
 constexpr std::chrono::seconds kPublishedValidity{ 2 };
 static_assert(kPublishedValidity <= kClockMargin);
 
@@ -64,7 +66,8 @@
   void Start();
   /// Steps down from the leadership and campaigns no more; the seat is kept.
   void BeginStop();
-  /// Ends the threads and, when aIsClean, releases the seat: no request of this instance can still run at an upstream.
+  /// Ends the threads and, when aIsClean, releases the seat: no request of this instance can still
+  /// run at an upstream.
   void Stop(bool aIsClean);
 
   /// May an upstream request be sent now. Asked before each send; cheap.
@@ -145,6 +148,7 @@
   std::atomic<int> publishedSeat{ -1 };
   std::atomic<Epoch> publishedSeatEpoch{ 0 };
   std::atomic<TimePoint::rep> seatHeldSince{ 0 };
+  std::atomic<bool> isSeatConfirmed{ false };
   std::atomic<Epoch> publishedEpoch{ 0 };
 
   std::atomic<bool> isStopping{ false };
--- a/packages/daemon/src/PeerTable.cpp
+++ b/packages/daemon/src/PeerTable.cpp
@@ -63,7 +63,8 @@
   const PeerInfo* best = nullptr;
   std::uint32_t bestSlots = 0;
   for (const auto& [id, peer] : this->peers) {
-    if (!peer.last || peer.isRefused || peer.last->isStopping || aNow - peer.lastAnswered > kForwardMaxAge) {
+    if (!peer.last || peer.isRefused || peer.last->isStopping ||
+        aNow - peer.lastAnswered > kForwardMaxAge) {
       continue;
     }
     for (const FreeSlots& free : peer.last->freeSlots) {
--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -21,8 +21,8 @@
   return EndOutcome::Interrupted;
 }
 
-/// Number of regions that the configuration names; each gets an equal part of every ceiling, so that the parts never
-/// sum to more than the ceiling.
+/// Number of regions that the configuration names; each gets an equal part of every ceiling, so
+/// that the parts never sum to more than the ceiling.
 std::int64_t RegionCount(const ConfigDocument& aConfig)
 {
   std::set<std::string> regions;
@@ -32,7 +32,8 @@
   return std::max<std::int64_t>(1, static_cast<std::int64_t>(regions.size()));
 }
 
-std::vector<TeamPolicy> TeamsOf(const ConfigDocument& aConfig, const std::map<JobNumber, JobRecord>& aJobs)
+std::vector<TeamPolicy> TeamsOf(const ConfigDocument& aConfig,
+                                const std::map<JobNumber, JobRecord>& aJobs)
 {
   std::int64_t regions = RegionCount(aConfig);
   std::map<TeamName, TeamPolicy> teams;
@@ -40,7 +41,9 @@
     Resources ceiling{ entry.ceiling.milliCores / regions,
                        entry.ceiling.memoryMiB / regions,
                        entry.ceiling.accelerators / regions };
-    teams[name] = { name, entry.weight, ceiling, static_cast<std::uint32_t>(entry.maxRunningTasks / regions) };
+    teams[name] = {
+      name, entry.weight, ceiling, static_cast<std::uint32_t>(entry.maxRunningTasks / regions)
+    };
   }
   // A team that was removed keeps its accepted jobs visible, with nothing allowed to run.
   for (const auto& [number, job] : aJobs) {
@@ -104,7 +107,9 @@
   Findings findings;
   std::optional<JobSubmission> submission = ParseJobSubmission(aJob.specification, findings);
   if (!submission) {
-    LogLine(LogLevel::Error, "job_unreadable").Add("job", aJob.number).Add("findings", findings.ToText());
+    LogLine(LogLevel::Error, "job_unreadable")
+      .Add("job", aJob.number)
+      .Add("findings", findings.ToText());
     return;
   }
   JobSpec spec = submission->spec;
@@ -193,7 +198,9 @@
   }
 }
 
-void RegionLeader::OnSyncResult(const WorkerId& aWorker, const Result<SyncReport>& aResult, TimePoint aNow)
+void RegionLeader::OnSyncResult(const WorkerId& aWorker,
+                                const Result<SyncReport>& aResult,
+                                TimePoint aNow)
 {
   auto found = this->workers.find(aWorker);
   if (found == this->workers.end()) {
@@ -203,7 +210,9 @@
   if (!aResult) {
     worker.session.OnFailure(aNow);
     if (aResult.Error() == Errc::Fenced) {
-      LogLine(LogLevel::Warning, "fenced_by_worker").Add("worker", aWorker).Add("epoch", this->options.epoch);
+      LogLine(LogLevel::Warning, "fenced_by_worker")
+        .Add("worker", aWorker)
+        .Add("epoch", this->options.epoch);
       this->isDeposed = true;
     }
     this->Describe(worker, aNow);
@@ -217,7 +226,8 @@
   aWorker.capacity = aUpdate.report.capacity;
   if (aUpdate.hasRestarted) {
     for (const AttemptId& attempt : aUpdate.unsentStarts) {
-      this->EndAttempt(aWorker, attempt, AttemptOutcome::Rejected, "the worker restarted before the start", aNow);
+      this->EndAttempt(
+        aWorker, attempt, AttemptOutcome::Rejected, "the worker restarted before the start", aNow);
     }
     this->EndAll(aWorker, AttemptOutcome::Interrupted, "the worker restarted", aNow);
   }
@@ -251,8 +261,8 @@
     } else if (running.contains(attempt)) {
       this->scheduler.OnStarted(attempt, aNow);
     } else {
-      // The start of the earlier leader may still be on its way. After this stop the worker refuses it, and its event
-      // tells that the attempt never ran.
+      // The start of the earlier leader may still be on its way. After this stop the worker refuses
+      // it, and its event tells that the attempt never ran.
       aWorker.session.Enqueue({ WorkerCommandKind::Stop, attempt, {}, "", {} }, aNow);
     }
   }
@@ -277,16 +287,20 @@
       this->scheduler.OnCheckpointed(aEvent.attempt, aNow);
       return;
     case WorkerEventKind::Succeeded:
-      this->EndAttempt(aWorker, aEvent.attempt, AttemptOutcome::Succeeded, aEvent.detail, aNow, acknowledge);
+      this->EndAttempt(
+        aWorker, aEvent.attempt, AttemptOutcome::Succeeded, aEvent.detail, aNow, acknowledge);
       return;
     case WorkerEventKind::Failed:
-      this->EndAttempt(aWorker, aEvent.attempt, AttemptOutcome::Failed, aEvent.detail, aNow, acknowledge);
+      this->EndAttempt(
+        aWorker, aEvent.attempt, AttemptOutcome::Failed, aEvent.detail, aNow, acknowledge);
       return;
     case WorkerEventKind::Stopped:
-      this->EndAttempt(aWorker, aEvent.attempt, AttemptOutcome::Interrupted, aEvent.detail, aNow, acknowledge);
+      this->EndAttempt(
+        aWorker, aEvent.attempt, AttemptOutcome::Interrupted, aEvent.detail, aNow, acknowledge);
       return;
     case WorkerEventKind::Rejected:
-      this->EndAttempt(aWorker, aEvent.attempt, AttemptOutcome::Rejected, aEvent.detail, aNow, acknowledge);
+      this->EndAttempt(
+        aWorker, aEvent.attempt, AttemptOutcome::Rejected, aEvent.detail, aNow, acknowledge);
       return;
   }
 }
@@ -309,7 +323,10 @@
   this->commits.Add(AttemptEnded{ aAttempt, ToEndOutcome(aOutcome), aDetail }, std::move(aAction));
 }
 
-void RegionLeader::EndAll(Worker& aWorker, AttemptOutcome aOutcome, const std::string& aDetail, TimePoint aNow)
+void RegionLeader::EndAll(Worker& aWorker,
+                          AttemptOutcome aOutcome,
+                          const std::string& aDetail,
+                          TimePoint aNow)
 {
   auto assigned = aWorker.assigned;
   for (const auto& [attempt, incarnation] : assigned) {
@@ -380,7 +397,8 @@
       }
       reply.job = spec.number;
     } else {
-      reply.error = aOutcome == CommitOutcome::Unknown ? Errc::OutcomeUnknown : Errc::DeadlineExceeded;
+      reply.error =
+        aOutcome == CommitOutcome::Unknown ? Errc::OutcomeUnknown : Errc::DeadlineExceeded;
     }
     answer(reply);
     auto waiting = this->followers.extract(key);
@@ -396,7 +414,7 @@
 void RegionLeader::Cancel(const std::vector<JobNumber>& aJobs,
                           TimePoint aNow,
                           TimePoint aDeadline,
-                          std::function<void(std::error_code, std::size_t)> aReply)
+                          const std::function<void(std::error_code, std::size_t)>& aReply)
 {
   std::vector<JobNumber> open;
   for (JobNumber job : aJobs) {
@@ -410,18 +428,21 @@
     return;
   }
   static_cast<void>(aNow);
-  // The deadline applies to the whole request: either all its entries are given up or none is, since they have the
-  // same deadline and are committed in order. The reply tells what the last one became.
+  // The deadline applies to the whole request: either all its entries are given up or none is,
+  // since they have the same deadline and are committed in order. The reply tells what the last one
+  // became.
   for (std::size_t i = 0; i < open.size(); ++i) {
     bool isLast = i + 1 == open.size();
-    auto action = [this, job = open[i], isLast, count = open.size(), aReply](CommitOutcome aOutcome, TimePoint aTime) {
+    auto action = [this, job = open[i], isLast, count = open.size(), aReply](CommitOutcome aOutcome,
+                                                                             TimePoint aTime) {
       if (aOutcome == CommitOutcome::Committed) {
         static_cast<void>(this->scheduler.CancelJob(job, aTime));
       }
       if (isLast) {
         std::error_code error;
         if (aOutcome != CommitOutcome::Committed) {
-          error = aOutcome == CommitOutcome::Unknown ? Errc::OutcomeUnknown : Errc::DeadlineExceeded;
+          error =
+            aOutcome == CommitOutcome::Unknown ? Errc::OutcomeUnknown : Errc::DeadlineExceeded;
         }
         aReply(error, error ? 0 : count);
       }
@@ -450,13 +471,17 @@
 {
   for (auto& [id, worker] : this->workers) {
     for (const AttemptId& attempt : worker.session.TakeExpiredStarts(aNow)) {
-      this->EndAttempt(worker, attempt, AttemptOutcome::Rejected, "the start could not be sent in time", aNow);
+      this->EndAttempt(
+        worker, attempt, AttemptOutcome::Rejected, "the start could not be sent in time", aNow);
     }
     bool isAbsent = worker.session.IsSilent() || !worker.session.HasReported();
     if (isAbsent && !worker.assigned.empty() && worker.session.HasLapsed(aNow) &&
         this->hooks.isSuccessionSettled()) {
-      LogLine(LogLevel::Warning, "worker_leases_lapsed").Add("worker", id).Add("attempts", worker.assigned.size());
-      this->EndAll(worker, AttemptOutcome::Interrupted, "the worker was silent until all leases ended", aNow);
+      LogLine(LogLevel::Warning, "worker_leases_lapsed")
+        .Add("worker", id)
+        .Add("attempts", worker.assigned.size());
+      this->EndAll(
+        worker, AttemptOutcome::Interrupted, "the worker was silent until all leases ended", aNow);
     }
   }
 }
@@ -468,8 +493,10 @@
     if (worker.info.state == InstanceState::Gone || worker.info.endpoint.port == 0) {
       continue;
     }
-    Duration interval = worker.assigned.empty() ? Duration(kRenewInterval) : this->options.syncInterval;
-    std::optional<SyncRequest> request = worker.session.Begin(this->options.epoch, aNow, interval, mayRenew);
+    Duration interval =
+      worker.assigned.empty() ? Duration(kRenewInterval) : this->options.syncInterval;
+    std::optional<SyncRequest> request =
+      worker.session.Begin(this->options.epoch, aNow, interval, mayRenew);
     if (request) {
       this->hooks.beginSync(id, worker.info.endpoint, *request);
     }
@@ -504,8 +531,10 @@
       return;
     }
     Worker& target = found->second;
-    // The worker may have restarted, or the attempt may have been ended, while the record was being committed.
-    if (target.assigned.contains(aDecision.attempt) && target.session.Incarnation() == incarnation) {
+    // The worker may have restarted, or the attempt may have been ended, while the record was being
+    // committed.
+    if (target.assigned.contains(aDecision.attempt) &&
+        target.session.Incarnation() == incarnation) {
       ++this->starts;
       target.session.Enqueue({ WorkerCommandKind::Start,
                                aDecision.attempt,
@@ -515,9 +544,10 @@
                              aTime);
     }
   };
-  this->commits.Add(TaskAssigned{ aDecision.attempt, aDecision.worker, incarnation, aDecision.limit },
-                    std::move(action),
-                    aUnit);
+  this->commits.Add(
+    TaskAssigned{ aDecision.attempt, aDecision.worker, incarnation, aDecision.limit },
+    std::move(action),
+    aUnit);
 }
 
 void RegionLeader::Carry(const StopDecision& aDecision, TimePoint aNow)
@@ -537,7 +567,8 @@
 void RegionLeader::Carry(const ThrottleDecision& aDecision, TimePoint aNow)
 {
   Worker& worker = this->WorkerOf(aDecision.worker, aNow);
-  worker.session.Enqueue({ WorkerCommandKind::Throttle, aDecision.attempt, aDecision.limit, "", {} }, aNow);
+  worker.session.Enqueue(
+    { WorkerCommandKind::Throttle, aDecision.attempt, aDecision.limit, "", {} }, aNow);
 }
 
 void RegionLeader::Carry(const JobFinishedDecision& aDecision)
@@ -572,9 +603,10 @@
 
 std::size_t RegionLeader::ReportingWorkerCount() const
 {
-  return static_cast<std::size_t>(std::count_if(this->workers.begin(), this->workers.end(), [](const auto& aItem) {
-    return aItem.second.session.HasReported() && !aItem.second.session.IsSilent();
-  }));
+  return static_cast<std::size_t>(
+    std::count_if(this->workers.begin(), this->workers.end(), [](const auto& aItem) {
+      return aItem.second.session.HasReported() && !aItem.second.session.IsSilent();
+    }));
 }
 
 std::size_t RegionLeader::AssignedIn(const FailureDomain& aDomain) const
--- a/packages/daemon/src/RegionLeader.h
+++ b/packages/daemon/src/RegionLeader.h
@@ -28,9 +28,13 @@
 /// What the leader needs from its surroundings.
 struct RegionLeaderHooks
 {
-  /// Begins an exchange with a worker; its result is passed to OnSyncResult, always, also after a time-out.
-  std::function<void(const WorkerId& aWorker, const Endpoint& aEndpoint, const SyncRequest& aRequest)> beginSync;
-  /// May this leader still renew task leases: its own lease is confirmed, or there is outage evidence.
+  /// Begins an exchange with a worker; its result is passed to OnSyncResult, always, also after a
+  /// time-out.
+  std::function<
+    void(const WorkerId& aWorker, const Endpoint& aEndpoint, const SyncRequest& aRequest)>
+    beginSync;
+  /// May this leader still renew task leases: its own lease is confirmed, or there is outage
+  /// evidence.
   std::function<bool()> mayRenew;
   /// Is it proved that no earlier leader renews task leases any more.
   std::function<bool()> isSuccessionSettled;
@@ -41,8 +45,9 @@
 /// Answer to a submission.
 struct SubmitReply
 {
-  /// Zero when accepted. Conflict: the idempotency key was used with another body. InvalidArgument: see the findings.
-  /// NotPermitted: refused, see the explanation. DeadlineExceeded and Overloaded: not accepted. OutcomeUnknown.
+  /// Zero when accepted. Conflict: the idempotency key was used with another body. InvalidArgument:
+  /// see the findings. NotPermitted: refused, see the explanation. DeadlineExceeded and Overloaded:
+  /// not accepted. OutcomeUnknown.
   std::error_code error;
   JobNumber job = 0;
   /// True when an earlier submission with the same key was found.
@@ -73,7 +78,8 @@
   Duration syncInterval = std::chrono::seconds(1);
 };
 
-/// Leads a region from its takeover until it is replaced. All methods are called by one thread; time is passed in.
+/// Leads a region from its takeover until it is replaced. All methods are called by one thread;
+/// time is passed in.
 class RegionLeader
 {
 public:
@@ -100,9 +106,10 @@
   void Cancel(const std::vector<JobNumber>& aJobs,
               TimePoint aNow,
               TimePoint aDeadline,
-              std::function<void(std::error_code, std::size_t)> aReply);
+              const std::function<void(std::error_code, std::size_t)>& aReply);
 
-  /// Decides, commits and sends. To be called every few milliseconds. Returns the error of the journal, if any.
+  /// Decides, commits and sends. To be called every few milliseconds. Returns the error of the
+  /// journal, if any.
   std::error_code Step(TimePoint aNow);
 
   /// True once another leader has taken over; everything waiting must then be abandoned.
--- a/packages/platform/include/daisydrift/platform/HttpStore.h
+++ b/packages/platform/include/daisydrift/platform/HttpStore.h
@@ -16,7 +16,8 @@
 {
 public:
   explicit HttpStore(Endpoint aEndpoint);
-  /// The endpoints belong to one store. A call that certainly did not reach one is tried at the next.
+  /// The endpoints belong to one store. A call that certainly did not reach one is tried at the
+  /// next.
   explicit HttpStore(std::vector<Endpoint> aEndpoints);
   ~HttpStore() override;
 
--- a/packages/platform/src/HttpStore.cpp
+++ b/packages/platform/src/HttpStore.cpp
@@ -113,8 +113,10 @@
 Result<std::vector<StoreEntry>> HttpStore::List(const std::string& aPrefix,
                                                 std::chrono::milliseconds aTimeout)
 {
-  HttpOutcome outcome = ExchangeWithAny(
-    *this->connections, this->endpoints, MakeRequest("GET", "/v1/kv?prefix=" + Escape(aPrefix)), aTimeout);
+  HttpOutcome outcome = ExchangeWithAny(*this->connections,
+                                        this->endpoints,
+                                        MakeRequest("GET", "/v1/kv?prefix=" + Escape(aPrefix)),
+                                        aTimeout);
   if (std::error_code error = ErrorOf(outcome)) {
     return error;
   }
@@ -135,8 +137,8 @@
   if (aLease != 0) {
     path += "&lease=" + std::to_string(aLease);
   }
-  HttpOutcome outcome =
-    ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("PUT", path, aValue), aTimeout);
+  HttpOutcome outcome = ExchangeWithAny(
+    *this->connections, this->endpoints, MakeRequest("PUT", path, aValue), aTimeout);
   if (std::error_code error = ErrorOf(outcome)) {
     return error;
   }
@@ -162,8 +164,8 @@
 {
   std::string path = "/v1/watch?prefix=" + Escape(aPrefix) + "&after=" + std::to_string(aAfter) +
                      "&wait_ms=" + std::to_string(aWait.count());
-  HttpOutcome outcome =
-    ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("GET", path), aWait + kWatchSlack);
+  HttpOutcome outcome = ExchangeWithAny(
+    *this->connections, this->endpoints, MakeRequest("GET", path), aWait + kWatchSlack);
   if (std::error_code error = ErrorOf(outcome)) {
     return error;
   }
@@ -173,10 +175,11 @@
 Result<LeaseId> HttpStore::GrantLease(std::chrono::milliseconds aTtl,
                                       std::chrono::milliseconds aTimeout)
 {
-  HttpOutcome outcome = ExchangeWithAny(
-    *this->connections, this->endpoints,
-    MakeRequest("POST", "/v1/leases?ttl_ms=" + std::to_string(aTtl.count())),
-    aTimeout);
+  HttpOutcome outcome =
+    ExchangeWithAny(*this->connections,
+                    this->endpoints,
+                    MakeRequest("POST", "/v1/leases?ttl_ms=" + std::to_string(aTtl.count())),
+                    aTimeout);
   if (std::error_code error = ErrorOf(outcome)) {
     return error;
   }
@@ -190,16 +193,16 @@
 std::error_code HttpStore::RenewLease(LeaseId aLease, std::chrono::milliseconds aTimeout)
 {
   std::string path = "/v1/leases/" + std::to_string(aLease) + "/keepalive";
-  std::error_code error =
-    ErrorOf(ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("POST", path), aTimeout));
+  std::error_code error = ErrorOf(
+    ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("POST", path), aTimeout));
   return error == Errc::NotFound ? make_error_code(Errc::LeaseExpired) : error;
 }
 
 std::error_code HttpStore::RevokeLease(LeaseId aLease, std::chrono::milliseconds aTimeout)
 {
   std::string path = "/v1/leases/" + std::to_string(aLease);
-  std::error_code error =
-    ErrorOf(ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("DELETE", path), aTimeout));
+  std::error_code error = ErrorOf(
+    ExchangeWithAny(*this->connections, this->endpoints, MakeRequest("DELETE", path), aTimeout));
   return error == Errc::NotFound ? make_error_code(Errc::LeaseExpired) : error;
 }
 
