--- a/packages/routing/src/Hedge.cpp
+++ b/packages/routing/src/Hedge.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t kRecentLatencies = 256;
 /// Answers between two computations of the percentile, which is also the number needed at first.
 constexpr std::size_t kUpdateInterval = 32;
+/// A shorter delay than this is spent on waking a thread.
+constexpr Duration kMinDelay = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -45,7 +47,10 @@
 
 std::optional<Duration> Hedge::Delay() const
 {
-  return this->isOn ? this->p95 : std::nullopt;
+  if (!this->isOn || !this->p95) {
+    return std::nullopt;
+  }
+  return std::max(*this->p95, kMinDelay);
 }
 
 } // namespace daisydrift
--- a/packages/routing/tests/RequestRouterTest.cpp
+++ b/packages/routing/tests/RequestRouterTest.cpp
@@ -297,6 +297,9 @@
 {
   SteadyClock realClock;
   FakeUpstreams fakes(nullptr);
+  // The first requests may be hedged too and must not use up the budget.
+  this->settings.hedgeShare = 0.9;
+  this->settings.hedgeReserve = 100;
   RequestRouter hedging(this->settings, fakes, realClock, this->metrics, {});
   hedging.UpdateUpstreams(UpstreamList(4));
   hedging.SetSeat(0);
@@ -306,6 +309,9 @@
   for (unsigned i = 0; i < 64; ++i) {
     ASSERT_EQ(route("warm" + std::to_string(i)).status, 200);
   }
+  while (hedging.Counts("desk").slotsInUse > 0) {
+    std::this_thread::yield();
+  }
   std::mutex mutex;
   std::condition_variable changed;
   bool isReleased = false;
