--- /dev/null
+++ b/packages/membership/src/LeaseState.cpp
@@ -0,0 +1,80 @@
+#include "daisydrift/membership/LeaseState.h"
+
+#include <cassert>
+
+namespace daisydrift {
+
+namespace {
+
+StateChart ParseChart(const char* aText, const std::string& aName)
+{
+  Findings findings;
+  auto chart = StateChart::Parse(aText, aName, findings);
+  assert(chart && "an embedded state chart is malformed");
+  return std::move(*chart);
+}
+
+} // namespace
+
+LeaseState::LeaseState(Store& aStore,
+                       const Clock& aClock,
+                       LeaseOptions aOptions,
+                       const char* aChart,
+                       const std::string& aChartName)
+  : key(aStore, aClock, aOptions)
+  , chart(ParseChart(aChart, aChartName))
+  , state(this->chart.Initial())
+{
+}
+
+bool LeaseState::Fire(const std::string& aEvent)
+{
+  auto next = this->chart.Next(this->state, aEvent);
+  if (!next) {
+    return false;
+  }
+  this->state = *next;
+  return true;
+}
+
+void LeaseState::OnClaimed()
+{
+  this->evidence = {};
+  this->evidence.OnLeaseConfirmed(this->key.ValidUntil());
+}
+
+std::error_code LeaseState::Renew()
+{
+  auto error = this->key.Renew();
+  if (!error) {
+    this->evidence.OnLeaseConfirmed(this->key.ValidUntil());
+  } else if (error == Errc::LeaseExpired) {
+    this->Lose();
+  }
+  return error;
+}
+
+void LeaseState::Refresh(TimePoint aNow, bool aMayContinue)
+{
+  if (this->state == this->chart.Initial()) {
+    return;
+  }
+  if (this->key.IsConfirmed(aNow)) {
+    this->Fire("confirmed");
+    return;
+  }
+  this->Fire("unconfirmed");
+  if (this->evidence.IsSucceeded()) {
+    this->Lose();
+    return;
+  }
+  this->Fire(aMayContinue && this->evidence.MayContinue(aNow) ? "evidence" : "no_evidence");
+}
+
+void LeaseState::Lose()
+{
+  this->Fire("lost");
+  this->key.Forget();
+}
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/membership/src/OutageEvidence.cpp
@@ -0,0 +1,57 @@
+#include "daisydrift/membership/OutageEvidence.h"
+
+#include <algorithm>
+
+namespace daisydrift {
+
+void OutageEvidence::SetTable(std::set<InstanceId> aOthers)
+{
+  std::erase_if(this->peers, [&](const auto& aItem) { return !aOthers.contains(aItem.first); });
+  for (const InstanceId& id : aOthers) {
+    this->peers.try_emplace(id);
+  }
+}
+
+void OutageEvidence::OnLeaseConfirmed(TimePoint aValidUntil)
+{
+  this->validUntil = std::max(this->validUntil, aValidUntil);
+  this->isSucceeded = false;
+}
+
+void OutageEvidence::OnAnswer(const InstanceId& aPeer, PeerAnswer aAnswer, TimePoint aSentAt)
+{
+  auto found = this->peers.find(aPeer);
+  if (found == this->peers.end()) {
+    return;
+  }
+  if (aAnswer == PeerAnswer::SuccessorKnown) {
+    // An answer from before the lease was last confirmed speaks of an earlier lease.
+    this->isSucceeded = this->isSucceeded || aSentAt > this->validUntil;
+    return;
+  }
+  Peer& peer = found->second;
+  if (aAnswer == PeerAnswer::Refused) {
+    // No successor exists before the lease has ended, so an unbroken contact may begin there.
+    TimePoint base = std::max(peer.lastContact, this->validUntil);
+    if (aSentAt > base + kEvidenceAge) {
+      return;
+    }
+  }
+  peer.lastContact = std::max(peer.lastContact, aSentAt);
+  if (aAnswer != PeerAnswer::StoreReachable) {
+    peer.lastSupport = std::max(peer.lastSupport, aSentAt);
+  }
+}
+
+bool OutageEvidence::MayContinue(TimePoint aNow) const
+{
+  if (this->isSucceeded) {
+    return false;
+  }
+  auto supports = std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& aItem) {
+    return aItem.second.lastSupport + kEvidenceAge > aNow;
+  });
+  return static_cast<std::size_t>(supports) >= ContinuationCount(this->peers.size());
+}
+
+} // namespace daisydrift
