--- a/packages/daemon/src/JobCodec.cpp
+++ b/packages/daemon/src/JobCodec.cpp
@@ -262,6 +262,21 @@
   return "";
 }
 
+const char* NameOf(AttemptOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case AttemptOutcome::Succeeded:
+      return "succeeded";
+    case AttemptOutcome::Failed:
+      return "failed";
+    case AttemptOutcome::Interrupted:
+      return "interrupted";
+    case AttemptOutcome::Rejected:
+      return "rejected";
+  }
+  return "";
+}
+
 const char* NameOf(StopReason aReason)
 {
   switch (aReason) {
--- a/packages/daemon/src/JobCodec.h
+++ b/packages/daemon/src/JobCodec.h
@@ -36,5 +36,6 @@
 const char* NameOf(WorkClass aClass);
 const char* NameOf(JobState aState);
 const char* NameOf(StopReason aReason);
+const char* NameOf(AttemptOutcome aOutcome);
 
 } // namespace daisydrift
--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -149,7 +149,7 @@
   InstanceInfo info;
   info.id = aId;
   auto [it, isNew] =
-    this->workers.emplace(aId, Worker{ info, WorkerSession(aId, info.endpoint, aNow), {}, {}, {} });
+    this->workers.emplace(aId, Worker{ info, WorkerSession(aId, info.endpoint, aNow), {}, {}, {}, {} });
   this->Describe(it->second, aNow);
   return it->second;
 }
@@ -161,7 +161,7 @@
       continue;
     }
     auto [it, isNew] = this->workers.emplace(
-      info.id, Worker{ info, WorkerSession(info.id, info.endpoint, aNow), {}, {}, {} });
+      info.id, Worker{ info, WorkerSession(info.id, info.endpoint, aNow), {}, {}, {}, {} });
     Worker& worker = it->second;
     bool hasGone = info.state == InstanceState::Gone && worker.info.state != InstanceState::Gone;
     worker.info = info;
@@ -241,13 +241,31 @@
     if (aWorker.assigned.contains(running.attempt)) {
       this->scheduler.OnUsage(running.attempt, running.usage, aNow);
     } else {
-      // Not assigned here by any record: the attempt must not go on.
-      aWorker.session.Enqueue({ WorkerCommandKind::Stop, running.attempt, {}, "", {} }, aNow);
+      this->StopStray(aWorker, running.attempt);
     }
   }
   this->Describe(aWorker, aNow);
 }
 
+void RegionLeader::StopStray(Worker& aWorker, const AttemptId& aAttempt)
+{
+  if (!aWorker.strays.insert(aAttempt).second) {
+    return;
+  }
+  // The commit proves that this leader was not replaced: the attempt may be one of its successor's.
+  auto action = [this, id = aWorker.session.Id(), aAttempt](CommitOutcome aOutcome, TimePoint aNow) {
+    auto found = this->workers.find(id);
+    if (found == this->workers.end()) {
+      return;
+    }
+    found->second.strays.erase(aAttempt);
+    if (aOutcome == CommitOutcome::Committed) {
+      found->second.session.Enqueue({ WorkerCommandKind::Stop, aAttempt, {}, "", {} }, aNow);
+    }
+  };
+  this->commits.Add(AttemptEnded{ aAttempt, EndOutcome::Interrupted, "not assigned" }, std::move(action));
+}
+
 void RegionLeader::Reconcile(Worker& aWorker, const SyncReport& aReport, TimePoint aNow)
 {
   std::set<AttemptId> running;
@@ -312,14 +330,16 @@
                               TimePoint aNow,
                               CommitQueue::Action aAction)
 {
-  if (aWorker.assigned.erase(aAttempt) == 0) {
-    // Known as ended already: the event may be acknowledged as it is.
-    if (aAction) {
-      aAction(CommitOutcome::Committed, aNow);
-    }
-    return;
-  }
-  this->scheduler.OnEnded(aAttempt, aOutcome, aDetail, aNow);
+  LogLine(LogLevel::Debug, "attempt_ended")
+    .Add("attempt", ToString(aAttempt))
+    .Add("worker", aWorker.session.Id())
+    .Add("outcome", NameOf(aOutcome))
+    .Add("detail", aDetail);
+  if (aWorker.assigned.erase(aAttempt) > 0) {
+    this->scheduler.OnEnded(aAttempt, aOutcome, aDetail, aNow);
+  }
+  // An end of an attempt that is not known here is committed too, without effect on the state: only a commit proves
+  // that this leader was not replaced, and a replaced leader must not acknowledge events of its successor's attempts.
   this->commits.Add(AttemptEnded{ aAttempt, ToEndOutcome(aOutcome), aDetail }, std::move(aAction));
 }
 
--- a/packages/daemon/src/RegionLeader.h
+++ b/packages/daemon/src/RegionLeader.h
@@ -135,6 +135,8 @@
     WorkerSession session;
     /// Attempts assigned and not ended, with the incarnation they were meant for.
     std::map<AttemptId, std::string> assigned;
+    /// Attempts that run without an assignment, whose stop is being committed.
+    std::set<AttemptId> strays;
     Resources capacity;
     /// What the decision library was told last.
     WorkerDescription described;
@@ -152,6 +154,8 @@
                   TimePoint aNow,
                   CommitQueue::Action aAction = {});
   void OnUpdate(Worker& aWorker, const SessionUpdate& aUpdate, TimePoint aNow);
+  /// Stops an attempt that no record assigns to this worker.
+  void StopStray(Worker& aWorker, const AttemptId& aAttempt);
   void Reconcile(Worker& aWorker, const SyncReport& aReport, TimePoint aNow);
   void OnWorkerEvent(Worker& aWorker, const WorkerEvent& aEvent, TimePoint aNow);
   void CheckSilence(TimePoint aNow);
