--- a/packages/core/include/daisydrift/core/Types.h
+++ b/packages/core/include/daisydrift/core/Types.h
@@ -39,7 +39,8 @@
   Resources size;
   /// Declared run time of a task; zero when not declared.
   Duration declaredRunTime{ 0 };
-  /// True when an attempt that ended without an outcome may be followed by another.
+  /// True when an attempt that ended without an outcome may be followed by another. Services are
+  /// always repeatable, since their tasks are replaced whenever they end.
   bool isRepeatable = true;
   /// True when a checkpoint saves the work done so far.
   bool canCheckpoint = false;
--- a/packages/core/src/ClusterState.cpp
+++ b/packages/core/src/ClusterState.cpp
@@ -209,6 +209,7 @@
   assert(isNew);
   (void)isNew;
   job.spec = aSpec;
+  job.spec.isRepeatable |= job.IsService();
   job.team = &this->EnsureTeam(aSpec.team);
   job.estimate = &this->estimates.Of(aSpec.team, aSpec.kind);
   job.sequence = this->nextSequence++;
@@ -377,7 +378,12 @@
 Resources ClusterState::SizeOf(const Job& aJob) const
 {
   const Resources& declared = aJob.spec.size;
-  Resources size = Max(Estimates::Correct(*aJob.estimate, declared), aJob.grownSize);
+  Resources size = Estimates::Correct(*aJob.estimate, declared);
+  if (aJob.IsGang()) {
+    // All of a gang must fit at once: it is made larger only by what its own tasks have shown.
+    size = Min(size, declared);
+  }
+  size = Max(size, aJob.grownSize);
   if (size == declared) {
     return size;
   }
--- a/packages/core/src/Estimates.cpp
+++ b/packages/core/src/Estimates.cpp
@@ -9,6 +9,8 @@
 
 /// Weight of a new observation: about the last eight count.
 constexpr double kGain = 1.0 / 8;
+/// Part of its distance to the mean by which the highest value decays with each observation.
+constexpr double kDecay = 1.0 / 64;
 /// Mean deviations added to the mean, as for retransmission timers: covers nearly all attempts.
 constexpr double kSizeDeviations = 4.0;
 constexpr double kRunTimeDeviations = 2.0;
@@ -27,7 +29,8 @@
   if (aMoment.samples < kMinSamples) {
     return aDeclared;
   }
-  auto size = static_cast<std::int64_t>(std::ceil(aMoment.Upper(kSizeDeviations) * kHeadroom));
+  auto size = static_cast<std::int64_t>(
+    std::ceil(std::min(aMoment.Upper(kSizeDeviations), aMoment.highest) * kHeadroom));
   return std::max(size, aSmallest);
 }
 
@@ -39,10 +42,12 @@
   if (this->samples == 1) {
     this->mean = aValue;
     this->deviation = aValue / 2;
+    this->highest = aValue;
     return;
   }
   this->deviation += kGain * (std::abs(aValue - this->mean) - this->deviation);
   this->mean += kGain * (aValue - this->mean);
+  this->highest = std::max(aValue, this->highest - kDecay * (this->highest - this->mean));
 }
 
 void Estimates::Learn(Estimate& aEstimate,
@@ -61,7 +66,8 @@
 
 Resources Estimates::Correct(const Estimate& aEstimate, const Resources& aDeclared)
 {
-  return { Corrected(aEstimate.milliCores, aDeclared.milliCores, kMinMilliCores),
+  std::int64_t cores = Corrected(aEstimate.milliCores, aDeclared.milliCores, kMinMilliCores);
+  return { std::min(cores, aDeclared.milliCores),
            Corrected(aEstimate.memoryMiB, aDeclared.memoryMiB, kMinMemoryMiB),
            aDeclared.accelerators };
 }
--- a/packages/core/src/Estimates.h
+++ b/packages/core/src/Estimates.h
@@ -10,6 +10,8 @@
 {
   double mean = 0;
   double deviation = 0;
+  /// Highest value seen, decaying towards the mean.
+  double highest = 0;
   std::uint32_t samples = 0;
 
   /// Adds an observation.
@@ -47,7 +49,8 @@
                     const Attempt& aAttempt,
                     bool aHasSucceeded,
                     TimePoint aNow);
-  /// Declared size corrected by the estimate, once it has enough samples. Accelerators are kept.
+  /// Declared size corrected by the estimate, once it has enough samples. Cores are never raised,
+  /// since a task that wants more still runs with what it declared; accelerators are kept.
   static Resources Correct(const Estimate& aEstimate, const Resources& aDeclared);
   /// Expected run time: estimated, else declared, else nothing.
   static std::optional<Duration> RunTime(const Estimate& aEstimate, const JobSpec& aSpec);
--- a/packages/core/src/GangPlanner.cpp
+++ b/packages/core/src/GangPlanner.cpp
@@ -252,6 +252,63 @@
   return false;
 }
 
+bool GangPlanner::MakeRoom(const Job& aJob,
+                           const Preemption& aPreemption,
+                           const Preemption::VictimFilter& aMayStop,
+                           TimePoint aNow)
+{
+  if (this->holder != 0 && this->holder != aJob.spec.number) {
+    return false;
+  }
+  struct Gain
+  {
+    double lostPerSlot = 0;
+    std::uint32_t slots = 0;
+    Preemption::Plan plan;
+  };
+  std::uint32_t needed = Needed(aJob);
+  Resources size = this->state.SizeOf(aJob);
+  std::uint32_t total = 0;
+  std::vector<Gain> gains;
+  for (Position i = 0; i < this->state.workers.size(); ++i) {
+    const Worker& worker = this->state.workers[i];
+    if (!this->IsUsable(worker)) {
+      continue;
+    }
+    std::uint32_t slots = Slots(worker.Free(), size, needed);
+    total += slots;
+    Gain best;
+    while (auto plan =
+             aPreemption.PlanFor(i, Times(size, slots + best.slots + 1), aMayStop, aNow)) {
+      ++best.slots;
+      best.plan = std::move(*plan);
+    }
+    if (best.slots > 0) {
+      best.lostPerSlot = best.plan.lost / best.slots;
+      gains.push_back(std::move(best));
+    }
+  }
+  std::stable_sort(gains.begin(), gains.end(), [](const Gain& aLeft, const Gain& aRight) {
+    return aLeft.lostPerSlot < aRight.lostPerSlot;
+  });
+  std::size_t used = 0;
+  while (total < needed && used < gains.size()) {
+    total += gains[used++].slots;
+  }
+  if (total < needed) {
+    return false;
+  }
+  for (std::size_t i = 0; i < used; ++i) {
+    for (Attempt* victim : gains[i].plan.victims) {
+      this->commands.StopWhole(*victim, StopReason::Preempted);
+    }
+  }
+  // The plan counts what is being stopped as free, so it chooses these workers.
+  this->Release();
+  this->Plan(aJob, aNow);
+  return true;
+}
+
 Position GangPlanner::BackfillFor(const Job& aJob, const Resources& aSize, TimePoint aNow) const
 {
   auto runTime = Estimates::RunTime(*aJob.estimate, aJob.spec);
--- a/packages/core/src/GangPlanner.h
+++ b/packages/core/src/GangPlanner.h
@@ -3,6 +3,7 @@
 
 #include "Commands.h"
 #include "Placer.h"
+#include "Preemption.h"
 
 namespace daisydrift::core {
 
@@ -19,6 +20,13 @@
   bool StartWhole(Job& aJob, TimePoint aNow);
   /// Chooses or renews the reservation and starts its holder when it fits.
   void Advance(TimePoint aNow);
+  /// Stops attempts that aMayStop allows so that the whole job will fit, and reserves their
+  /// workers. Returns false, and stops nothing, when not all tasks would fit or another job holds
+  /// the reservation.
+  bool MakeRoom(const Job& aJob,
+                const Preemption& aPreemption,
+                const Preemption::VictimFilter& aMayStop,
+                TimePoint aNow);
   /// A reserved worker for a task that ends before the holder's expected start, or kNoPosition.
   Position BackfillFor(const Job& aJob, const Resources& aSize, TimePoint aNow) const;
   /// Job that holds the reservation, 0 for none.
--- a/packages/core/src/Preemption.cpp
+++ b/packages/core/src/Preemption.cpp
@@ -105,6 +105,9 @@
   Position start = this->cursor;
   for (Position i = 0; i < count && compared < kWorkersCompared; ++i) {
     Position position = (start + i) % count;
+    if (this->state.workers[position].isReserved && !aJob.spec.isUrgent) {
+      continue;
+    }
     auto plan = this->PlanFor(position, aSize, aMayStop, aNow);
     if (!plan) {
       continue;
--- a/packages/core/src/Preemption.h
+++ b/packages/core/src/Preemption.h
@@ -26,6 +26,19 @@
                 const VictimFilter& aMayStop,
                 Duration aPatience,
                 TimePoint aNow);
+  /// Attempts to stop on one worker and the work lost by it.
+  struct Plan
+  {
+    double lost = 0;
+    std::vector<Attempt*> victims;
+  };
+
+  /// The least work to stop on a worker so that aSize fits there, or nothing when not possible.
+  std::optional<Plan> PlanFor(Position aWorker,
+                              const Resources& aSize,
+                              const VictimFilter& aMayStop,
+                              TimePoint aNow) const;
+
   /// Room that has become free.
   struct Room
   {
@@ -48,17 +61,6 @@
     Resources size;
     TimePoint until;
   };
-  struct Plan
-  {
-    double lost = 0;
-    std::vector<Attempt*> victims;
-  };
-
-  std::optional<Plan> PlanFor(Position aWorker,
-                              const Resources& aSize,
-                              const VictimFilter& aMayStop,
-                              TimePoint aNow) const;
-
   ClusterState& state;
   Commands& commands;
   std::vector<Hold> holds;
--- a/packages/core/src/SchedulerImpl.cpp
+++ b/packages/core/src/SchedulerImpl.cpp
@@ -249,6 +249,21 @@
   }
 }
 
+void Scheduler::Impl::FailOversizedJobs()
+{
+  for (JobNumber number : this->usage.TakeOutgrown()) {
+    Job* job = this->state.FindJob(number);
+    if (job == nullptr || job->isEnding) {
+      continue;
+    }
+    JobSpec grown = job->spec;
+    grown.size = core::Max(grown.size, job->grownSize);
+    if (auto never = this->explainer.CheckJob(grown)) {
+      this->outcomes.EndJob(*job, JobState::Failed, "outgrew its size: " + never->message);
+    }
+  }
+}
+
 std::vector<Decision> Scheduler::Impl::Decide(TimePoint aNow, std::size_t aMaxStarts)
 {
   this->commands.Clear();
@@ -258,6 +273,7 @@
   this->outcomes.Settle(this->commands);
   this->enforcement.Run(aNow);
   this->usage.Run(aNow);
+  this->FailOversizedJobs();
   this->starts.Run(aNow, aMaxStarts);
   return this->commands.Take();
 }
--- a/packages/core/src/SchedulerImpl.h
+++ b/packages/core/src/SchedulerImpl.h
@@ -59,6 +59,8 @@
 
 private:
   void FireTimers(TimePoint aNow);
+  /// Fails jobs that have outgrown what the fleet or their team's ceiling can hold.
+  void FailOversizedJobs();
   /// Finds a task that waits; takes it off its job's list of waiting tasks. Null when there is
   /// none.
   core::Task* TakeWaitingTask(const TaskId& aTask);
--- a/packages/core/src/StartRound.cpp
+++ b/packages/core/src/StartRound.cpp
@@ -15,6 +15,10 @@
 /// Interval between two searches for room for underserved teams, and rooms made in each.
 constexpr std::chrono::milliseconds kShareReclaimInterval{ 250 };
 constexpr std::size_t kRoomsPerReclaim = 4;
+/// Groups of a team looked at in each search, oldest first.
+constexpr std::size_t kGroupsPerReclaim = 4;
+/// Multiple of the share reclaim delay after which services yield to work that can end.
+constexpr int kServiceYieldFactor = 2;
 /// Urgent jobs looked at, and rooms made for them, in one round.
 constexpr std::size_t kMaxUrgentJobs = 256;
 constexpr std::size_t kMaxUrgentSteps = 256;
@@ -230,26 +234,47 @@
   this->nextShareReclaim = aNow + kShareReclaimInterval;
   std::size_t rooms = 0;
   for (Team& team : this->state.teams) {
-    bool isDue =
-      team.underservedSince && aNow - *team.underservedSince >= this->settings.shareReclaimDelay;
-    if (!isDue || team.noWorkerFits.empty() || rooms >= kRoomsPerReclaim) {
-      continue;
+    std::size_t looked = 0;
+    for (const auto& [sequence, group] : team.noWorkerFits) {
+      if (++looked > kGroupsPerReclaim || rooms >= kRoomsPerReclaim) {
+        break;
+      }
+      if (this->ReclaimFor(*group->jobs.begin()->second, aNow)) {
+        ++rooms;
+        break;
+      }
     }
-    Job& job = *team.noWorkerFits.begin()->second->jobs.begin()->second;
-    Resources size = this->state.SizeOf(job);
-    if (job.IsGang() || this->preemption.HeldFor(job) > 0 ||
-        !ClusterState::FitsCeiling(team, size) || !this->shares.IsUnderserved(team, size)) {
-      continue;
-    }
-    auto overserved = [this, &team](const Attempt& aAttempt) {
-      const Job& other = *aAttempt.job;
-      return other.team != &team && !other.IsGang() &&
-             this->shares.IsOverserved(*other.team, aAttempt.counted);
-    };
-    if (this->preemption.MakeRoom(job, size, overserved, this->settings.urgentTarget, aNow)) {
-      ++rooms;
+  }
+}
+
+bool StartRound::ReclaimFor(Job& aJob, TimePoint aNow)
+{
+  Team& team = *aJob.team;
+  Resources size = this->state.SizeOf(aJob);
+  std::uint32_t together = aJob.IsGang() ? aJob.WaitingCount() : 1;
+  bool isUnderserved = team.underservedSince &&
+                       aNow - *team.underservedSince >= this->settings.shareReclaimDelay &&
+                       this->shares.IsUnderserved(team, Times(size, together));
+  // Services end only when cancelled, so work that can end gets their room after a longer wait.
+  bool hasAged = !aJob.IsService() &&
+                 aNow - aJob.waitingSince >= kServiceYieldFactor * this->settings.shareReclaimDelay;
+  if ((!isUnderserved && !hasAged) || this->preemption.HeldFor(aJob) > 0 ||
+      !ClusterState::FitsCeiling(team, size, together)) {
+    return false;
+  }
+  auto mayStop = [this, &team, isUnderserved, hasAged](const Attempt& aAttempt) {
+    const Team& other = *aAttempt.job->team;
+    if (&other == &team || aAttempt.job->IsGang()) {
+      return false;
     }
+    bool yields = hasAged && aAttempt.job->IsService() &&
+                  this->shares.Priority(other) >= this->shares.Priority(team);
+    return yields || (isUnderserved && this->shares.IsOverserved(other, aAttempt.counted));
+  };
+  if (aJob.IsGang()) {
+    return this->gangs.MakeRoom(aJob, this->preemption, mayStop, aNow);
   }
+  return this->preemption.MakeRoom(aJob, size, mayStop, this->settings.urgentTarget, aNow);
 }
 
 } // namespace daisydrift::core
--- a/packages/core/src/StartRound.h
+++ b/packages/core/src/StartRound.h
@@ -39,8 +39,11 @@
   bool StartTask(Job& aJob, const Resources& aSize, TimePoint aNow);
   /// True when an older job of the team waits for the ceiling and room is kept for it.
   bool IsHeldBack(const Team& aTeam, const Job& aJob, TimePoint aNow) const;
-  /// Makes room for teams that have been below their fair share for long.
+  /// Makes room for teams that have been below their fair share for long, and for jobs that
+  /// services keep waiting.
   void ReclaimShares(TimePoint aNow);
+  /// Makes room for one job if it is entitled to it.
+  bool ReclaimFor(Job& aJob, TimePoint aNow);
 
   ClusterState& state;
   const PolicySettings& settings;
--- a/packages/core/src/UsageControl.cpp
+++ b/packages/core/src/UsageControl.cpp
@@ -114,6 +114,7 @@
   bool hasOutgrown = needsMemory && aAttempt.usage.memoryMiB > aAttempt.limit.memoryMiB;
   if (hasOutgrown) {
     job.grownSize.memoryMiB = std::max(job.grownSize.memoryMiB, wanted.memoryMiB);
+    this->outgrown.push_back(job.spec.number);
     if (job.spec.isRepeatable) {
       this->commands.StopWhole(aAttempt, StopReason::OutgrewSize);
     }
@@ -131,8 +132,11 @@
                        Scaled(aAttempt.peakUsage.memoryMiB, kMargin),
                        0 };
   // What other attempts of the kind have used may still be needed later in the run.
-  Resources corrected = Estimates::Correct(*aAttempt.job->estimate, {});
-  target = Max(Max(target, corrected), kSmallest);
+  Resources corrected = Estimates::Correct(*aAttempt.job->estimate, aAttempt.limit);
+  if (aAttempt.job->estimate->milliCores.samples > 0) {
+    target = Max(target, corrected);
+  }
+  target = Max(target, kSmallest);
   target = Min(target, aAttempt.limit);
   target.accelerators = aAttempt.limit.accelerators;
   if (IsWorthwhile(target.milliCores, aAttempt.limit.milliCores) ||
--- a/packages/core/src/UsageControl.h
+++ b/packages/core/src/UsageControl.h
@@ -3,6 +3,8 @@
 
 #include "Commands.h"
 
+#include <utility>
+
 namespace daisydrift::core {
 
 /// Reclaims what attempts do not use by lowering their limits, raises limits that bind where there
@@ -18,6 +20,8 @@
   void OnUsage(Attempt& aAttempt, const Resources& aUsage, TimePoint aNow);
   /// Looks at attempts with new reports, at most a bounded number.
   void Run(TimePoint aNow);
+  /// Hands over the jobs that outgrew their size since the last call.
+  std::vector<JobNumber> TakeOutgrown() { return std::exchange(this->outgrown, {}); }
 
 private:
   void Review(Attempt& aAttempt, TimePoint aNow);
@@ -28,6 +32,7 @@
   Commands& commands;
   /// Attempts with new reports, in order of arrival.
   std::deque<AttemptId> dirty;
+  std::vector<JobNumber> outgrown;
 };
 
 } // namespace daisydrift::core
