--- a/packages/core/include/daisydrift/core/Scheduler.h
+++ b/packages/core/include/daisydrift/core/Scheduler.h
@@ -57,6 +57,9 @@
                       const WorkerId& aWorker,
                       const Resources& aLimit,
                       TimePoint aNow);
+  /// Recovery: the size that the worker holds an attempt to, which an earlier leader may have
+  /// changed without a record. Call before the worker becomes Live; unknown attempts are ignored.
+  void RestoreLimit(const AttemptId& aAttempt, const Resources& aLimit);
   /// Recovery: a task that has used aAttempts attempts with aFailures failures, and has succeeded
   /// or not.
   void RestoreTask(const TaskId& aTask,
--- a/packages/core/src/Scheduler.cpp
+++ b/packages/core/src/Scheduler.cpp
@@ -117,6 +117,11 @@
   this->impl->RestoreAttempt(aAttempt, aWorker, aLimit, aNow);
 }
 
+void Scheduler::RestoreLimit(const AttemptId& aAttempt, const Resources& aLimit)
+{
+  this->impl->RestoreLimit(aAttempt, aLimit);
+}
+
 void Scheduler::RestoreTask(const TaskId& aTask,
                             std::uint32_t aAttempts,
                             std::uint32_t aFailures,
--- a/packages/core/src/SchedulerImpl.cpp
+++ b/packages/core/src/SchedulerImpl.cpp
@@ -199,6 +199,17 @@
   this->enforcement.OnCeilingsChanged();
 }
 
+void Scheduler::Impl::RestoreLimit(const AttemptId& aAttempt, const Resources& aLimit)
+{
+  Attempt* attempt = this->state.FindAttempt(aAttempt);
+  if (attempt == nullptr) {
+    return;
+  }
+  attempt->limit = aLimit;
+  this->state.SetCounted(*attempt, aLimit);
+  this->enforcement.OnCeilingsChanged();
+}
+
 void Scheduler::Impl::RestoreTask(const TaskId& aTask,
                                   std::uint32_t aAttempts,
                                   std::uint32_t aFailures,
--- a/packages/core/src/SchedulerImpl.h
+++ b/packages/core/src/SchedulerImpl.h
@@ -34,6 +34,7 @@
                       const WorkerId& aWorker,
                       const Resources& aLimit,
                       TimePoint aNow);
+  void RestoreLimit(const AttemptId& aAttempt, const Resources& aLimit);
   void RestoreTask(const TaskId& aTask,
                    std::uint32_t aAttempts,
                    std::uint32_t aFailures,
--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -126,7 +126,13 @@
   for (const TaskRecord& task : aJob.tasks) {
     TaskId id{ aJob.number, task.index };
     std::uint32_t ended = task.attemptsUsed - (task.current ? 1 : 0);
-    this->scheduler.RestoreTask(id, ended, task.failures, task.Succeeded());
+    bool isLost =
+      !task.current && task.lastOutcome == EndOutcome::Interrupted && !spec.isRepeatable;
+    if (isLost) {
+      this->scheduler.RestoreLostTask(id, ended);
+    } else {
+      this->scheduler.RestoreTask(id, ended, task.failures, task.Succeeded());
+    }
     if (task.current) {
       AttemptId attempt{ id, task.attemptsUsed };
       Worker& worker = this->WorkerOf(task.current->worker, aNow);
@@ -148,8 +154,8 @@
   // A worker that the list does not name, perhaps because the list lags: silent until proved gone.
   InstanceInfo info;
   info.id = aId;
-  auto [it, isNew] =
-    this->workers.emplace(aId, Worker{ info, WorkerSession(aId, info.endpoint, aNow), {}, {}, {}, {} });
+  auto [it, isNew] = this->workers.emplace(
+    aId, Worker{ info, WorkerSession(aId, info.endpoint, aNow), {}, {}, {}, {} });
   this->Describe(it->second, aNow);
   return it->second;
 }
@@ -253,7 +259,8 @@
     return;
   }
   // The commit proves that this leader was not replaced: the attempt may be one of its successor's.
-  auto action = [this, id = aWorker.session.Id(), aAttempt](CommitOutcome aOutcome, TimePoint aNow) {
+  auto action = [this, id = aWorker.session.Id(), aAttempt](CommitOutcome aOutcome,
+                                                            TimePoint aNow) {
     auto found = this->workers.find(id);
     if (found == this->workers.end()) {
       return;
@@ -263,7 +270,8 @@
       found->second.session.Enqueue({ WorkerCommandKind::Stop, aAttempt, {}, "", {} }, aNow);
     }
   };
-  this->commits.Add(AttemptEnded{ aAttempt, EndOutcome::Interrupted, "not assigned" }, std::move(action));
+  this->commits.Add(AttemptEnded{ aAttempt, EndOutcome::Interrupted, "not assigned" },
+                    std::move(action));
 }
 
 void RegionLeader::Reconcile(Worker& aWorker, const SyncReport& aReport, TimePoint aNow)
@@ -271,6 +279,8 @@
   std::set<AttemptId> running;
   for (const RunningAttempt& attempt : aReport.running) {
     running.insert(attempt.attempt);
+    // Throttling is not recorded in the journal, so the worker's own limits are the truth.
+    this->scheduler.RestoreLimit(attempt.attempt, attempt.limit);
   }
   auto assigned = aWorker.assigned;
   for (const auto& [attempt, incarnation] : assigned) {
@@ -338,8 +348,9 @@
   if (aWorker.assigned.erase(aAttempt) > 0) {
     this->scheduler.OnEnded(aAttempt, aOutcome, aDetail, aNow);
   }
-  // An end of an attempt that is not known here is committed too, without effect on the state: only a commit proves
-  // that this leader was not replaced, and a replaced leader must not acknowledge events of its successor's attempts.
+  // An end of an attempt that is not known here is committed too, without effect on the state: only
+  // a commit proves that this leader was not replaced, and a replaced leader must not acknowledge
+  // events of its successor's attempts.
   this->commits.Add(AttemptEnded{ aAttempt, ToEndOutcome(aOutcome), aDetail }, std::move(aAction));
 }
 
--- a/packages/daemon/tests/RegionHistory.cpp
+++ b/packages/daemon/tests/RegionHistory.cpp
@@ -329,7 +329,16 @@
   for (const InstanceInfo& info : this->instances) {
     WorkerModel& worker = workers.At(info.endpoint);
     if (!worker.PeakCommitment().FitsIn(kWorkerCapacity)) {
-      problems.push_back("I1: worker " + info.id + " was committed beyond its capacity");
+      const Resources& peak = worker.PeakCommitment();
+      std::string text = "I1: worker " + info.id + " was committed to " +
+                         std::to_string(peak.milliCores) + "m " + std::to_string(peak.memoryMiB) +
+                         " MiB, beyond its capacity:";
+      for (const WorkerHistoryEntry& entry : worker.History()) {
+        text += " " + std::string(entry.kind == WorkerEventKind::Started ? "+" : "-") +
+                ToString(entry.attempt) + "@" +
+                std::to_string(entry.time.time_since_epoch().count() / 1000);
+      }
+      problems.push_back(text);
     }
     std::map<AttemptId, std::size_t> open;
     for (const WorkerHistoryEntry& entry : worker.History()) {
--- a/packages/daemon/tests/RegionLeaderTest.cpp
+++ b/packages/daemon/tests/RegionLeaderTest.cpp
@@ -10,6 +10,15 @@
 namespace daisydrift {
 namespace {
 
+/// Keeps the thousands of expected warnings of the histories out of the output.
+class QuietLog : public testing::Environment
+{
+public:
+  void SetUp() override { ConfigureLogging(LogLevel::Error); }
+};
+
+const testing::Environment* const kQuietLog = testing::AddGlobalTestEnvironment(new QuietLog);
+
 std::string Join(const std::vector<std::string>& aLines)
 {
   std::string text;
