--- a/packages/core/src/SchedulerImpl.cpp
+++ b/packages/core/src/SchedulerImpl.cpp
@@ -270,6 +270,7 @@
   this->FireTimers(aNow);
   this->placer.Advance(aNow);
   this->shares.Advance(aNow);
+  this->trust.Advance(aNow);
   this->outcomes.Settle(this->commands);
   this->enforcement.Run(aNow);
   this->usage.Run(aNow);
--- a/packages/core/src/WorkerTrust.cpp
+++ b/packages/core/src/WorkerTrust.cpp
@@ -14,6 +14,8 @@
 /// Time to the first probe; doubles with each failed probe.
 constexpr std::chrono::seconds kFirstProbe{ 2 };
 constexpr std::chrono::seconds kLongestProbe{ 60 };
+/// A worker due for a probe that finds no suitable task for this time is put on probation.
+constexpr std::chrono::seconds kWaitForProbe{ 30 };
 
 } // namespace
 
@@ -27,9 +29,27 @@
   if (!this->streaks.empty()) {
     this->streaks.erase(aWorker);
   }
+  this->probation.erase(aWorker);
   this->Release(aWorker);
 }
 
+void WorkerTrust::Advance(TimePoint aNow)
+{
+  std::vector<Position> unprobed;
+  for (const auto& [position, probe] : this->quarantined) {
+    const WorkerAttempts& attempts = this->state.workers[position].attempts;
+    bool isProbing = std::any_of(
+      attempts.begin(), attempts.end(), [](const Attempt& aAttempt) { return aAttempt.isProbe; });
+    if (!isProbing && probe.at + kWaitForProbe <= aNow) {
+      unprobed.push_back(position);
+    }
+  }
+  for (Position position : unprobed) {
+    this->probation[position] = this->quarantined[position].delay;
+    this->Release(position);
+  }
+}
+
 void WorkerTrust::OnFailure(Position aWorker, Job& aJob, std::uint32_t aTask, TimePoint aNow)
 {
   std::vector<Failure>& streak = this->streaks[aWorker];
@@ -38,18 +58,27 @@
   for (const Failure& failure : streak) {
     different.insert(failure.job->spec.number);
   }
-  if (different.size() < kJobsToQuarantine || this->state.workers[aWorker].isQuarantined) {
+  if (this->state.workers[aWorker].isQuarantined) {
+    return;
+  }
+  auto onProbation = this->probation.find(aWorker);
+  if (onProbation != this->probation.end()) {
+    this->Quarantine(aWorker, std::min<Duration>(2 * onProbation->second, kLongestProbe), aNow);
+    return;
+  }
+  if (different.size() < kJobsToQuarantine) {
     return;
   }
   if ((this->quarantined.size() + 1) * kMaxQuarantinedShare <= this->state.workers.size()) {
-    this->Quarantine(aWorker, aNow);
+    this->Quarantine(aWorker, kFirstProbe, aNow);
   }
 }
 
-void WorkerTrust::Quarantine(Position aWorker, TimePoint aNow)
+void WorkerTrust::Quarantine(Position aWorker, Duration aDelay, TimePoint aNow)
 {
+  this->probation.erase(aWorker);
   this->state.workers[aWorker].isQuarantined = true;
-  this->quarantined[aWorker] = { aNow + kFirstProbe, kFirstProbe };
+  this->quarantined[aWorker] = { aNow + aDelay, aDelay };
   for (const Failure& failure : this->streaks[aWorker]) {
     TakeOff(failure, aWorker);
   }
@@ -99,6 +128,7 @@
 void WorkerTrust::Reset(Position aWorker)
 {
   this->streaks.erase(aWorker);
+  this->probation.erase(aWorker);
   this->Release(aWorker);
 }
 
--- a/packages/core/src/WorkerTrust.h
+++ b/packages/core/src/WorkerTrust.h
@@ -23,6 +23,9 @@
   void OnJobAtFault(const Job& aJob);
   /// Drops what refers to a job.
   void ForgetJob(const Job& aJob) { this->OnJobAtFault(aJob); }
+  /// Returns quarantined workers that could not be probed for long to service, on probation: the
+  /// next failure quarantines them again.
+  void Advance(TimePoint aNow);
   /// Ends the quarantine of a worker that was replaced.
   void Reset(Position aWorker);
   /// A quarantined worker with room for aSize that is due for a probe, or kNoPosition.
@@ -42,7 +45,7 @@
     Duration delay;
   };
 
-  void Quarantine(Position aWorker, TimePoint aNow);
+  void Quarantine(Position aWorker, Duration aDelay, TimePoint aNow);
   void Release(Position aWorker);
   static void TakeOff(const Failure& aFailure, Position aWorker);
 
@@ -50,6 +53,8 @@
   /// Failures in a row, for workers that have any.
   std::map<Position, std::vector<Failure>> streaks;
   std::map<Position, Probe> quarantined;
+  /// Workers on probation, with the delay of their last probe.
+  std::map<Position, Duration> probation;
 };
 
 } // namespace daisydrift::core
