--- a/packages/durable/include/daisydrift/durable/Journal.h
+++ b/packages/durable/include/daisydrift/durable/Journal.h
@@ -65,7 +65,8 @@
   /// Entries of the record whose outcome is unknown, or null.
   const std::vector<JournalEntry>* UnresolvedEntries() const;
 
-  /// Bytes that a record of these entries takes.
+  /// Bytes that the next record takes with these entries; more than kMaxRecordBytes when it is too
+  /// large, without saying by how much.
   std::size_t EncodedSize(const std::vector<JournalEntry>& aEntries) const;
 
   /// True once another leader was seen. It stays true; every call fails from then on.
--- a/packages/durable/include/daisydrift/durable/JournalRecord.h
+++ b/packages/durable/include/daisydrift/durable/JournalRecord.h
@@ -11,6 +11,10 @@
 /// Largest stored record, in bytes (design page, section 2.2).
 constexpr std::size_t kMaxRecordBytes = 256 * 1024;
 
+/// Largest record before packing, in bytes. Text of zeros would pack to a thousandth; the bound
+/// keeps a reader's memory small.
+constexpr std::size_t kMaxUnpackedRecordBytes = 4 * 1024 * 1024;
+
 /// A group of entries committed together.
 struct JournalRecord
 {
@@ -28,8 +32,9 @@
   bool operator==(const JournalRecord&) const = default;
 };
 
-/// Stored form of a record: packed Cap'n Proto with a digest. Not limited in size.
-std::string EncodeRecord(const JournalRecord& aRecord);
+/// Stored form of a record: packed Cap'n Proto with a digest. Errors: InvalidArgument (larger than
+/// kMaxRecordBytes, or than kMaxUnpackedRecordBytes before packing).
+Result<std::string> EncodeRecord(const JournalRecord& aRecord);
 
 /// Reads a stored record. Errors: Corrupt (damaged, truncated, longer than kMaxRecordBytes, or with
 /// values out of range).
--- a/packages/durable/include/daisydrift/durable/RegionState.h
+++ b/packages/durable/include/daisydrift/durable/RegionState.h
@@ -113,8 +113,8 @@
   /// Number of idempotency keys held.
   std::size_t KeyCount() const { return this->keys.size(); }
 
-  /// Stored form, for a snapshot.
-  std::string Encode() const;
+  /// Stored form, for a snapshot. Errors: InvalidArgument (too large for a snapshot).
+  Result<std::string> Encode() const;
   /// Reads the stored form. Errors: Corrupt.
   static Result<RegionState> Decode(std::string_view aBytes);
 
--- a/packages/durable/include/daisydrift/durable/Snapshot.h
+++ b/packages/durable/include/daisydrift/durable/Snapshot.h
@@ -48,8 +48,8 @@
                             std::uint64_t aGeneration,
                             std::size_t aPart);
 
-/// Stored form of a head.
-std::string EncodeHead(const SnapshotHead& aHead);
+/// Stored form of a head. Errors: InvalidArgument (the writer's name is too long).
+Result<std::string> EncodeHead(const SnapshotHead& aHead);
 /// Reads a stored head. Errors: Corrupt.
 Result<SnapshotHead> DecodeHead(std::string_view aBytes);
 
@@ -91,6 +91,8 @@
   std::error_code CheckOwnership();
   std::error_code WritePart();
   std::error_code SwitchHead();
+  /// Replaces the head that is known.
+  Result<Revision> WriteHead(const SnapshotHead& aHead);
   /// Reads the head into `head` and `headRevision`.
   std::error_code ReadHead();
   std::error_code LoadPartRevision(const std::string& aKey);
--- a/packages/durable/src/Envelope.h
+++ b/packages/durable/src/Envelope.h
@@ -21,17 +21,29 @@
 };
 
 /// 64-bit FNV-1a digest. It finds damage, not forgery: the store's content is trusted.
-std::uint64_t Digest64(std::string_view aBytes);
+/// aStart continues an earlier digest.
+std::uint64_t Digest64(std::string_view aBytes, std::uint64_t aStart = 0xcbf29ce484222325);
 
-/// Packs a message into an envelope.
-std::string SealMessage(EnvelopeKind aKind, capnp::MessageBuilder& aMessage);
+/// Bounds of a stored message.
+struct EnvelopeLimits
+{
+  /// Largest envelope.
+  std::size_t packedBytes = 0;
+  /// Largest message after unpacking; zeros pack to a thousandth, so this is a bound of its own.
+  std::size_t unpackedBytes = 0;
+};
+
+/// Packs a message into an envelope. Errors: InvalidArgument (over the limits, so that it could not
+/// be opened again).
+Result<std::string> SealMessage(EnvelopeKind aKind,
+                                const EnvelopeLimits& aLimits,
+                                capnp::MessageBuilder& aMessage);
 
 /// Checks the envelope and hands the message to aRead; aRead returns false when a value is out of
-/// range. aMaxBytes bounds the envelope, and thirty-two times as much the unpacked message, since
-/// packed zeros expand. Errors: Corrupt. Never throws.
+/// range. Errors: Corrupt. Never throws.
 std::error_code OpenMessage(EnvelopeKind aKind,
+                            const EnvelopeLimits& aLimits,
                             std::string_view aBytes,
-                            std::size_t aMaxBytes,
                             const std::function<bool(capnp::MessageReader&)>& aRead) noexcept;
 
 } // namespace daisydrift
--- a/packages/durable/src/Journal.cpp
+++ b/packages/durable/src/Journal.cpp
@@ -96,10 +96,11 @@
   next.record = {
     this->position + 1, this->epoch, this->writer, this->lastWriteNumber + 1, aEntries
   };
-  next.bytes = EncodeRecord(next.record);
-  if (next.bytes.size() > kMaxRecordBytes) {
-    return Errc::InvalidArgument;
+  auto bytes = EncodeRecord(next.record);
+  if (!bytes) {
+    return bytes.Error();
   }
+  next.bytes = std::move(*bytes);
   if (auto error = this->LoadNextSlot()) {
     return error;
   }
@@ -126,7 +127,9 @@
 
 std::size_t Journal::EncodedSize(const std::vector<JournalEntry>& aEntries) const
 {
-  return EncodeRecord({ this->position + 1, this->epoch, this->writer, 1, aEntries }).size();
+  auto bytes = EncodeRecord(
+    { this->position + 1, this->epoch, this->writer, this->lastWriteNumber + 1, aEntries });
+  return bytes ? bytes->size() : kMaxRecordBytes + 1;
 }
 
 void Journal::SetCovered(std::uint64_t aPosition)
--- a/packages/durable/src/JournalRecord.cpp
+++ b/packages/durable/src/JournalRecord.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr EnvelopeLimits kLimits{ kMaxRecordBytes, kMaxUnpackedRecordBytes };
+
 /// Writes one entry; one overload of operator() for each kind.
 class EntryWriter
 {
@@ -132,7 +134,7 @@
 
 } // namespace
 
-std::string EncodeRecord(const JournalRecord& aRecord)
+Result<std::string> EncodeRecord(const JournalRecord& aRecord)
 {
   capnp::MallocMessageBuilder message;
   auto out = message.initRoot<schema::Record>();
@@ -144,7 +146,7 @@
   for (unsigned i = 0; i < entries.size(); ++i) {
     std::visit(EntryWriter(entries[i]), aRecord.entries[i]);
   }
-  return SealMessage(EnvelopeKind::Record, message);
+  return SealMessage(EnvelopeKind::Record, kLimits, message);
 }
 
 Result<JournalRecord> DecodeRecord(std::string_view aBytes)
@@ -163,7 +165,7 @@
     }
     return record.number != 0 && record.epoch != 0;
   };
-  if (auto error = OpenMessage(EnvelopeKind::Record, aBytes, kMaxRecordBytes, read)) {
+  if (auto error = OpenMessage(EnvelopeKind::Record, kLimits, aBytes, read)) {
     return error;
   }
   return record;
--- a/packages/durable/src/RegionStateCodec.cpp
+++ b/packages/durable/src/RegionStateCodec.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Bound of a stored state: sixty-four parts of a snapshot. The two-year load needs about a tenth.
-constexpr std::size_t kMaxStateBytes = 32 * 1024 * 1024;
+/// Bounds of a stored state: sixty-four parts of a snapshot. The two-year load needs about a tenth.
+constexpr EnvelopeLimits kLimits{ 32 * 1024 * 1024, 128 * 1024 * 1024 };
 
 using WorkerIndex = std::map<std::pair<WorkerId, std::string>, unsigned>;
 
@@ -194,11 +194,11 @@
   std::vector<std::pair<WorkerId, std::string>> workers;
 };
 
-std::string RegionState::Encode() const
+Result<std::string> RegionState::Encode() const
 {
   capnp::MallocMessageBuilder message;
   Encoder(*this, message.initRoot<schema::Snapshot>()).Run();
-  return SealMessage(EnvelopeKind::Snapshot, message);
+  return SealMessage(EnvelopeKind::Snapshot, kLimits, message);
 }
 
 Result<RegionState> RegionState::Decode(std::string_view aBytes)
@@ -207,7 +207,7 @@
   auto read = [&](capnp::MessageReader& aMessage) {
     return Decoder(aMessage.getRoot<schema::Snapshot>(), state).Run();
   };
-  if (auto error = OpenMessage(EnvelopeKind::Snapshot, aBytes, kMaxStateBytes, read)) {
+  if (auto error = OpenMessage(EnvelopeKind::Snapshot, kLimits, aBytes, read)) {
     return error;
   }
   return state;
--- a/packages/durable/src/Snapshot.cpp
+++ b/packages/durable/src/Snapshot.cpp
@@ -11,8 +11,8 @@
 
 /// Parts that a snapshot may have: with kMaxPartBytes, half of a daemon's memory limit.
 constexpr std::size_t kMaxParts = 64;
-/// Bound of a stored head: identity and 64 digests take below 1 KB.
-constexpr std::size_t kMaxHeadBytes = 16 * 1024;
+/// Bounds of a stored head: identity and 64 digests take below 1 KB.
+constexpr EnvelopeLimits kHeadLimits{ 16 * 1024, 64 * 1024 };
 
 std::vector<std::string> Split(const std::string& aBytes)
 {
@@ -38,7 +38,7 @@
          std::to_string(aPart);
 }
 
-std::string EncodeHead(const SnapshotHead& aHead)
+Result<std::string> EncodeHead(const SnapshotHead& aHead)
 {
   capnp::MallocMessageBuilder message;
   auto out = message.initRoot<schema::SnapshotHead>();
@@ -51,7 +51,7 @@
   for (unsigned i = 0; i < digests.size(); ++i) {
     digests.set(i, aHead.partDigests[i]);
   }
-  return SealMessage(EnvelopeKind::SnapshotHead, message);
+  return SealMessage(EnvelopeKind::SnapshotHead, kHeadLimits, message);
 }
 
 Result<SnapshotHead> DecodeHead(std::string_view aBytes)
@@ -69,7 +69,7 @@
     }
     return head.epoch != 0 && head.partDigests.size() <= kMaxParts;
   };
-  if (auto error = OpenMessage(EnvelopeKind::SnapshotHead, aBytes, kMaxHeadBytes, read)) {
+  if (auto error = OpenMessage(EnvelopeKind::SnapshotHead, kHeadLimits, aBytes, read)) {
     return error;
   }
   return head;
@@ -152,17 +152,21 @@
 
 std::error_code SnapshotWriter::Begin(const RegionState& aState)
 {
-  std::string bytes = aState.Encode();
-  if (bytes.size() > kMaxParts * kMaxPartBytes) {
+  auto bytes = aState.Encode();
+  if (!bytes) {
+    return bytes.Error();
+  }
+  this->parts = Split(*bytes);
+  if (this->parts.size() > kMaxParts) {
+    this->parts.clear();
     return Errc::InvalidArgument;
   }
-  this->parts = Split(bytes);
   this->nextPart = 0;
   // After an ambiguous switch either generation may be in use, so the head is claimed anew before a
   // part is written.
   this->isClaimed = this->isClaimed && !this->isSwitchAmbiguous;
   this->isSwitchAmbiguous = false;
-  this->nextHead = { 0, aState.Position(), this->epoch, this->writer, bytes.size(), {} };
+  this->nextHead = { 0, aState.Position(), this->epoch, this->writer, bytes->size(), {} };
   for (const std::string& part : this->parts) {
     this->nextHead.partDigests.push_back(Digest64(part));
   }
@@ -217,6 +221,16 @@
   return {};
 }
 
+Result<Revision> SnapshotWriter::WriteHead(const SnapshotHead& aHead)
+{
+  auto bytes = EncodeHead(aHead);
+  if (!bytes) {
+    return bytes.Error();
+  }
+  return this->store.CompareAndSwap(
+    SnapshotHeadKey(this->region), *bytes, this->headRevision, 0, this->options.callTimeout);
+}
+
 std::error_code SnapshotWriter::ClaimHead()
 {
   if (auto error = this->ReadHead()) {
@@ -231,11 +245,7 @@
   SnapshotHead claim = this->head;
   claim.epoch = this->epoch;
   claim.writer = this->writer;
-  auto written = this->store.CompareAndSwap(SnapshotHeadKey(this->region),
-                                            EncodeHead(claim),
-                                            this->headRevision,
-                                            0,
-                                            this->options.callTimeout);
+  auto written = this->WriteHead(claim);
   if (!written) {
     // A conflict is a last switch by the old leader: the next step reads the head again.
     return written.Error() == Errc::Conflict ? make_error_code(Errc::OutcomeUnknown)
@@ -309,11 +319,7 @@
     }
   }
   this->nextHead.generation = this->head.generation + 1;
-  auto written = this->store.CompareAndSwap(SnapshotHeadKey(this->region),
-                                            EncodeHead(this->nextHead),
-                                            this->headRevision,
-                                            0,
-                                            this->options.callTimeout);
+  auto written = this->WriteHead(this->nextHead);
   if (written) {
     this->isSwitchAmbiguous = false;
     this->head = this->nextHead;
