Property, differential and fault tests of routing

Cause: the invariants towards upstreams must hold over any history, not only in the cases of a fault table.

--- /dev/null
+++ b/packages/routing/tests/FleetModel.h
@@ -0,0 +1,356 @@
+#pragma once
+// Seven engines and a few upstreams on a virtual clock, driven by generated commands. The upstreams
+// record what they started; the checks use only that.
+
+#include "FakeUpstreams.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace daisydrift {
+
+/// Kind of command and two operands; the model reduces the operands to what it has.
+using FleetCommand = std::tuple<std::uint8_t, std::uint8_t, std::uint16_t>;
+
+/// The fleet. Upstreams stop running a request at the latest 30 s after it was sent, as the
+/// contract of the deadline header says.
+class FleetModel
+{
+public:
+  static constexpr unsigned kSeats = 7;
+  static constexpr unsigned kUpstreams = 3;
+  static constexpr Duration kLongest = std::chrono::seconds(30);
+
+  explicit FleetModel(std::uint64_t aSeed)
+    : random(aSeed)
+    , list(UpstreamList(kUpstreams))
+  {
+    for (unsigned seat = 0; seat < kSeats; ++seat) {
+      this->StartInstance(seat);
+    }
+  }
+
+  void Run(const std::vector<FleetCommand>& aCommands)
+  {
+    for (const auto& [kind, a, b] : aCommands) {
+      this->Apply(kind % 32, a, b);
+    }
+    this->AdvanceTo(this->clock.Now() + kLongest * 4);
+  }
+
+  /// Violations seen so far, in words.
+  std::vector<std::string> problems;
+  /// Numbers that show that the generated histories reach the interesting cases.
+  unsigned starts = 0;
+  unsigned hedges = 0;
+  unsigned seatLosses = 0;
+  unsigned unanswered = 0;
+  unsigned peakRunning = 0;
+
+private:
+  enum class Fault
+  {
+    None,
+    Silent,
+    HalfOpen,
+    Closing,
+    Refusing,
+    NotStarted,
+    Unavailable
+  };
+  struct Instance
+  {
+    std::unique_ptr<RoutingEngine> engine;
+    unsigned seat = 0;
+    bool isAlive = true;
+    /// What maySend answers.
+    bool holdsSeat = true;
+    /// Upstreams that this instance was told are leaving or gone.
+    std::set<UpstreamId> leaving;
+    /// Kept connections by upstream.
+    std::map<UpstreamId, unsigned> idle;
+    std::map<RequestNumber, std::string> names;
+  };
+  struct Upstream
+  {
+    unsigned running = 0;
+    unsigned connections = 0;
+    Fault fault = Fault::None;
+  };
+  struct RequestRecord
+  {
+    bool isRepeatable = false;
+    unsigned starts = 0;
+    unsigned ends = 0;
+    bool wasNotRun = false;
+  };
+
+  void StartInstance(unsigned aSeat)
+  {
+    RoutingSettings settings;
+    settings.seats = kSeats;
+    settings.queueBound = 20;
+    settings.teamQueueBound = 8;
+    settings.failureDomain = aSeat % 2 == 0 ? "hobart" : "burnie";
+    settings.hedgeShare = 0.5;
+    settings.seed = aSeat;
+    this->instances.push_back(std::make_unique<Instance>());
+    Instance& instance = *this->instances.back();
+    instance.seat = aSeat;
+    instance.engine = std::make_unique<RoutingEngine>(settings);
+    instance.engine->SetSeat(aSeat, this->clock.Now());
+    this->Tell(instance);
+    this->holders[aSeat] = &instance;
+  }
+
+  void Tell(Instance& aInstance)
+  {
+    aInstance.leaving.clear();
+    std::vector<InstanceInfo> listed;
+    for (const InstanceInfo& info : this->list) {
+      if (info.state != InstanceState::Live) {
+        aInstance.leaving.insert(info.id);
+      }
+      if (info.state != InstanceState::Gone) {
+        listed.push_back(info);
+      }
+    }
+    // Instances get the list in different orders.
+    std::shuffle(listed.begin(), listed.end(), this->random);
+    aInstance.engine->UpdateUpstreams(listed, this->clock.Now());
+    this->Handle(aInstance);
+  }
+
+  void Apply(unsigned aKind, unsigned aFirst, unsigned aSecond)
+  {
+    Instance* instance = this->holders[aFirst % kSeats];
+    UpstreamId upstream = "u" + std::to_string(aFirst % kUpstreams + 1);
+    if (aKind < 18) {
+      for (unsigned i = 0; instance && i <= aSecond % 8; ++i) {
+        this->Submit(*instance, (aSecond + i) % 3 == 0, aSecond % 5);
+      }
+    } else if (aKind < 26) {
+      unsigned limit = aKind == 25 ? 35'000 : 300;
+      this->AdvanceTo(this->clock.Now() + std::chrono::milliseconds(aSecond % limit));
+    } else if (aKind < 28) {
+      this->upstreams[upstream].fault = aSecond % 14 < 7 ? Fault::None : Fault(aSecond % 7);
+    } else if (aKind == 28) {
+      this->list[aFirst % kUpstreams].state =
+        aSecond % 6 < 4 ? InstanceState::Live : InstanceState(aSecond % 6 - 3);
+    } else if (aKind == 29 && instance) {
+      this->Tell(*instance);
+    } else if (aKind == 30 && instance && aSecond % 4 == 0) {
+      this->LoseSeat(*instance, aSecond % 8 == 0);
+    } else if (aKind == 31 && instance) {
+      instance->holdsSeat = aSecond % 4 != 0;
+    }
+  }
+
+  /// The instance dies, or learns late that it lost its seat. A successor waits for the longest
+  /// deadline.
+  void LoseSeat(Instance& aInstance, bool aDies)
+  {
+    ++this->seatLosses;
+    aInstance.holdsSeat = false;
+    aInstance.isAlive = !aDies;
+    unsigned seat = aInstance.seat;
+    this->holders[seat] = nullptr;
+    if (!aDies) {
+      this->At(this->clock.Now() + std::chrono::seconds(1), [this, &aInstance] {
+        aInstance.engine->SetSeat(std::nullopt, this->clock.Now());
+        this->Handle(aInstance);
+      });
+    }
+    this->At(this->clock.Now() + kLongest, [this, seat] { this->StartInstance(seat); });
+  }
+
+  void Submit(Instance& aInstance, bool aIsRepeatable, unsigned aTeam)
+  {
+    std::string name = "r" + std::to_string(this->records.size());
+    this->records[name].isRepeatable = aIsRepeatable;
+    RequestSpec spec{ "desk",
+                      "t" + std::to_string(aTeam),
+                      1.0 + aTeam,
+                      aIsRepeatable,
+                      this->clock.Now() + std::chrono::milliseconds(this->random() % 40'000) };
+    RequestNumber number = aInstance.engine->Submit(spec, this->clock.Now());
+    aInstance.names[number] = name;
+    this->At(spec.deadline, [this, &aInstance, number] {
+      aInstance.engine->Expire(number, this->clock.Now());
+      this->Handle(aInstance);
+    });
+    this->Handle(aInstance);
+  }
+
+  void Handle(Instance& aInstance)
+  {
+    for (RoutingEvent& event : aInstance.engine->TakeEvents()) {
+      RequestRecord& record = this->records[aInstance.names[event.request]];
+      if (event.order) {
+        this->Send(aInstance, *event.order);
+      } else if (event.retry) {
+        RequestNumber number = event.request;
+        this->At(this->clock.Now() + event.retry->delay, [this, &aInstance, number] {
+          if (!this->ended.count({ &aInstance, number })) {
+            aInstance.engine->Requeue(number, this->clock.Now());
+            this->Handle(aInstance);
+          }
+        });
+      } else {
+        this->ended.insert({ &aInstance, event.request });
+        ++record.ends;
+        record.wasNotRun = event.end->outcome == RequestOutcome::NotRun;
+        this->Expect(record.ends == 1, "a request has two ends");
+        this->Expect(!record.wasNotRun || record.starts == 0, "not_run of a started request");
+      }
+    }
+    if (auto change = aInstance.engine->NextChange(this->clock.Now())) {
+      this->At(*change, [this, &aInstance] {
+        aInstance.engine->Dispatch(this->clock.Now());
+        this->Handle(aInstance);
+      });
+    }
+  }
+
+  void Send(Instance& aInstance, const TryOrder& aOrder)
+  {
+    TimePoint now = this->clock.Now();
+    this->Expect(aInstance.leaving.count(aOrder.slot.upstream) == 0,
+                 "a try goes to a leaving upstream");
+    if (!aInstance.holdsSeat) {
+      this->At(now, [this, &aInstance, aOrder] {
+        aInstance.engine->TrySkipped(aOrder, SkipReason::SeatNotUsable, this->clock.Now());
+        this->Handle(aInstance);
+      });
+      return;
+    }
+    Upstream& upstream = this->upstreams[aOrder.slot.upstream];
+    Fault fault = upstream.fault;
+    if (fault != Fault::Refusing) {
+      this->Connect(aInstance, aOrder.slot.upstream, upstream);
+    }
+    bool isStarted =
+      fault != Fault::Refusing && fault != Fault::NotStarted && fault != Fault::HalfOpen;
+    Duration work = std::chrono::milliseconds(1 + this->random() % 400);
+    bool isKeptRunning = fault == Fault::Silent || fault == Fault::Closing;
+    if (isStarted) {
+      this->Start(aInstance.names[aOrder.request], upstream);
+      TimePoint stopsAt = now + (isKeptRunning ? kLongest - Duration(1) : work);
+      this->At(stopsAt, [&upstream] { --upstream.running; });
+    }
+    if (auto delay = aInstance.engine->HedgeDelay(aOrder.request)) {
+      this->At(now + *delay, [this, &aInstance, aOrder] {
+        auto before = aInstance.engine->Counts().hedges;
+        aInstance.engine->HedgeNow(aOrder.request, this->clock.Now());
+        this->hedges += static_cast<unsigned>(aInstance.engine->Counts().hedges - before);
+        this->Handle(aInstance);
+      });
+    }
+    TimePoint endsAt = now + work;
+    TryOutcome outcome = OutcomeOf(fault);
+    if (fault == Fault::Silent || fault == Fault::HalfOpen || endsAt > aOrder.giveUpAt) {
+      endsAt = aOrder.giveUpAt;
+      outcome = TryOutcome::NoAnswer;
+    }
+    this->unanswered += outcome == TryOutcome::NoAnswer ? 1 : 0;
+    this->At(std::max(endsAt, now), [this, &aInstance, &upstream, aOrder, outcome, now] {
+      this->EndTry(aInstance, upstream, aOrder, outcome, now);
+    });
+  }
+
+  static TryOutcome OutcomeOf(Fault aFault)
+  {
+    switch (aFault) {
+      case Fault::None:
+        return TryOutcome::Answered;
+      case Fault::Refusing:
+        return TryOutcome::NotSent;
+      case Fault::NotStarted:
+        return TryOutcome::NotStarted;
+      case Fault::Unavailable:
+        return TryOutcome::Unavailable;
+      default:
+        return TryOutcome::NoAnswer;
+    }
+  }
+
+  void EndTry(Instance& aInstance,
+              Upstream& aUpstream,
+              const TryOrder& aOrder,
+              TryOutcome aOutcome,
+              TimePoint aSentAt)
+  {
+    if (aOutcome == TryOutcome::NoAnswer) {
+      --aUpstream.connections;
+    } else if (aOutcome != TryOutcome::NotSent) {
+      ++aInstance.idle[aOrder.slot.upstream];
+    }
+    aInstance.engine->TryEnded(aOrder, aOutcome, aSentAt, this->clock.Now());
+    this->Handle(aInstance);
+  }
+
+  void Connect(Instance& aInstance, const UpstreamId& aName, Upstream& aUpstream)
+  {
+    unsigned& idle = aInstance.idle[aName];
+    if (idle > 0) {
+      --idle;
+      return;
+    }
+    ++aUpstream.connections;
+    this->Expect(aUpstream.connections <= 64, "more than 64 connections");
+  }
+
+  void Start(const std::string& aName, Upstream& aUpstream)
+  {
+    RequestRecord& record = this->records[aName];
+    ++record.starts;
+    ++this->starts;
+    ++aUpstream.running;
+    this->peakRunning = std::max(this->peakRunning, aUpstream.running);
+    this->Expect(aUpstream.running <= 8, "more than 8 slots in use");
+    this->Expect(record.isRepeatable || record.starts == 1, "a second start of " + aName);
+    this->Expect(!record.wasNotRun, "a start after not_run");
+  }
+
+  void Expect(bool aHolds, const std::string& aProblem)
+  {
+    if (!aHolds) {
+      this->problems.push_back(aProblem);
+    }
+  }
+
+  void At(TimePoint aTime, std::function<void()> aAction)
+  {
+    this->pending.emplace(aTime, std::move(aAction));
+  }
+
+  void AdvanceTo(TimePoint aTime)
+  {
+    while (!this->pending.empty() && this->pending.begin()->first <= aTime) {
+      auto first = this->pending.begin();
+      std::function<void()> action = std::move(first->second);
+      this->clock.Advance(std::max(Duration(0), first->first - this->clock.Now()));
+      this->pending.erase(first);
+      action();
+    }
+    this->clock.Advance(std::max(Duration(0), aTime - this->clock.Now()));
+  }
+
+  std::mt19937_64 random;
+  ManualClock clock;
+  std::vector<InstanceInfo> list;
+  std::vector<std::unique_ptr<Instance>> instances;
+  std::map<unsigned, Instance*> holders;
+  std::map<UpstreamId, Upstream> upstreams;
+  std::map<std::string, RequestRecord> records;
+  std::set<std::pair<const Instance*, RequestNumber>> ended;
+  std::multimap<TimePoint, std::function<void()>> pending;
+};
+
+} // namespace daisydrift
--- /dev/null
+++ b/packages/routing/tests/RetryPolicyTest.cpp
@@ -0,0 +1,153 @@
+// Guards against untruthful outcomes, forbidden repetitions, retries and hedged tries beyond their
+// budget, and delays without jitter or beyond their bound.
+
+#include "daisydrift/routing.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace daisydrift {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TryOutcome kAllOutcomes[] = { TryOutcome::NotSent,     TryOutcome::NotStarted,
+                                    TryOutcome::NoAnswer,    TryOutcome::Unavailable,
+                                    TryOutcome::ServerError, TryOutcome::Answered };
+
+// Checks all combinations against the rules as the design states them.
+TEST(RetryPolicyTest, DecisionsFollowTheRulesInAllCases)
+{
+  RetryPolicy policy(3);
+  for (TryOutcome outcome : kAllOutcomes) {
+    for (bool mayOther : { false, true }) {
+      for (bool isRepeatable : { false, true }) {
+        for (unsigned tries : { 1u, 2u, 3u }) {
+          for (Duration remaining : { Duration(-1s), Duration(0), Duration(1s) }) {
+            TryDecision decision =
+              policy.Decide({ outcome, mayOther, isRepeatable, tries, remaining });
+            bool isProven =
+              !mayOther && (outcome == TryOutcome::NotSent || outcome == TryOutcome::NotStarted);
+            EXPECT_EQ(decision.outcome == RequestOutcome::NotRun, isProven);
+            bool isOver = tries == 3 || remaining <= Duration(0);
+            EXPECT_FALSE(decision.maySendAgain && isOver);
+            EXPECT_FALSE(decision.maySendAgain && !isRepeatable && !isProven);
+            bool isAnswered = outcome == TryOutcome::Answered || outcome == TryOutcome::ServerError;
+            EXPECT_EQ(decision.outcome == RequestOutcome::Ran, isAnswered);
+            EXPECT_FALSE(decision.maySendAgain && isAnswered);
+            EXPECT_TRUE(decision.isAnswerFinal || !decision.code.empty());
+          }
+        }
+      }
+    }
+  }
+}
+
+struct ClassifyCase
+{
+  UpstreamResult result;
+  TryOutcome outcome;
+};
+
+// Guards against a 503 without proof, or a proof with another status, that counts as not started.
+TEST(RetryPolicyTest, ClassifiesResults)
+{
+  const HeaderFields proof = { { "daisydrift-not-started", "1" } };
+  const ClassifyCase cases[] = {
+    { { Errc::Unreachable, SendProgress::NotSent, {} }, TryOutcome::NotSent },
+    { { Errc::OutcomeUnknown, SendProgress::Sent, {} }, TryOutcome::NoAnswer },
+    { { Errc::Unreachable, SendProgress::Sent, {} }, TryOutcome::NoAnswer },
+    { { {}, SendProgress::Sent, { 503, proof, "" } }, TryOutcome::NotStarted },
+    { { {}, SendProgress::Sent, { 503, {}, "" } }, TryOutcome::Unavailable },
+    { { {}, SendProgress::Sent, { 503, { { "Daisydrift-Not-Started", "0" } }, "" } },
+      TryOutcome::Unavailable },
+    { { {}, SendProgress::Sent, { 500, proof, "" } }, TryOutcome::ServerError },
+    { { {}, SendProgress::Sent, { 502, {}, "" } }, TryOutcome::Unavailable },
+    { { {}, SendProgress::Sent, { 200, proof, "" } }, TryOutcome::Answered },
+    { { {}, SendProgress::Sent, { 404, {}, "" } }, TryOutcome::Answered },
+  };
+  for (const ClassifyCase& item : cases) {
+    EXPECT_EQ(Classify(item.result), item.outcome) << item.result.response.status;
+  }
+}
+
+// Guards against retries beyond 10% of the requests plus the reserve, in any order of calls.
+RC_GTEST_PROP(RetryBudgetTest, RetriesStayWithinTheShare, ())
+{
+  auto calls = *rc::gen::container<std::vector<bool>>(2000, rc::gen::arbitrary<bool>());
+  RetryBudget budget(0.1, 10, 10);
+  unsigned requests = 0;
+  unsigned retries = 0;
+  for (bool isRetry : calls) {
+    if (isRetry) {
+      retries += budget.TrySpend() ? 1 : 0;
+    } else {
+      budget.OnRequest();
+      ++requests;
+    }
+    RC_ASSERT(retries <= 10 + requests * 0.1 + 1e-6);
+  }
+}
+
+// Guards against a budget that is never given back.
+TEST(RetryBudgetTest, TenRequestsEarnOneRetry)
+{
+  RetryBudget budget(0.1, 10, 0);
+  for (unsigned i = 0; i < 9; ++i) {
+    budget.OnRequest();
+    EXPECT_FALSE(budget.TrySpend());
+  }
+  budget.OnRequest();
+  EXPECT_TRUE(budget.TrySpend());
+  EXPECT_FALSE(budget.TrySpend());
+}
+
+// Guards against delays that are equal for all callers or grow beyond the maximum.
+TEST(BackoffTest, JitterCoversTheWholeRange)
+{
+  Backoff backoff(10ms, 1s, 7);
+  Backoff same(10ms, 1s, 7);
+  for (unsigned attempt : { 1u, 2u, 5u, 8u, 100u }) {
+    Duration limit = std::min<Duration>(1s, 10ms * (1 << std::min(attempt - 1, 10u)));
+    Duration lowest = limit;
+    Duration highest{ 0 };
+    for (unsigned i = 0; i < 1000; ++i) {
+      Duration delay = backoff.Delay(attempt);
+      EXPECT_EQ(delay, same.Delay(attempt));
+      EXPECT_GE(delay, Duration(0));
+      EXPECT_LE(delay, limit);
+      lowest = std::min(lowest, delay);
+      highest = std::max(highest, delay);
+    }
+    EXPECT_LT(lowest, limit / 20);
+    EXPECT_GT(highest, limit * 19 / 20);
+  }
+}
+
+// Guards against hedged tries before latencies are known, at the wrong percentile, or beyond 5%.
+TEST(HedgeTest, DelayIsTheP95AndTriesAreBounded)
+{
+  Hedge hedge(0.05, 5);
+  EXPECT_FALSE(hedge.Delay());
+  unsigned spent = 0;
+  for (unsigned i = 0; i < 256; ++i) {
+    hedge.OnRequest();
+    hedge.OnLatency(std::chrono::milliseconds(i % 100 + 1));
+    spent += hedge.TrySpend() ? 1 : 0;
+  }
+  std::vector<Duration> sorted;
+  for (unsigned i = 0; i < 256; ++i) {
+    sorted.push_back(std::chrono::milliseconds(i % 100 + 1));
+  }
+  std::sort(sorted.begin(), sorted.end());
+  EXPECT_EQ(hedge.Delay(), sorted[256 * 95 / 100]);
+  EXPECT_LE(spent, 256u / 20);
+  EXPECT_GT(spent, 0u);
+  EXPECT_FALSE(Hedge(0, 0).Delay());
+}
+
+} // namespace
+} // namespace daisydrift
