--- a/packages/config/include/daisydrift/config/Edits.h
+++ b/packages/config/include/daisydrift/config/Edits.h
@@ -118,6 +118,9 @@
 /// How long keys that were revoked or have expired stay listed.
 constexpr std::chrono::hours kEndedKeyRetention{ 24 * 7 };
 
+/// Ended keys dropped by one edit; more would not fit its audit entry.
+constexpr std::size_t kMaxDroppedKeys = 100;
+
 /// Removed rows remembered for the detection of conflicts.
 constexpr std::size_t kMaxRemovedRows = 200;
 
--- a/packages/config/src/ConfigEditor.cpp
+++ b/packages/config/src/ConfigEditor.cpp
@@ -146,13 +146,14 @@
   if (written) {
     return {};
   }
-  if (written.Error() != Errc::Conflict) {
+  if (written.Error() != Errc::Conflict && written.Error() != Errc::OutcomeUnknown) {
     return written.Error();
   }
-  // Another editor, or a write whose answer was lost, was first; it must have written the same.
+  // Another editor may have been first, or the answer was lost. All of them write the same text.
   Result<StoreEntry> present = this->store.Get(chunk->key, this->options.timeout);
   if (!present) {
-    return present.Error();
+    return present.Error() == Errc::NotFound ? make_error_code(Errc::OutcomeUnknown)
+                                             : present.Error();
   }
   return present->value == chunk->value ? std::error_code() : make_error_code(Errc::Corrupt);
 }
--- a/packages/config/src/Edits.cpp
+++ b/packages/config/src/Edits.cpp
@@ -141,9 +141,12 @@
   void DropEndedKeys()
   {
     WallTime limit = this->now - kEndedKeyRetention;
-    std::erase_if(this->next.keys, [limit](const auto& aItem) {
+    std::size_t dropped = 0;
+    std::erase_if(this->next.keys, [limit, &dropped](const auto& aItem) {
       const KeyEntry& key = aItem.second;
-      return (key.revokedAt && *key.revokedAt < limit) || (key.expiry && *key.expiry < limit);
+      bool hasEnded =
+        (key.revokedAt && *key.revokedAt < limit) || (key.expiry && *key.expiry < limit);
+      return hasEnded && ++dropped <= kMaxDroppedKeys;
     });
   }
 
