--- a/packages/config/include/daisydrift/config/ConfigDocument.h
+++ b/packages/config/include/daisydrift/config/ConfigDocument.h
@@ -112,7 +112,8 @@
   ConfigVersion baseVersion = 0;
   /// Unique id of the edit, given by its author.
   std::string editId;
-  /// SHA-256 of the edits asked for, so that an id is not taken twice for different edits.
+  /// SHA-256 of the edits asked for, without their base version, so that an id is not taken twice
+  /// for different edits.
   std::string requestDigest;
   std::string actor;
   WallTime when{};
--- a/packages/config/src/Edits.cpp
+++ b/packages/config/src/Edits.cpp
@@ -374,7 +374,9 @@
 
 EditOutcome ApplyEdits(ConfigDocument& aDocument, const EditRequest& aRequest, WallTime aNow)
 {
-  const std::string kRequestDigest = Sha256Hex(EncodeEdits(aRequest));
+  // Without the base version: another instance that repeats the request may have seen a newer one.
+  const std::string kRequestDigest =
+    Sha256Hex(EncodeEdits({ std::nullopt, aRequest.actor, aRequest.editId, aRequest.edits }));
   if (std::optional<EditOutcome> early = CheckRequest(aDocument, aRequest, kRequestDigest)) {
     return *early;
   }
--- a/packages/config/tests/EditsTest.cpp
+++ b/packages/config/tests/EditsTest.cpp
@@ -128,6 +128,8 @@
   EXPECT_FALSE(again.error);
   EXPECT_EQ(again.version, 2U);
   EXPECT_EQ(document.teams.at("a").weight, 3U);
+  request.baseVersion = 3;
+  EXPECT_EQ(ApplyEdits(document, request, At(1003)).version, 2U);
   request.edits = { RemoveTeam{ "a" } };
   EXPECT_EQ(Codes(ApplyEdits(document, request, At(1004))), "request:edit_id_reused ");
 }
--- a/packages/settings/include/daisydrift/settings/ObjectReader.h
+++ b/packages/settings/include/daisydrift/settings/ObjectReader.h
@@ -25,6 +25,8 @@
   /// The member, or null when absent or of another kind. An absent member is a finding when
   /// aIsRequired.
   const JsonValue* Take(const std::string& aName, JsonKind aKind, bool aIsRequired);
+  /// The member of any kind, or null when absent.
+  const JsonValue* TakeAny(const std::string& aName);
   /// Text of the member, or "" when there is none.
   std::string Text(const std::string& aName, bool aIsRequired = true);
   /// Integer of the member, or aDefault when an optional one is absent.
--- a/packages/settings/src/ObjectReader.cpp
+++ b/packages/settings/src/ObjectReader.cpp
@@ -36,6 +36,12 @@
   return member;
 }
 
+const JsonValue* ObjectReader::TakeAny(const std::string& aName)
+{
+  this->known.insert(aName);
+  return this->value.Find(aName);
+}
+
 std::string ObjectReader::Text(const std::string& aName, bool aIsRequired)
 {
   const JsonValue* member = this->Take(aName, JsonKind::String, aIsRequired);
