--- a/packages/config/src/Edits.cpp
+++ b/packages/config/src/Edits.cpp
@@ -141,9 +141,12 @@
   void DropEndedKeys()
   {
     WallTime limit = this->now - kEndedKeyRetention;
-    std::erase_if(this->next.keys, [limit](const auto& aItem) {
+    std::size_t dropped = 0;
+    std::erase_if(this->next.keys, [limit, &dropped](const auto& aItem) {
       const KeyEntry& key = aItem.second;
-      return (key.revokedAt && *key.revokedAt < limit) || (key.expiry && *key.expiry < limit);
+      bool hasEnded =
+        (key.revokedAt && *key.revokedAt < limit) || (key.expiry && *key.expiry < limit);
+      return hasEnded && ++dropped <= kMaxDroppedKeys;
     });
   }
 
@@ -371,7 +374,9 @@
 
 EditOutcome ApplyEdits(ConfigDocument& aDocument, const EditRequest& aRequest, WallTime aNow)
 {
-  const std::string kRequestDigest = Sha256Hex(EncodeEdits(aRequest));
+  // Without the base version: another instance that repeats the request may have seen a newer one.
+  const std::string kRequestDigest =
+    Sha256Hex(EncodeEdits({ std::nullopt, aRequest.actor, aRequest.editId, aRequest.edits }));
   if (std::optional<EditOutcome> early = CheckRequest(aDocument, aRequest, kRequestDigest)) {
     return *early;
   }
