Fault tests of the calls between instances; raw TCP peers for tests

Cause: the channel and server had contract tests only. RawConnection, RawListener and TcpRelay in standins are blocking Asio peers on which a test decides every byte. Fixed by the tests: a channel never opened a second connection, because kj kept a reference to a local lambda passed as an lvalue; and the watcher of a connection held it, so that one taken out of use was never closed.

--- a/packages/rpc/src/ChannelCore.cpp
+++ b/packages/rpc/src/ChannelCore.cpp
@@ -62,19 +62,18 @@
   if (!this->isOpening) {
     this->isOpening = true;
     this->openFailure = { Errc::Unreachable, PeerFailure::Silent };
-    auto end = [this] { this->isOpening = false; };
     this->opening = this->loop.Timer()
                       .timeoutAfter(ToKj(this->options.connectLimit),
                                     kj::evalNow([this] { return this->Open(); }))
-                      .then(end,
-                            [this, end](kj::Exception&& aException) {
+                      .then([this] { this->isOpening = false; },
+                            [this](kj::Exception&& aException) {
+                              this->isOpening = false;
                               if (aException.getType() != kj::Exception::Type::OVERLOADED) {
                                 this->openFailure.failure = PeerFailure::Disconnected;
                               }
                               LogLine(LogLevel::Info, "peer_connect_failed")
                                 .Add("peer", ToString(this->endpoint))
                                 .Add("error", aException.getDescription().cStr());
-                              end();
                             })
                       .fork();
   }
@@ -115,9 +114,13 @@
   auto link = kj::refcounted<PeerLink>(kj::mv(aStream), this->options.maxMessageBytes);
   link->lastUse = this->loop.Timer().now();
   ++this->connections;
-  kj::Promise<void> ended = link->WhenDisconnected();
-  // The reference keeps the pointer from being reused by a later connection before this runs.
-  this->tasks.add(ended.then([this, held = kj::addRef(*link)] { this->Retire(*held); }));
+  // The session drops its reference to the connection when it ends, whichever side closed it.
+  std::uint64_t number = link->number = this->connections;
+  this->tasks.add(link->WhenDisconnected().then([this, number] {
+    if (this->current && this->current->number == number) {
+      this->current = nullptr;
+    }
+  }));
   this->current = kj::mv(link);
 }
 
--- a/packages/rpc/src/PeerLink.h
+++ b/packages/rpc/src/PeerLink.h
@@ -24,6 +24,8 @@
   /// Resolves when the connection has ended.
   kj::Promise<void> WhenDisconnected() { return this->network.onDisconnect(); }
 
+  /// Number of the connection in its channel.
+  std::uint64_t number = 0;
   /// Heartbeats unanswered in a row.
   unsigned missedHeartbeats = 0;
   /// Calls sent and not ended.
--- /dev/null
+++ b/packages/rpc/tests/PeerAuthenticationTest.cpp
@@ -0,0 +1,102 @@
+// Guards against a peer without the secret that is served, and against a proof that works twice.
+
+#include "RpcTesting.h"
+
+#include "daisydrift/standins.h"
+
+#include <gtest/gtest.h>
+
+namespace daisydrift {
+namespace {
+
+using namespace std::chrono_literals;
+
+class PeerAuthentication : public testing::Test
+{
+protected:
+  PeerAuthentication()
+  {
+    this->fixture.service.heartbeat = [this](const Heartbeat& aHeartbeat) {
+      ++this->served;
+      return aHeartbeat;
+    };
+  }
+
+  std::atomic<unsigned> served{ 0 };
+  Fixture fixture;
+};
+
+TEST_F(PeerAuthentication, WrongSecretIsRejectedAndNothingIsSent)
+{
+  for (const char* secret : { "wrong", "s3cre", "s3cret ", "" }) {
+    PeerChannelOptions options = GoodOptions();
+    options.secret = secret;
+    auto reply = this->fixture.Channel(options)->SendHeartbeat(MakeHeartbeat(), kHangLimit);
+    EXPECT_EQ(reply.Error(), Errc::Unauthenticated) << secret;
+    EXPECT_EQ(reply.Failure(), PeerFailure::Rejected) << secret;
+  }
+  EXPECT_EQ(this->served, 0u);
+  EXPECT_TRUE(this->fixture.ServesGoodClient());
+}
+
+TEST_F(PeerAuthentication, RecordedProofIsWorthless)
+{
+  std::string recorded;
+  {
+    TcpRelay relay(this->fixture.server.Address());
+    PeerChannel channel(this->fixture.loop, relay.Address(), GoodOptions());
+    ASSERT_TRUE(channel.SendHeartbeat(MakeHeartbeat(), kHangLimit));
+    recorded = relay.SentByClient(0);
+  }
+  ASSERT_EQ(this->served, 1u);
+  auto attacker = RawConnection::Connect(this->fixture.server.Address());
+  ASSERT_TRUE(attacker);
+  attacker->Send(recorded);
+  attacker->AwaitEnd();
+  EXPECT_EQ(this->served, 1u);
+  EXPECT_TRUE(this->fixture.ServesGoodClient());
+}
+
+// Guards against a false server that sends the client's own messages back to it.
+TEST_F(PeerAuthentication, ReflectedProofIsRejected)
+{
+  RawListener mirror([](RawConnection& aConnection, unsigned) {
+    for (std::string bytes = aConnection.ReceiveSome(); !bytes.empty();
+         bytes = aConnection.ReceiveSome()) {
+      aConnection.Send(bytes);
+    }
+  });
+  PeerChannel channel(this->fixture.loop, mirror.Address(), GoodOptions());
+  auto reply = channel.SendHeartbeat(MakeHeartbeat(), kHangLimit);
+  EXPECT_EQ(reply.Error(), Errc::Unauthenticated);
+  EXPECT_EQ(reply.Failure(), PeerFailure::Rejected);
+}
+
+TEST(PeerAuthenticationLimit, ConnectionWithoutProofIsClosed)
+{
+  PeerServerOptions options{ .secret = "s3cret" };
+  options.authenticationLimit = 50ms;
+  Fixture fixture(options);
+  for (std::size_t length : { 0, 1, 5, 8, 12 }) {
+    auto idle = RawConnection::Connect(fixture.server.Address());
+    ASSERT_TRUE(idle);
+    idle->Send(std::string("\0\0\0\0\x05\0\0\0\0\0\0\0", 12).substr(0, length));
+    idle->AwaitEnd();
+  }
+}
+
+TEST(PeerAuthenticationLimit, ServerNeedsASecretAndAnAddress)
+{
+  auto loop = std::make_shared<RpcLoop>();
+  TestService service;
+  PeerServer withoutSecret(loop, service, {});
+  EXPECT_EQ(withoutSecret.Start({ "127.0.0.1", 0 }), Errc::InvalidArgument);
+  PeerServer server(loop, service, { .secret = "s3cret" });
+  EXPECT_EQ(server.Start({ "localhost", 0 }), Errc::InvalidArgument);
+  ASSERT_FALSE(server.Start({ "127.0.0.1", 0 }));
+  PeerServer second(loop, service, { .secret = "s3cret" });
+  EXPECT_EQ(second.Start(server.Address()), std::errc::address_in_use);
+}
+
+} // namespace
+} // namespace daisydrift
--- /dev/null
+++ b/packages/rpc/tests/PeerChannelFaultTest.cpp
@@ -0,0 +1,352 @@
+// Faults that a caller sees. Guards against a lost call reported as not sent (or the other way
+// round), a dead process taken for a silent one, a silent connection that is used for ever, and an
+// answer that reaches another caller.
+
+#include "RpcTesting.h"
+
+#include "daisydrift/standins.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <thread>
+
+namespace daisydrift {
+namespace {
+
+using namespace std::chrono_literals;
+
+PeerChannelOptions WithConnectLimit(std::chrono::milliseconds aLimit)
+{
+  PeerChannelOptions options{ .secret = "s3cret" };
+  options.connectLimit = aLimit;
+  return options;
+}
+
+struct UnreachableCase
+{
+  const char* name;
+  std::function<std::unique_ptr<RawListener>()> listener;
+  PeerFailure failure;
+};
+
+class UnreachablePeer : public testing::TestWithParam<UnreachableCase>
+{};
+
+// Guards against a call that was certainly not sent and is reported as possibly carried out.
+TEST_P(UnreachablePeer, CallIsCertainlyNotSent)
+{
+  auto loop = std::make_shared<RpcLoop>();
+  auto listener = GetParam().listener();
+  PeerChannel channel(
+    loop, listener ? listener->Address() : RefusingEndpoint(), WithConnectLimit(200ms));
+  for (int i = 0; i < 2; ++i) {
+    auto reply = channel.SendCall(MakeCall("x"), kHangLimit);
+    EXPECT_EQ(reply.Error(), Errc::Unreachable);
+    EXPECT_EQ(reply.Failure(), GetParam().failure);
+  }
+  auto heartbeat = channel.SendHeartbeat(MakeHeartbeat(), kHangLimit);
+  EXPECT_EQ(heartbeat.Error(), Errc::Unreachable);
+  EXPECT_EQ(heartbeat.Failure(), GetParam().failure);
+  EXPECT_EQ(channel.Traffic().connections, 0u);
+}
+
+std::unique_ptr<RawListener> Listen(RawListener::Script aScript)
+{
+  return std::make_unique<RawListener>(std::move(aScript));
+}
+
+const UnreachableCase kUnreachableCases[] = {
+  { "Refused", [] { return std::unique_ptr<RawListener>(); }, PeerFailure::Refused },
+  { "AcceptsAndNeverAnswers", [] { return Listen(StaySilent); }, PeerFailure::Silent },
+  { "ClosesAtOnce",
+    [] { return Listen([](RawConnection&, unsigned) {}); },
+    PeerFailure::Disconnected },
+  { "Resets",
+    [] { return Listen([](RawConnection& aConnection, unsigned) { aConnection.Reset(); }); },
+    PeerFailure::Disconnected },
+  { "AnswersGarbage",
+    [] {
+      return Listen([](RawConnection& aConnection, unsigned) {
+        aConnection.Send("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+        aConnection.AwaitEnd();
+      });
+    },
+    PeerFailure::Disconnected },
+  { "StopsWithinAMessage",
+    [] {
+      return Listen([](RawConnection& aConnection, unsigned) {
+        aConnection.Send(std::string("\0\0\0\0\x08\0\0\0\0", 9));
+        aConnection.EndSending();
+        aConnection.AwaitEnd();
+      });
+    },
+    PeerFailure::Disconnected },
+};
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         UnreachablePeer,
+                         testing::ValuesIn(kUnreachableCases),
+                         [](const auto& aInfo) { return std::string(aInfo.param.name); });
+
+TEST(PeerChannelFault, TimeoutBeforeTheConnectionIsMadeIsNotSent)
+{
+  auto loop = std::make_shared<RpcLoop>();
+  RawListener silent(StaySilent);
+  PeerChannel channel(loop, silent.Address(), GoodOptions());
+  auto reply = channel.SendCall(MakeCall("x"), 50ms);
+  EXPECT_EQ(reply.Error(), Errc::Unreachable);
+  EXPECT_EQ(reply.Failure(), PeerFailure::Silent);
+}
+
+TEST(PeerChannelFault, SlowCallHasAnUnknownOutcomeAndTheNextOneAnotherConnection)
+{
+  Fixture fixture;
+  Gate slow;
+  fixture.service.call = [&](const Call& aCall) {
+    if (aCall.body == "slow") {
+      slow.Pass();
+    }
+    return CallReply{ 200, "", aCall.body, {} };
+  };
+  auto channel = fixture.Channel();
+  ASSERT_TRUE(channel->SendHeartbeat(MakeHeartbeat(), kHangLimit));
+  auto reply = channel->SendCall(MakeCall("slow"), 50ms);
+  EXPECT_EQ(reply.Error(), Errc::OutcomeUnknown);
+  EXPECT_EQ(reply.Failure(), PeerFailure::Silent);
+  auto next = channel->SendCall(MakeCall("next"), kHangLimit);
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->body, "next");
+  EXPECT_EQ(channel->Traffic().connections, 2u);
+  slow.Open();
+}
+
+// Guards against a timed-out call that takes the outcome of its neighbours with it.
+TEST(PeerChannelFault, CallsOnAConnectionTakenOutOfUseStillEnd)
+{
+  Fixture fixture;
+  Gate gate;
+  fixture.service.call = [&](const Call& aCall) {
+    gate.Pass();
+    return CallReply{ 200, "", aCall.body, {} };
+  };
+  auto channel = fixture.Channel();
+  PeerResult<CallReply> patient(Errc::Unreachable, PeerFailure::None);
+  std::thread other([&] { patient = channel->SendCall(MakeCall("patient"), kHangLimit); });
+  ASSERT_TRUE(gate.AwaitArrivals(1));
+  EXPECT_EQ(channel->SendCall(MakeCall("hasty"), 50ms).Error(), Errc::OutcomeUnknown);
+  gate.Open();
+  other.join();
+  ASSERT_TRUE(patient);
+  EXPECT_EQ(patient->body, "patient");
+}
+
+TEST(PeerChannelFault, SlowCallsDoNotHoldUpHeartbeats)
+{
+  Fixture fixture;
+  Gate gate;
+  fixture.service.call = [&](const Call& aCall) {
+    gate.Pass();
+    return CallReply{ 200, "", aCall.body, {} };
+  };
+  auto channel = fixture.Channel();
+  constexpr unsigned kSlowCalls = 32;
+  std::vector<std::thread> callers;
+  for (unsigned i = 0; i < kSlowCalls; ++i) {
+    callers.emplace_back([&] { EXPECT_TRUE(channel->SendCall(MakeCall("x"), kHangLimit)); });
+  }
+  ASSERT_TRUE(gate.AwaitArrivals(kSlowCalls));
+  EXPECT_TRUE(channel->SendHeartbeat(MakeHeartbeat(), kHangLimit));
+  EXPECT_TRUE(channel->FetchConfig(kHangLimit));
+  EXPECT_TRUE(channel->NotifySuccessor({ "seat/1", 2, 3 }, kHangLimit));
+  gate.Open();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+}
+
+TEST(PeerChannelFault, TwoMissedHeartbeatsReplaceASilentConnection)
+{
+  Fixture fixture;
+  TcpRelay relay(fixture.server.Address());
+  PeerChannel channel(fixture.loop, relay.Address(), GoodOptions());
+  ASSERT_TRUE(channel.SendHeartbeat(MakeHeartbeat(), kHangLimit));
+  relay.Silence();
+  for (int i = 0; i < 2; ++i) {
+    auto missed = channel.SendHeartbeat(MakeHeartbeat(), 50ms);
+    EXPECT_EQ(missed.Error(), Errc::OutcomeUnknown);
+    EXPECT_EQ(missed.Failure(), PeerFailure::Silent);
+    EXPECT_EQ(channel.Traffic().connections, 1u);
+  }
+  EXPECT_TRUE(channel.SendHeartbeat(MakeHeartbeat(), kHangLimit));
+  EXPECT_EQ(channel.Traffic().connections, 2u);
+}
+
+// Guards against calls that wait out long timeouts on a connection known to be silent.
+TEST(PeerChannelFault, CallsOnASilentConnectionEndWithIt)
+{
+  Fixture fixture;
+  TcpRelay relay(fixture.server.Address());
+  PeerChannel channel(fixture.loop, relay.Address(), GoodOptions());
+  Gate gate;
+  fixture.service.call = [&](const Call& aCall) {
+    gate.Pass();
+    return CallReply{ 200, "", aCall.body, {} };
+  };
+  PeerResult<CallReply> reply(Errc::Unreachable, PeerFailure::None);
+  std::thread caller([&] { reply = channel.SendCall(MakeCall("x"), 24h); });
+  ASSERT_TRUE(gate.AwaitArrivals(1));
+  relay.Silence();
+  EXPECT_FALSE(channel.SendHeartbeat(MakeHeartbeat(), 50ms));
+  EXPECT_FALSE(channel.SendHeartbeat(MakeHeartbeat(), 50ms));
+  caller.join();
+  EXPECT_EQ(reply.Error(), Errc::OutcomeUnknown);
+  EXPECT_EQ(reply.Failure(), PeerFailure::Disconnected);
+  gate.Open();
+}
+
+TEST(PeerChannelFault, PeerThatDiesInACallLeavesItsOutcomeUnknownAndThenRefuses)
+{
+  Fixture fixture;
+  auto relay = std::make_unique<TcpRelay>(fixture.server.Address());
+  PeerChannel channel(fixture.loop, relay->Address(), GoodOptions());
+  Gate gate;
+  fixture.service.call = [&](const Call& aCall) {
+    gate.Pass();
+    return CallReply{ 200, "", aCall.body, {} };
+  };
+  PeerResult<CallReply> reply(Errc::Unreachable, PeerFailure::None);
+  std::thread caller([&] { reply = channel.SendCall(MakeCall("x"), kHangLimit); });
+  ASSERT_TRUE(gate.AwaitArrivals(1));
+  relay->ResetAll();
+  caller.join();
+  EXPECT_EQ(reply.Error(), Errc::OutcomeUnknown);
+  EXPECT_EQ(reply.Failure(), PeerFailure::Disconnected);
+  relay.reset();
+  auto next = channel.SendCall(MakeCall("y"), kHangLimit);
+  EXPECT_EQ(next.Error(), Errc::Unreachable);
+  EXPECT_EQ(next.Failure(), PeerFailure::Refused);
+  gate.Open();
+}
+
+TEST(PeerChannelFault, ClosingTheChannelEndsItsCalls)
+{
+  Fixture fixture;
+  Gate gate;
+  fixture.service.call = [&](const Call& aCall) {
+    gate.Pass();
+    return CallReply{ 200, "", aCall.body, {} };
+  };
+  auto channel = fixture.Channel();
+  PeerResult<CallReply> reply(Errc::Unreachable, PeerFailure::None);
+  std::thread caller(
+    [&, raw = channel.get()] { reply = raw->SendCall(MakeCall("x"), kHangLimit); });
+  ASSERT_TRUE(gate.AwaitArrivals(1));
+  channel.reset();
+  caller.join();
+  EXPECT_EQ(reply.Error(), Errc::OutcomeUnknown);
+  gate.Open();
+}
+
+TEST(PeerChannelFault, CallTooLargeForAMessageIsNotSent)
+{
+  Fixture fixture;
+  auto channel = fixture.Channel();
+  std::string large(PeerServerOptions{}.maxMessageBytes, 'x');
+  auto call = channel->SendCall(MakeCall(large), kHangLimit);
+  EXPECT_EQ(call.Error(), Errc::InvalidArgument);
+  ForwardedRequest request;
+  request.body = large;
+  EXPECT_EQ(channel->ForwardRequest(request, kHangLimit).Error(), Errc::InvalidArgument);
+  EXPECT_TRUE(channel->SendHeartbeat(MakeHeartbeat(), kHangLimit));
+}
+
+// Guards against a large reply that closes the connection under other calls.
+TEST(PeerChannelFault, ReplyTooLargeForAMessageFailsItsCallOnly)
+{
+  Fixture fixture;
+  fixture.service.call = [&](const Call&) {
+    return CallReply{ 200, "", std::string(PeerServerOptions{}.maxMessageBytes, 'x'), {} };
+  };
+  auto channel = fixture.Channel();
+  auto call = channel->SendCall(MakeCall("x"), kHangLimit);
+  EXPECT_EQ(call.Error(), Errc::OutcomeUnknown);
+  EXPECT_EQ(call.Failure(), PeerFailure::Answered);
+  EXPECT_TRUE(channel->SendHeartbeat(MakeHeartbeat(), kHangLimit));
+  EXPECT_EQ(channel->Traffic().connections, 1u);
+}
+
+TEST(PeerChannelFault, PoolKeepsOneChannelForEachEndpoint)
+{
+  Fixture first;
+  Fixture second;
+  PeerChannels channels(first.loop, GoodOptions());
+  auto channel = channels.At(first.server.Address());
+  EXPECT_EQ(channel, channels.At(first.server.Address()));
+  EXPECT_NE(channel, channels.At(second.server.Address()));
+  channels.Retain({ second.server.Address() });
+  EXPECT_NE(channel, channels.At(first.server.Address()));
+  EXPECT_TRUE(channel->SendHeartbeat(MakeHeartbeat(), kHangLimit));
+}
+
+// Guards against crossed answers: 16 threads make 100 calls each, with bodies and delays of the
+// seed; a tenth of the calls give up early, so that their answers come late.
+TEST(PeerChannelFault, CrossedAndLateAnswersReachNoOtherCaller)
+{
+  constexpr unsigned kThreads = 16;
+  constexpr unsigned kCallsPerThread = 100;
+  PeerServerOptions options{ .secret = "s3cret" };
+  options.maxConnections = kThreads * kCallsPerThread;
+  Fixture fixture(options);
+  fixture.service.call = [](const Call& aCall) {
+    auto delay = std::chrono::microseconds(std::stoul(aCall.path));
+    std::this_thread::sleep_for(delay);
+    return CallReply{ 200, "", aCall.body, {} };
+  };
+  fixture.service.forward = [](const ForwardedRequest& aRequest) {
+    std::this_thread::sleep_for(std::chrono::microseconds(std::stoul(aRequest.target)));
+    return ForwardedReply{ 200, {}, aRequest.body, "ran", "" };
+  };
+  auto channel = fixture.Channel();
+  std::atomic<unsigned> answered{ 0 };
+  std::vector<std::thread> threads;
+  for (unsigned thread = 0; thread < kThreads; ++thread) {
+    threads.emplace_back([&, thread] {
+      std::mt19937 random(20261204 + thread);
+      for (unsigned i = 0; i < kCallsPerThread; ++i) {
+        std::string body = std::to_string(thread) + "/" + std::to_string(i) + "/";
+        body.append(random() % 3000, static_cast<char>('a' + random() % 26));
+        std::string delay = std::to_string(random() % 2000);
+        std::chrono::milliseconds timeout = random() % 10 == 0 ? 1ms : kHangLimit;
+        Call call = MakeCall(body);
+        call.path = delay;
+        ForwardedRequest request;
+        request.target = delay;
+        request.body = body;
+        request.deadline = kHangLimit;
+        bool isForward = random() % 2 == 0;
+        std::optional<std::string> reply;
+        if (isForward) {
+          auto result = channel->ForwardRequest(request, timeout);
+          reply = result ? std::optional(result->body) : std::nullopt;
+        } else {
+          auto result = channel->SendCall(call, timeout);
+          reply = result ? std::optional(result->body) : std::nullopt;
+        }
+        if (reply) {
+          EXPECT_EQ(*reply, body);
+          ++answered;
+        } else {
+          EXPECT_EQ(timeout, 1ms);
+        }
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_GT(answered, kThreads * kCallsPerThread / 2);
+}
+
+} // namespace
+} // namespace daisydrift
--- a/packages/rpc/tests/RpcTesting.cpp
+++ b/packages/rpc/tests/RpcTesting.cpp
@@ -57,6 +57,13 @@
   return SuccessorAck{ true, aNotice.seat, std::chrono::seconds(1) };
 }
 
+PeerChannelOptions GoodOptions()
+{
+  PeerChannelOptions options{ .secret = "s3cret" };
+  options.connectLimit = kHangLimit;
+  return options;
+}
+
 Fixture::Fixture(PeerServerOptions aOptions)
   : server(this->loop, this->service, std::move(aOptions))
 {
@@ -73,9 +80,7 @@
 
 bool Fixture::ServesGoodClient()
 {
-  PeerChannelOptions options{ .secret = "s3cret" };
-  options.connectLimit = kHangLimit;
-  auto channel = this->Channel(options);
+  auto channel = this->Channel();
   auto heartbeat = channel->SendHeartbeat(MakeHeartbeat(), kHangLimit);
   return heartbeat && *heartbeat == MakeHeartbeat();
 }
--- a/packages/rpc/tests/RpcTesting.h
+++ b/packages/rpc/tests/RpcTesting.h
@@ -45,13 +45,16 @@
   Result<SuccessorAck> OnSuccessor(const SuccessorNotice& aNotice) override;
 };
 
+/// Options with the right secret and no time limit that a slow machine could reach.
+PeerChannelOptions GoodOptions();
+
 /// A server on the loopback address with its service, and channels to it.
 struct Fixture
 {
   explicit Fixture(PeerServerOptions aOptions = { .secret = "s3cret" });
 
   /// A new channel to the server.
-  std::unique_ptr<PeerChannel> Channel(PeerChannelOptions aOptions = { .secret = "s3cret" });
+  std::unique_ptr<PeerChannel> Channel(PeerChannelOptions aOptions = GoodOptions());
   /// True when a new client with the right secret gets its own call answered.
   bool ServesGoodClient();
 
--- a/packages/standins/include/daisydrift/standins.h
+++ b/packages/standins/include/daisydrift/standins.h
@@ -1,8 +1,11 @@
 #pragma once
 // Public header of the package `standins`: servers that take the place of the platform in tests and
-// demonstrations.
+// demonstrations, and faulty TCP peers for tests.
 
 #include "daisydrift/standins/DirectoryServer.h"
+#include "daisydrift/standins/RawConnection.h"
+#include "daisydrift/standins/RawListener.h"
 #include "daisydrift/standins/StoreServer.h"
+#include "daisydrift/standins/TcpRelay.h"
 #include "daisydrift/standins/UpstreamServer.h"
 #include "daisydrift/standins/WorkerServer.h"
