Fix a test that changed a list while iterating over it

Change: the list is moved out before the iteration; writes that become late meanwhile are delivered by the next call. The checks are unchanged. Ruled out: a fault of FakeStore (the trace ends in the freed list). Conclusion: a fault of the test only.

--- a/packages/config/tests/ConfigEditorTest.cpp
+++ b/packages/config/tests/ConfigEditorTest.cpp
@@ -30,11 +30,13 @@
 
   void Deliver()
   {
-    for (const StoreEntry& write : this->late) {
+    // The fault hook may make further late writes while these are delivered.
+    std::vector<StoreEntry> due = std::move(this->late);
+    this->late.clear();
+    for (const StoreEntry& write : due) {
       auto ignored = this->FakeStore::CompareAndSwap(write.key, write.value, write.revision, 0, {});
       static_cast<void>(ignored.HasValue());
     }
-    this->late.clear();
   }
 
   std::function<bool()> isLate;
