--- a/packages/daemon/tests/RegionHistory.cpp
+++ b/packages/daemon/tests/RegionHistory.cpp
@@ -307,7 +307,7 @@
   for (const InstanceInfo& info : this->instances) {
     for (const auto& entry :
          const_cast<FakeWorkerFleet&>(this->fleet).At(info.endpoint).History()) {
-      starts += entry.kind == WorkerEventKind::Started ? 1 : 0;
+      starts += entry.kind == WorkerEventKind::Started && !entry.isResized ? 1 : 0;
     }
   }
   return starts;
@@ -342,6 +342,9 @@
     }
     std::map<AttemptId, std::size_t> open;
     for (const WorkerHistoryEntry& entry : worker.History()) {
+      if (entry.isResized) {
+        continue;
+      }
       auto& list = runs[entry.attempt.task];
       if (entry.kind == WorkerEventKind::Started) {
         open[entry.attempt] = list.size();
--- a/packages/platform/include/daisydrift/platform/WorkerModel.h
+++ b/packages/platform/include/daisydrift/platform/WorkerModel.h
@@ -30,6 +30,12 @@
   TimePoint time;
   WorkerEventKind kind = WorkerEventKind::Started;
   AttemptId attempt;
+  /// Started, and when isResized: the size the attempt is held to.
+  Resources limit;
+  /// Started: what was run.
+  std::string payload;
+  /// The attempt was throttled to `limit`; `kind` has no meaning then.
+  bool isResized = false;
 };
 
 /// The state of one worker. Not thread-safe; time is passed in.
@@ -63,6 +69,7 @@
 
   /// Name of the current incarnation.
   const std::string& Incarnation() const { return this->incarnation; }
+  const Resources& Capacity() const { return this->capacity; }
 
 private:
   struct Task
--- a/packages/platform/src/WorkerModel.cpp
+++ b/packages/platform/src/WorkerModel.cpp
@@ -94,7 +94,7 @@
 {
   this->Advance(aNow);
   for (const auto& [attempt, task] : this->running) {
-    this->history.push_back({ aNow, WorkerEventKind::Stopped, attempt });
+    this->history.push_back({ aNow, WorkerEventKind::Stopped, attempt, {}, "" });
   }
   this->incarnation = std::move(aIncarnation);
   this->running.clear();
@@ -130,6 +130,8 @@
     case WorkerCommandKind::Throttle:
       if (isRunning) {
         found->second.limit = aCommand.limit;
+        this->history.push_back(
+          { aNow, WorkerEventKind::Started, aCommand.attempt, aCommand.limit, "", true });
       }
       return;
   }
@@ -157,6 +159,8 @@
   task.leaseExpiry = aNow + this->initialLease;
   this->running.emplace(aCommand.attempt, task);
   this->Emit(aCommand.attempt, WorkerEventKind::Started, "", aNow);
+  this->history.back().limit = aCommand.limit;
+  this->history.back().payload = aCommand.payload;
 }
 
 void WorkerModel::End(const AttemptId& aAttempt,
@@ -174,7 +178,7 @@
                        TimePoint aNow)
 {
   this->events.push_back({ ++this->lastEvent, aKind, aAttempt, aDetail });
-  this->history.push_back({ aNow, aKind, aAttempt });
+  this->history.push_back({ aNow, aKind, aAttempt, {}, "" });
 }
 
 Resources WorkerModel::Committed() const
--- a/packages/standins/include/daisydrift/standins.h
+++ b/packages/standins/include/daisydrift/standins.h
@@ -3,6 +3,7 @@
 // demonstrations, and faulty TCP peers for tests.
 
 #include "daisydrift/standins/DirectoryServer.h"
+#include "daisydrift/standins/HistoryCollector.h"
 #include "daisydrift/standins/RawConnection.h"
 #include "daisydrift/standins/RawListener.h"
 #include "daisydrift/standins/StoreServer.h"
--- a/packages/standins/programs/Main.cpp
+++ b/packages/standins/programs/Main.cpp
@@ -1,5 +1,5 @@
-// Stand-ins for the platform as one program: `daisydrift-standin store|directory|workers|upstreams
-// OPTIONS`.
+// Stand-ins for the platform as one program:
+// `daisydrift-standin store|directory|workers|upstreams|collect OPTIONS`.
 
 #include "daisydrift/standins.h"
 
@@ -53,12 +53,31 @@
   return 0;
 }
 
-int RunDirectory(const options::variables_map& aOptions)
+Result<std::vector<InstanceInfo>> ReadInstances(const options::variables_map& aOptions)
 {
   std::ifstream file(aOptions["file"].as<std::string>());
   std::stringstream text;
   text << file.rdbuf();
-  Result<std::vector<InstanceInfo>> instances = DecodeInstances(text.str());
+  return DecodeInstances(text.str());
+}
+
+/// Prints the history that the stand-ins of a list saw, and counts to standard error.
+int RunCollect(const options::variables_map& aOptions)
+{
+  Result<std::vector<InstanceInfo>> instances = ReadInstances(aOptions);
+  if (!instances) {
+    return Fail("the file of instances can't be read");
+  }
+  CollectorCounts counts = CollectHistory({ *instances }, std::cout);
+  std::cerr << "task_starts=" << counts.taskStarts << " task_successes=" << counts.taskSuccesses
+            << " upstream_starts=" << counts.upstreamStarts << " missing=" << counts.missing
+            << "\n";
+  return counts.missing == 0 ? 0 : 1;
+}
+
+int RunDirectory(const options::variables_map& aOptions)
+{
+  Result<std::vector<InstanceInfo>> instances = ReadInstances(aOptions);
   if (!instances) {
     return Fail("the file of instances can't be read");
   }
@@ -109,10 +128,11 @@
 int Run(int aCount, char** aArguments)
 {
   options::options_description description(
-    "daisydrift-standin ROLE [options], ROLE: store, directory, workers, upstreams");
+    "daisydrift-standin ROLE [options], ROLE: store, directory, workers, upstreams, "
+    "collect");
   auto add = description.add_options();
   add("role", options::value<std::string>(), "what to serve");
-  add("port", options::value<std::uint16_t>()->required(), "first port on 127.0.0.1");
+  add("port", options::value<std::uint16_t>()->default_value(0), "first port on 127.0.0.1");
   add("count",
       options::value<unsigned>()->default_value(1),
       "workers or upstreams, on consecutive ports");
@@ -146,6 +166,9 @@
   if (role == "workers") {
     return RunWorkers(values);
   }
+  if (role == "collect") {
+    return RunCollect(values);
+  }
   if (role == "upstreams") {
     return RunUpstreams(values);
   }
--- a/packages/standins/src/UpstreamServer.cpp
+++ b/packages/standins/src/UpstreamServer.cpp
@@ -43,14 +43,26 @@
     ++this->started;
     if (!aRequestId.empty()) {
       ++this->startsByRequest[aRequestId];
+      this->Record("start", aRequestId);
     }
     return true;
   }
 
-  void End()
+  void End(const std::string& aRequestId)
   {
     std::lock_guard lock(this->mutex);
     --this->busy;
+    if (!aRequestId.empty()) {
+      this->Record("end", aRequestId);
+    }
+  }
+
+  /// Called with the lock held.
+  void Record(const char* aKind, const std::string& aRequestId)
+  {
+    this->history.push_back({ { "time_us", this->clock.Now().time_since_epoch().count() },
+                              { "kind", aKind },
+                              { "request", aRequestId } });
   }
 
   void Hang()
@@ -64,7 +76,9 @@
   void Serve(const httplib::Request& aRequest, httplib::Response& aResponse)
   {
     std::string mode = this->Mode();
-    if (mode == "leaving" || !this->Begin(aRequest.get_header_value("Request-Id"))) {
+    std::string requestId = aRequest.has_param("rid") ? aRequest.get_param_value("rid")
+                                                      : aRequest.get_header_value("Request-Id");
+    if (mode == "leaving" || !this->Begin(requestId)) {
       aResponse.status = 503;
       aResponse.set_header(kNotStartedHeader, "1");
       return;
@@ -80,11 +94,11 @@
     Json answer = { { "upstream", this->name },
                     { "method", aRequest.method },
                     { "target", aRequest.target },
-                    { "request_id", aRequest.get_header_value("Request-Id") },
+                    { "request_id", requestId },
                     { "body", aRequest.body } };
     aResponse.set_content(answer.dump(-1, ' ', false, Json::error_handler_t::replace),
                           "application/json");
-    this->End();
+    this->End(requestId);
   }
 
   std::string Mode()
@@ -106,7 +120,9 @@
                                 { "busy", this->busy },
                                 { "peak_busy", this->peakBusy },
                                 { "requests_started_twice", repeated },
-                                { "starts_by_request", this->startsByRequest } }
+                                { "slots", this->slots },
+                                { "starts_by_request", this->startsByRequest },
+                                { "history", this->history } }
                             .dump(),
                           "application/json");
   }
@@ -117,6 +133,8 @@
   std::string mode = "ok";
   std::uint32_t busy = 0;
   std::uint32_t peakBusy = 0;
+  SteadyClock clock;
+  Json history = Json::array();
   std::uint64_t started = 0;
   std::uint64_t refused = 0;
   std::map<std::string, std::uint64_t> startsByRequest;
--- a/packages/standins/src/WorkerServer.cpp
+++ b/packages/standins/src/WorkerServer.cpp
@@ -29,6 +29,13 @@
   return behaviour;
 }
 
+Json ToJson(const Resources& aResources)
+{
+  return { { "milli_cores", aResources.milliCores },
+           { "memory_mib", aResources.memoryMiB },
+           { "accelerators", aResources.accelerators } };
+}
+
 const char* NameOf(WorkerEventKind aKind)
 {
   switch (aKind) {
@@ -82,12 +89,18 @@
     this->model.Advance(this->clock.Now());
     Json entries = Json::array();
     for (const WorkerHistoryEntry& entry : this->model.History()) {
-      entries.push_back({ { "time_us", entry.time.time_since_epoch().count() },
-                          { "kind", NameOf(entry.kind) },
-                          { "attempt", ToString(entry.attempt) } });
+      Json item = { { "time_us", entry.time.time_since_epoch().count() },
+                    { "kind", entry.isResized ? "resized" : NameOf(entry.kind) },
+                    { "attempt", ToString(entry.attempt) } };
+      if (entry.isResized || entry.kind == WorkerEventKind::Started) {
+        item["limit"] = ToJson(entry.limit);
+        item["payload"] = entry.payload;
+      }
+      entries.push_back(std::move(item));
     }
     const Resources& peak = this->model.PeakCommitment();
     aResponse.set_content(Json{ { "entries", entries },
+                                { "capacity", ToJson(this->model.Capacity()) },
                                 { "peak_milli_cores", peak.milliCores },
                                 { "peak_memory_mib", peak.memoryMiB },
                                 { "peak_accelerators", peak.accelerators },
