Urgent gangs preempt, searches are bounded, estimates learn sooner

Cause: urgent gangs waited like others; a search for room that found nobody looked at all workers; tasks of 5 to 10 s never gave an estimate, because two usage reports at 5 s were needed. Change: urgent gangs make room at once and take the reservation; one search looks at 1,024 workers and goes on from there; one report and four samples are enough for an estimate. Ruled out: unbounded searches at longer intervals, which delay a whole round.

--- a/packages/core/src/Estimates.cpp
+++ b/packages/core/src/Estimates.cpp
@@ -15,9 +15,9 @@
 constexpr double kSizeDeviations = 4.0;
 constexpr double kRunTimeDeviations = 2.0;
 /// Attempts seen before an estimate replaces the declaration.
-constexpr std::uint32_t kMinSamples = 8;
+constexpr std::uint32_t kMinSamples = 4;
 /// Usage reports an attempt must have for its peak to count, because usage lags.
-constexpr std::uint32_t kMinReports = 2;
+constexpr std::uint32_t kMinReports = 1;
 /// Smallest corrected size.
 constexpr std::int64_t kMinMilliCores = 50;
 constexpr std::int64_t kMinMemoryMiB = 64;
--- a/packages/core/src/GangPlanner.cpp
+++ b/packages/core/src/GangPlanner.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::seconds kPlanInterval{ 2 };
 /// Expected ends further away than this are not expected at all.
 constexpr std::chrono::hours kHorizon{ 24 * 30 };
+/// Room for this many times the tasks is compared before the cheapest is taken. Bounds the cost in
+/// a large fleet.
+constexpr std::uint32_t kSurplus = 4;
 /// Slots counted on one worker when sizes are zero in all kinds that a worker has.
 constexpr std::int64_t kUnlimited = 1 << 20;
 
@@ -257,7 +260,10 @@
                            const Preemption::VictimFilter& aMayStop,
                            TimePoint aNow)
 {
-  if (this->holder != 0 && this->holder != aJob.spec.number) {
+  const Job* current = this->holder != 0 ? this->state.FindJob(this->holder) : nullptr;
+  bool isTaken =
+    current != nullptr && current != &aJob && (current->spec.isUrgent || !aJob.spec.isUrgent);
+  if (isTaken) {
     return false;
   }
   struct Gain
@@ -269,8 +275,12 @@
   std::uint32_t needed = Needed(aJob);
   Resources size = this->state.SizeOf(aJob);
   std::uint32_t total = 0;
+  std::uint32_t gained = 0;
   std::vector<Gain> gains;
   for (Position i = 0; i < this->state.workers.size(); ++i) {
+    if (total + gained >= kSurplus * needed) {
+      break;
+    }
     const Worker& worker = this->state.workers[i];
     if (!this->IsUsable(worker)) {
       continue;
@@ -284,6 +294,7 @@
       best.plan = std::move(*plan);
     }
     if (best.slots > 0) {
+      gained += best.slots;
       best.lostPerSlot = best.plan.lost / best.slots;
       gains.push_back(std::move(best));
     }
--- a/packages/core/src/Preemption.cpp
+++ b/packages/core/src/Preemption.cpp
@@ -8,6 +8,8 @@
 
 /// Feasible workers compared before the best is taken. Bounds the cost in a large fleet.
 constexpr std::size_t kWorkersCompared = 32;
+/// Workers looked at in one search; the next search goes on from there.
+constexpr Position kWorkersExamined = 1024;
 /// Loss counted for a task that can be checkpointed: the time to write and restore, in seconds.
 constexpr double kCheckpointLossSeconds = 5.0;
 /// Loss counted for interrupting a service task, in seconds.
@@ -103,8 +105,9 @@
   Plan bestPlan;
   std::size_t compared = 0;
   Position start = this->cursor;
-  for (Position i = 0; i < count && compared < kWorkersCompared; ++i) {
+  for (Position i = 0; i < std::min(count, kWorkersExamined) && compared < kWorkersCompared; ++i) {
     Position position = (start + i) % count;
+    this->cursor = (position + 1) % count;
     if (this->state.workers[position].isReserved && !aJob.spec.isUrgent) {
       continue;
     }
@@ -113,7 +116,6 @@
       continue;
     }
     ++compared;
-    this->cursor = (position + 1) % count;
     if (best == kNoPosition || plan->lost < bestPlan.lost) {
       best = position;
       bestPlan = std::move(*plan);
--- a/packages/core/src/StartRound.cpp
+++ b/packages/core/src/StartRound.cpp
@@ -15,6 +15,8 @@
 /// Interval between two searches for room for underserved teams, and rooms made in each.
 constexpr std::chrono::milliseconds kShareReclaimInterval{ 250 };
 constexpr std::size_t kRoomsPerReclaim = 4;
+/// Interval between two searches for room for a gang, which may look at all workers.
+constexpr std::chrono::seconds kGangReclaimInterval{ 1 };
 /// Groups of a team looked at in each search, oldest first.
 constexpr std::size_t kGroupsPerReclaim = 4;
 /// Multiple of the share reclaim delay after which services yield to work that can end.
@@ -232,21 +234,42 @@
     return;
   }
   this->nextShareReclaim = aNow + kShareReclaimInterval;
+  this->ReclaimForUrgentGangs(aNow);
   std::size_t rooms = 0;
-  for (Team& team : this->state.teams) {
+  std::size_t count = this->state.teams.size();
+  for (std::size_t i = 0; i < count && rooms < kRoomsPerReclaim; ++i) {
+    std::size_t position = (this->firstTeam + i) % count;
     std::size_t looked = 0;
-    for (const auto& [sequence, group] : team.noWorkerFits) {
-      if (++looked > kGroupsPerReclaim || rooms >= kRoomsPerReclaim) {
+    for (const auto& [sequence, group] : this->state.teams[position].noWorkerFits) {
+      if (++looked > kGroupsPerReclaim) {
         break;
       }
       if (this->ReclaimFor(*group->jobs.begin()->second, aNow)) {
         ++rooms;
+        this->firstTeam = (position + 1) % count;
         break;
       }
     }
   }
 }
 
+void StartRound::ReclaimForUrgentGangs(TimePoint aNow)
+{
+  for (Team& team : this->state.teams) {
+    for (const auto& [sequence, group] : team.noWorkerFits) {
+      const Job& job = *group->jobs.begin()->second;
+      if (!job.spec.isUrgent || this->gangs.Holder() == job.spec.number) {
+        continue;
+      }
+      auto anyone = [](const Attempt&) { return true; };
+      if (ClusterState::FitsCeiling(team, this->state.SizeOf(job), job.WaitingCount()) &&
+          this->gangs.MakeRoom(job, this->preemption, anyone, aNow)) {
+        return;
+      }
+    }
+  }
+}
+
 bool StartRound::ReclaimFor(Job& aJob, TimePoint aNow)
 {
   Team& team = *aJob.team;
@@ -272,6 +295,10 @@
     return yields || (isUnderserved && this->shares.IsOverserved(other, aAttempt.counted));
   };
   if (aJob.IsGang()) {
+    if (aNow < this->nextGangReclaim) {
+      return false;
+    }
+    this->nextGangReclaim = aNow + kGangReclaimInterval;
     return this->gangs.MakeRoom(aJob, this->preemption, mayStop, aNow);
   }
   return this->preemption.MakeRoom(aJob, size, mayStop, this->settings.urgentTarget, aNow);
--- a/packages/core/src/StartRound.h
+++ b/packages/core/src/StartRound.h
@@ -44,6 +44,8 @@
   void ReclaimShares(TimePoint aNow);
   /// Makes room for one job if it is entitled to it.
   bool ReclaimFor(Job& aJob, TimePoint aNow);
+  /// Makes room for urgent gangs, which do not wait for their turn.
+  void ReclaimForUrgentGangs(TimePoint aNow);
 
   ClusterState& state;
   const PolicySettings& settings;
@@ -57,6 +59,9 @@
   TimePoint nextFullRetry;
   TimePoint nextUrgentPreemption;
   TimePoint nextShareReclaim;
+  TimePoint nextGangReclaim;
+  /// Team with which the next search for room begins.
+  std::size_t firstTeam = 0;
 };
 
 } // namespace daisydrift::core
--- a/packages/core/tests/PreemptionTest.cpp
+++ b/packages/core/tests/PreemptionTest.cpp
@@ -54,6 +54,19 @@
   EXPECT_LE(this->harness.now - added, PolicySettings().urgentTarget);
 }
 
+TEST_F(PreemptionTest, UrgentGangStartsWholeWithinItsTarget)
+{
+  this->AddFull(true, false);
+  this->AddFull(true, false);
+  this->harness.RunFor(seconds(100));
+  JobSpec spec = this->harness.Spec("u", 3, Size(2, 100));
+  spec.isUrgent = true;
+  spec.workClass = WorkClass::Gang;
+  JobNumber urgent = this->harness.Add(spec);
+  this->harness.RunFor(PolicySettings().urgentTarget, PolicySettings().stopGrace);
+  EXPECT_EQ(this->harness.RunningOf(urgent).size(), 3U);
+}
+
 TEST_F(PreemptionTest, LeastWorkIsLost)
 {
   JobNumber old = this->AddFull(true, false);
