--- a/packages/durable/include/daisydrift/durable/Snapshot.h
+++ b/packages/durable/include/daisydrift/durable/Snapshot.h
@@ -90,6 +90,8 @@
   /// Errors: Fenced when the head does not carry this writer's epoch.
   std::error_code CheckOwnership();
   std::error_code WritePart();
+  /// Bytes of one part of the snapshot being written.
+  std::string Part(std::size_t aIndex) const;
   std::error_code SwitchHead();
   /// Replaces the head that is known.
   Result<Revision> WriteHead(const SnapshotHead& aHead);
@@ -112,8 +114,8 @@
   bool isFenced = false;
   /// Known revision of each part key.
   std::map<std::string, Revision> partRevisions;
-  /// The snapshot being written.
-  std::vector<std::string> parts;
+  /// The snapshot being written; empty when there is none.
+  std::string encoded;
   std::size_t nextPart = 0;
   SnapshotHead nextHead;
 };
--- a/packages/durable/src/Envelope.cpp
+++ b/packages/durable/src/Envelope.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstring>
 
 namespace daisydrift {
 
@@ -33,6 +34,23 @@
   return bytes;
 }
 
+/// Appends to a string: a snapshot of megabytes is not copied once more.
+class StringOutput : public kj::OutputStream
+{
+public:
+  explicit StringOutput(std::string& aOut)
+    : out(aOut)
+  {
+  }
+  void write(const void* aBuffer, std::size_t aSize) override
+  {
+    this->out.append(static_cast<const char*>(aBuffer), aSize);
+  }
+
+private:
+  std::string& out;
+};
+
 kj::ArrayPtr<const kj::byte> AsBytes(std::string_view aText)
 {
   return { reinterpret_cast<const kj::byte*>(aText.data()), aText.size() };
@@ -42,9 +60,18 @@
 
 std::uint64_t Digest64(std::string_view aBytes, std::uint64_t aStart)
 {
-  std::uint64_t hash = aStart;
-  for (char byte : aBytes) {
-    hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001b3;
+  // Every step is a bijection of the hash, so a change within one word always changes the digest.
+  auto mix = [](std::uint64_t aHash, std::uint64_t aWord) {
+    std::uint64_t product = (aHash ^ aWord) * 0x9e3779b97f4a7c15;
+    return product ^ (product >> 32);
+  };
+  std::uint64_t hash = mix(aStart, aBytes.size());
+  while (!aBytes.empty()) {
+    std::uint64_t word = 0;
+    std::size_t bytes = std::min(aBytes.size(), sizeof(word));
+    std::memcpy(&word, aBytes.data(), bytes);
+    hash = mix(hash, word);
+    aBytes.remove_prefix(bytes);
   }
   return hash;
 }
@@ -56,18 +83,15 @@
   if (capnp::computeSerializedSizeInWords(aMessage) > aLimits.unpackedBytes / sizeof(capnp::word)) {
     return Errc::InvalidArgument;
   }
-  kj::VectorOutputStream stream;
+  std::string bytes(kHeaderBytes, '\0');
+  StringOutput stream(bytes);
   capnp::writePackedMessage(stream, aMessage);
-  auto packed = stream.getArray();
-  std::string_view payload(reinterpret_cast<const char*>(packed.begin()), packed.size());
-  if (kHeaderBytes + payload.size() > aLimits.packedBytes) {
+  if (bytes.size() > aLimits.packedBytes) {
     return Errc::InvalidArgument;
   }
-  auto digest = DigestBytes(aKind, payload);
-  std::string bytes;
-  bytes.reserve(kHeaderBytes + payload.size());
-  bytes.append("dd").append(1, static_cast<char>(aKind)).append(1, kFormatVersion);
-  bytes.append(digest.data(), digest.size()).append(payload);
+  std::string header{ 'd', 'd', static_cast<char>(aKind), kFormatVersion };
+  auto digest = DigestBytes(aKind, std::string_view(bytes).substr(kHeaderBytes));
+  bytes.replace(0, kHeaderBytes, header.append(digest.data(), digest.size()));
   return bytes;
 }
 
--- a/packages/durable/src/Envelope.h
+++ b/packages/durable/src/Envelope.h
@@ -20,9 +20,9 @@
   Snapshot = 'S'
 };
 
-/// 64-bit FNV-1a digest. It finds damage, not forgery: the store's content is trusted.
+/// 64-bit digest. It finds damage, not forgery: the store's content is trusted.
 /// aStart continues an earlier digest.
-std::uint64_t Digest64(std::string_view aBytes, std::uint64_t aStart = 0xcbf29ce484222325);
+std::uint64_t Digest64(std::string_view aBytes, std::uint64_t aStart = 0);
 
 /// Bounds of a stored message.
 struct EnvelopeLimits
--- a/packages/durable/src/Snapshot.cpp
+++ b/packages/durable/src/Snapshot.cpp
@@ -14,13 +14,10 @@
 /// Bounds of a stored head: identity and 64 digests take below 1 KB.
 constexpr EnvelopeLimits kHeadLimits{ 16 * 1024, 64 * 1024 };
 
-std::vector<std::string> Split(const std::string& aBytes)
+/// Number of parts of a stored state.
+std::size_t PartCount(std::size_t aBytes)
 {
-  std::vector<std::string> parts;
-  for (std::size_t start = 0; start < aBytes.size(); start += kMaxPartBytes) {
-    parts.push_back(aBytes.substr(start, kMaxPartBytes));
-  }
-  return parts;
+  return (aBytes + kMaxPartBytes - 1) / kMaxPartBytes;
 }
 
 } // namespace
@@ -156,19 +153,18 @@
   if (!bytes) {
     return bytes.Error();
   }
-  this->parts = Split(*bytes);
-  if (this->parts.size() > kMaxParts) {
-    this->parts.clear();
+  if (PartCount(bytes->size()) > kMaxParts) {
     return Errc::InvalidArgument;
   }
+  this->encoded = std::move(*bytes);
   this->nextPart = 0;
   // After an ambiguous switch either generation may be in use, so the head is claimed anew before a
   // part is written.
   this->isClaimed = this->isClaimed && !this->isSwitchAmbiguous;
   this->isSwitchAmbiguous = false;
-  this->nextHead = { 0, aState.Position(), this->epoch, this->writer, bytes->size(), {} };
-  for (const std::string& part : this->parts) {
-    this->nextHead.partDigests.push_back(Digest64(part));
+  this->nextHead = { 0, aState.Position(), this->epoch, this->writer, this->encoded.size(), {} };
+  for (std::size_t i = 0; i < PartCount(this->encoded.size()); ++i) {
+    this->nextHead.partDigests.push_back(Digest64(this->Part(i)));
   }
   return {};
 }
@@ -178,14 +174,14 @@
   if (this->isFenced) {
     return Errc::Fenced;
   }
-  assert(!this->parts.empty());
+  assert(!this->encoded.empty());
   if (!this->isClaimed) {
     if (auto error = this->ClaimHead()) {
       return error;
     }
     return false;
   }
-  if (this->nextPart < this->parts.size()) {
+  if (this->nextPart < this->nextHead.partDigests.size()) {
     if (auto error = this->WritePart()) {
       return error;
     }
@@ -195,7 +191,7 @@
   if (auto error = this->SwitchHead()) {
     return error;
   }
-  this->parts.clear();
+  this->encoded = {};
   return true;
 }
 
@@ -281,9 +277,13 @@
   return {};
 }
 
+std::string SnapshotWriter::Part(std::size_t aIndex) const
+{
+  return this->encoded.substr(aIndex * kMaxPartBytes, kMaxPartBytes);
+}
+
 std::error_code SnapshotWriter::WritePart()
 {
-  const std::string& bytes = this->parts[this->nextPart];
   std::string key = SnapshotPartKey(this->region, this->head.generation + 1, this->nextPart);
   if (!this->partRevisions.contains(key)) {
     if (auto error = this->LoadPartRevision(key)) {
@@ -292,8 +292,8 @@
   }
   // The part is written even if it holds the same bytes already: a delayed write of a deposed
   // leader that expects the revision read must fail.
-  auto written =
-    this->store.CompareAndSwap(key, bytes, this->partRevisions[key], 0, this->options.callTimeout);
+  auto written = this->store.CompareAndSwap(
+    key, this->Part(this->nextPart), this->partRevisions[key], 0, this->options.callTimeout);
   if (written) {
     this->partRevisions[key] = *written;
     return {};
--- a/packages/durable/tests/CodecTest.cpp
+++ b/packages/durable/tests/CodecTest.cpp
@@ -1,6 +1,7 @@
 // Stored forms: what is written is read back, and damaged bytes are refused without an exception.
 
 #include "DurableFixtures.h"
+#include "Envelope.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -152,10 +153,7 @@
 /// digest is reached.
 std::string Frame(char aKind, const std::string& aPayload)
 {
-  std::uint64_t hash = 0xcbf29ce484222325;
-  for (char byte : std::string{ aKind, '1' } + aPayload) {
-    hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001b3;
-  }
+  std::uint64_t hash = Digest64(aPayload, Digest64(std::string{ aKind, '1' }));
   std::string bytes = std::string("dd") + aKind + "1";
   for (int i = 0; i < 8; ++i) {
     bytes += static_cast<char>(hash >> (8 * i));
--- a/packages/durable/tests/JournalTest.cpp
+++ b/packages/durable/tests/JournalTest.cpp
@@ -139,7 +139,7 @@
   RegionOwnership owner = region.Lead(1);
   std::uint64_t appended = 1;
   std::error_code error;
-  while (!(error = Commit(owner, { Accept(appended) }))) {
+  while (!(error = Commit(owner, { Accept(appended) })) && appended < 2 * kJournalSlots) {
     ++appended;
   }
   EXPECT_EQ(error, Errc::LimitReached);
@@ -152,6 +152,38 @@
   EXPECT_EQ(region.Lead(3).state.Jobs(), next.state.Jobs());
 }
 
+/// Guards against a record that is applied twice, as after a repeated read, or left out.
+TEST(Journal, RecordsApplyInOrderAndOnce)
+{
+  RegionState state;
+  EXPECT_FALSE(state.ApplyEntries(1, { Accept(1) }));
+  RegionState before = state;
+  EXPECT_EQ(state.ApplyEntries(1, { JobCancelled{ 1 } }), Errc::InvalidArgument);
+  EXPECT_EQ(state.ApplyEntries(3, { JobCancelled{ 1 } }), Errc::InvalidArgument);
+  EXPECT_EQ(state, before);
+}
+
+/// Guards against jobs and keys that stay for ever or go too early; a finished job with a running
+/// attempt keeps its place, since the attempt still uses resources.
+TEST(Journal, FinishedJobsAndKeysExpire)
+{
+  RegionState state;
+  JobFinished finished{ 1, 2, "done", 1000 };
+  ASSERT_FALSE(state.ApplyEntries(1, { Accept(1), Assign(1), finished }));
+  state.Expire(1000 + 3600);
+  EXPECT_NE(state.FindJob(1), nullptr);
+  ASSERT_FALSE(state.ApplyEntries(2, { AttemptEnded{ { { 1, 0 }, 1 }, EndOutcome::Interrupted } }));
+  state.Expire(1000 + 3599);
+  EXPECT_NE(state.FindJob(1), nullptr);
+  state.Expire(1000 + 3600);
+  EXPECT_EQ(state.FindJob(1), nullptr);
+  state.Expire(1000 + 86'399);
+  EXPECT_NE(state.FindKey("trust", "key1"), nullptr);
+  state.Expire(1000 + 86'400);
+  EXPECT_EQ(state.FindKey("trust", "key1"), nullptr);
+  EXPECT_EQ(state.NextJob(), 2u) << "a number is never used again";
+}
+
 /// Guards against records above the store's size limit, which the caller has to split.
 TEST(Journal, RefusesLargeAndEmptyRecords)
 {
--- a/packages/durable/tests/SnapshotTest.cpp
+++ b/packages/durable/tests/SnapshotTest.cpp
@@ -213,6 +213,30 @@
   }
 }
 
+/// Guards against a reader that takes a snapshot for damaged because it was replaced twice while it
+/// was read.
+TEST(Snapshot, ReplacedTwiceWhileRead)
+{
+  UnreliableStore store;
+  SnapshotWriter writer = MakeWriter(store, 1);
+  ASSERT_TRUE(writer.Write(kOld));
+  bool isDue = true;
+  store.decide = [&](const std::string&, const std::string& aKey) {
+    if (isDue && aKey == SnapshotPartKey(kRegion, 1, 1)) {
+      isDue = false;
+      EXPECT_TRUE(writer.Write(kOther));
+      EXPECT_TRUE(writer.Write(kNew));
+    }
+    return CallFate::Normal;
+  };
+  EXPECT_EQ(Read(store).Error(), Errc::Conflict);
+  EXPECT_FALSE(isDue);
+  isDue = true;
+  auto owner = TakeOver(store, kRegion, 2, "writer-2");
+  ASSERT_TRUE(owner) << owner.Error().message();
+  EXPECT_EQ(owner->state.Jobs(), kNew.Jobs());
+}
+
 /// Guards against a damaged snapshot that is taken for a state.
 TEST(Snapshot, DamageIsReported)
 {
