Tries may outlast the deadline of their caller

Cause: a try that was given up at its deadline keeps its slot held for 30 s. A team with deadlines shorter than the work could so take all slots of a seat from the other teams, although every upstream answers soon after.

Change: tries run on threads of the router, at most 128, and go on until the answer or the longest deadline; the caller returns at its own deadline with the outcome unknown, and a late answer frees the slot. Without a free thread a try runs on its caller's thread as before. Timing out a repeatable request at half of its deadline is gone; hedging covers that case.

Ruled out: holding slots only until the deadline of the request, since it relies on every upstream ending work exactly then.

Conclusion: a short deadline no longer costs other teams their slots.

--- a/packages/routing/bench/HangingUpstreamBench.cpp
+++ b/packages/routing/bench/HangingUpstreamBench.cpp
@@ -17,6 +17,7 @@
 constexpr unsigned kUpstreams = 50;
 constexpr Duration kWork = std::chrono::milliseconds(20);
 constexpr Duration kDeadline = std::chrono::seconds(2);
+constexpr Duration kLongest = std::chrono::seconds(30);
 constexpr Duration kRunTime = std::chrono::seconds(300);
 /// About half of what the slots of a seat can serve (57 / 20 ms).
 constexpr double kRequestsPerSecond = 1400;
@@ -37,6 +38,7 @@
 public:
   Simulation(const Policy& aPolicy, bool aIsRepeatable)
     : engine(SettingsOf(aPolicy))
+    , isUnansweredSlotHeld(aPolicy.isUnansweredSlotHeld)
     , isRepeatable(aIsRepeatable)
     , random(kSeed)
   {
@@ -141,7 +143,9 @@
     double work = std::exponential_distribution<double>(1.0 / kWork.count())(this->random);
     TimePoint sentAt = this->now;
     TimePoint endsAt = sentAt + Duration(static_cast<std::int64_t>(work));
-    bool isAnswered = !isHanging && endsAt <= aOrder.giveUpAt;
+    // The policy without held slots gives a try up at the deadline of the request.
+    TimePoint giveUpAt = this->isUnansweredSlotHeld ? sentAt + kLongest : aOrder.deadline;
+    bool isAnswered = !isHanging && endsAt <= giveUpAt;
     if (auto delay = this->engine.HedgeDelay(aOrder.request)) {
       RequestNumber number = aOrder.request;
       this->At(sentAt + *delay, [this, number] {
@@ -149,7 +153,7 @@
         this->Handle();
       });
     }
-    this->At(isAnswered ? endsAt : aOrder.giveUpAt, [this, aOrder, isAnswered, sentAt] {
+    this->At(isAnswered ? endsAt : giveUpAt, [this, aOrder, isAnswered, sentAt] {
       TryOutcome outcome = isAnswered ? TryOutcome::Answered : TryOutcome::NoAnswer;
       this->engine.TryEnded(aOrder, outcome, sentAt, this->now);
       this->Handle();
@@ -157,6 +161,7 @@
   }
 
   RoutingEngine engine;
+  bool isUnansweredSlotHeld;
   bool isRepeatable;
   std::mt19937_64 random;
   TimePoint now{ std::chrono::hours(1) };
--- a/packages/routing/include/daisydrift/routing/RequestRouter.h
+++ b/packages/routing/include/daisydrift/routing/RequestRouter.h
@@ -63,7 +63,8 @@
   /// May this instance use its seat now? Asked immediately before each send. Empty means yes.
   std::function<bool()> maySend;
   /// Passes the request on to a peer with free slots. None means that no peer took it and nothing
-  /// was run. Empty means that requests are never forwarded.
+  /// was run; it must then return at once, since under overload it is asked for every request.
+  /// Empty means that requests are never forwarded.
   std::function<std::optional<RoutedAnswer>(const RoutedRequest&)> forwardToPeer;
   /// Waits on the condition, with the lock held, until notified or until the time on the router's
   /// clock. Empty means a wait in real time; tests advance a virtual clock instead.
@@ -122,8 +123,12 @@
   RoutedAnswer Serve(const RoutedRequest& aRequest);
   void RunLoop(std::unique_lock<std::mutex>& aLock, InFlight& aFlight);
   void CarryOut(std::unique_lock<std::mutex>& aLock, InFlight& aFlight);
-  void RunTry(InFlight& aFlight, const TryOrder& aOrder);
-  UpstreamResult Send(const InFlight& aFlight, const TryOrder& aOrder, Duration aTimeout);
+  /// Carries out an order. With aMayOutlast the try goes on after the deadline of the request.
+  void RunTry(InFlight& aFlight, const TryOrder& aOrder, bool aMayOutlast);
+  UpstreamResult Send(const InFlight& aFlight,
+                      const TryOrder& aOrder,
+                      Duration aTimeLeft,
+                      Duration aTimeout);
   void Deliver();
   void Wait(std::condition_variable& aCondition,
             std::unique_lock<std::mutex>& aLock,
--- a/packages/routing/include/daisydrift/routing/RoutingEngine.h
+++ b/packages/routing/include/daisydrift/routing/RoutingEngine.h
@@ -37,8 +37,8 @@
   UpstreamSlot slot;
   /// Time of the order; the send must not be before it.
   TimePoint orderedAt{};
-  /// When the try is given up.
-  TimePoint giveUpAt{};
+  /// Deadline of the request. The try may go on after it so that the slot is freed by the answer.
+  TimePoint deadline{};
 };
 
 /// Order to call Requeue() after a delay.
@@ -163,7 +163,6 @@
   void DispatchService(Service& aService, TimePoint aNow);
   bool StartTry(RequestNumber aNumber, Request& aRequest, TimePoint aNow);
   void OrderTry(RequestNumber aNumber, Request& aRequest, UpstreamSlot aSlot, TimePoint aNow);
-  TimePoint GiveUpAt(const Request& aRequest, TimePoint aNow);
   void Admit(RequestNumber aNumber, Request& aRequest, TimePoint aNow);
   void CloseTry(Request& aRequest);
   void AfterTry(const TryOrder& aOrder, Request& aRequest, TryOutcome aOutcome, TimePoint aNow);
--- a/packages/routing/include/daisydrift/routing/RoutingSettings.h
+++ b/packages/routing/include/daisydrift/routing/RoutingSettings.h
@@ -34,6 +34,10 @@
   /// First ejection time; it doubles with each further ejection up to maxEjection.
   Duration firstEjection = std::chrono::seconds(1);
   Duration maxEjection = std::chrono::seconds(60);
+  /// Threads for tries that may outlast the deadline of their caller; 0 runs each try on its
+  /// caller's thread and gives it up at the deadline. The default exceeds the slots of one seat at
+  /// 50 upstreams (8 / 7 * 50) twice.
+  std::size_t maxTryThreads = 128;
   /// Keeps the slot of a request that was sent and not answered until longestDeadline after the
   /// send, because the upstream may still run it. Off only in benchmarks.
   bool isUnansweredSlotHeld = true;
--- a/packages/routing/src/RequestRouter.cpp
+++ b/packages/routing/src/RequestRouter.cpp
@@ -12,9 +12,6 @@
 
 using std::chrono::milliseconds;
 
-/// More threads than the slots of one seat at 50 upstreams (8 / 7 * 50), with room for tries that
-/// wait for an answer that never comes.
-constexpr std::size_t kMaxTryThreads = 128;
 /// Shortest wait of a request for a change that nobody announces.
 constexpr Duration kMinWait = milliseconds(5);
 /// Interval at which a drain looks for slots that became free by time alone.
@@ -60,7 +57,7 @@
   , metrics(aMetrics)
   , hooks(std::move(aHooks))
   , engine(aSettings)
-  , threads(std::make_unique<TryThreads>(kMaxTryThreads))
+  , threads(std::make_unique<TryThreads>(aSettings.maxTryThreads))
 {
 }
 
@@ -213,33 +210,35 @@
   TryOrder order = std::move(*aFlight.order);
   aFlight.order.reset();
   auto hedgeDelay = this->engine.HedgeDelay(aFlight.number);
-  bool isLeftBehind = false;
-  if (hedgeDelay) {
-    // The caller must stay free to send the second try and to leave this one behind.
-    Ref<InFlight> flight(&aFlight);
-    isLeftBehind = this->threads->TryRun([this, flight, order] { this->RunTry(*flight, order); });
-  }
-  if (isLeftBehind) {
-    aFlight.hedgeAt = this->clock.Now() + *hedgeDelay;
+  // The caller stays free to send a second try and to return at its deadline. A try that was given
+  // up at a short deadline would keep its slot held for the longest one, and a team with short
+  // deadlines could so take all slots from the others.
+  Ref<InFlight> flight(&aFlight);
+  if (this->threads->TryRun([this, flight, order] { this->RunTry(*flight, order, true); })) {
+    if (hedgeDelay) {
+      aFlight.hedgeAt = this->clock.Now() + *hedgeDelay;
+    }
     return;
   }
   aLock.unlock();
-  this->RunTry(aFlight, order);
+  this->RunTry(aFlight, order, false);
   aLock.lock();
 }
 
-void RequestRouter::RunTry(InFlight& aFlight, const TryOrder& aOrder)
+void RequestRouter::RunTry(InFlight& aFlight, const TryOrder& aOrder, bool aMayOutlast)
 {
   bool maySend = !this->hooks.maySend || this->hooks.maySend();
   TimePoint sentAt = this->clock.Now();
-  if (!maySend || sentAt >= aOrder.giveUpAt) {
+  if (!maySend || sentAt >= aOrder.deadline) {
     std::lock_guard lock(this->mutex);
     SkipReason reason = maySend ? SkipReason::DeadlinePassed : SkipReason::SeatNotUsable;
     this->engine.TrySkipped(aOrder, reason, sentAt);
     this->Deliver();
     return;
   }
-  UpstreamResult result = this->Send(aFlight, aOrder, aOrder.giveUpAt - sentAt);
+  Duration left = aOrder.deadline - sentAt;
+  UpstreamResult result =
+    this->Send(aFlight, aOrder, left, aMayOutlast ? this->settings.longestDeadline : left);
   std::lock_guard lock(this->mutex);
   bool wasEnded = aFlight.end.has_value();
   this->engine.TryEnded(aOrder, Classify(result), sentAt, this->clock.Now());
@@ -251,9 +250,12 @@
 
 UpstreamResult RequestRouter::Send(const InFlight& aFlight,
                                    const TryOrder& aOrder,
+                                   Duration aTimeLeft,
                                    Duration aTimeout)
 {
-  milliseconds timeout = std::max(milliseconds(1), std::chrono::floor<milliseconds>(aTimeout));
+  auto whole = [](Duration aTime) {
+    return std::max(milliseconds(1), std::chrono::floor<milliseconds>(aTime));
+  };
   UpstreamRequest request = aFlight.request;
   auto& headers = request.headers;
   headers.erase(std::remove_if(headers.begin(),
@@ -262,9 +264,9 @@
                                  return strcasecmp(aField.first.c_str(), kDeadlineHeader) == 0;
                                }),
                 headers.end());
-  headers.emplace_back(kDeadlineHeader, std::to_string(timeout.count()));
+  headers.emplace_back(kDeadlineHeader, std::to_string(whole(aTimeLeft).count()));
   try {
-    return this->client.Send(aOrder.slot.endpoint, request, timeout);
+    return this->client.Send(aOrder.slot.endpoint, request, whole(aTimeout));
   } catch (const std::exception& exception) {
     // The slot must be accounted for whatever happens; nothing is known about the send.
     LogLine(LogLevel::Error, "upstream_send_failed").Add("reason", exception.what());
--- a/packages/routing/src/RoutingEngine.cpp
+++ b/packages/routing/src/RoutingEngine.cpp
@@ -11,10 +11,6 @@
 
 /// Suggested to callers when nothing better is known.
 constexpr seconds kShortRetryAfter{ 1 };
-/// A repeatable request is given up at half of its deadline, to leave time for another try, only
-/// when that half is this many times the 95th percentile of latencies; otherwise long requests
-/// would be cut off again and again.
-constexpr int kCutOffFactor = 10;
 
 seconds RetryAfter(Duration aWait)
 {
@@ -150,21 +146,10 @@
   ++this->openTries;
   ++this->counts.tries;
   aRequest.tried.push_back(aSlot.upstream);
-  TryOrder order{ aNumber, aRequest.tries, std::move(aSlot), aNow, this->GiveUpAt(aRequest, aNow) };
+  TryOrder order{ aNumber, aRequest.tries, std::move(aSlot), aNow, aRequest.spec.deadline };
   this->events.push_back({ aNumber, std::move(order), std::nullopt, std::nullopt });
 }
 
-TimePoint RoutingEngine::GiveUpAt(const Request& aRequest, TimePoint aNow)
-{
-  TimePoint deadline = aRequest.spec.deadline;
-  auto p95 = this->ServiceOf(aRequest.spec.service).hedge.P95();
-  if (!aRequest.spec.isRepeatable || !p95 || aRequest.tries >= this->settings.maxTries) {
-    return deadline;
-  }
-  Duration half = (deadline - aNow) / 2;
-  return half >= *p95 * kCutOffFactor ? aNow + half : deadline;
-}
-
 void RoutingEngine::CloseTry(Request& aRequest)
 {
   assert(aRequest.openTries > 0 && this->openTries > 0);
--- a/packages/routing/tests/FleetModel.h
+++ b/packages/routing/tests/FleetModel.h
@@ -254,8 +254,10 @@
     }
     TimePoint endsAt = now + work;
     TryOutcome outcome = OutcomeOf(fault);
-    if (fault == Fault::Silent || fault == Fault::HalfOpen || endsAt > aOrder.giveUpAt) {
-      endsAt = aOrder.giveUpAt;
+    // Some tries have no thread of their own and end at the deadline of the request.
+    TimePoint giveUpAt = this->random() % 4 == 0 ? aOrder.deadline : now + kLongest;
+    if (fault == Fault::Silent || fault == Fault::HalfOpen || endsAt > giveUpAt) {
+      endsAt = giveUpAt;
       outcome = TryOutcome::NoAnswer;
     }
     this->unanswered += outcome == TryOutcome::NoAnswer ? 1 : 0;
--- a/packages/routing/tests/HttpRoutingTest.cpp
+++ b/packages/routing/tests/HttpRoutingTest.cpp
@@ -14,15 +14,19 @@
 
 using namespace std::chrono_literals;
 
-std::string Get(UpstreamClient& aClient, const UpstreamServer& aServer, const std::string& aTarget)
+// Control calls use clients of their own, because a server waits for kept connections when it
+// stops.
+std::string Get(const UpstreamServer& aServer, const std::string& aTarget)
 {
-  return aClient.Send(aServer.Address(), { "GET", aTarget, {}, "" }, 10s).response.body;
+  HttpUpstreamClient client;
+  return client.Send(aServer.Address(), { "GET", aTarget, {}, "" }, 10s).response.body;
 }
 
-void SetMode(UpstreamClient& aClient, const UpstreamServer& aServer, const std::string& aMode)
+void SetMode(const UpstreamServer& aServer, const std::string& aMode)
 {
+  HttpUpstreamClient client;
   UpstreamRequest request{ "POST", "/control/mode", {}, "{\"mode\": \"" + aMode + "\"}" };
-  ASSERT_EQ(aClient.Send(aServer.Address(), request, 10s).response.status, 200);
+  ASSERT_EQ(client.Send(aServer.Address(), request, 10s).response.status, 200);
 }
 
 /// Starts three servers and returns a list that names them and one that refuses connections.
@@ -59,8 +63,8 @@
   RequestRouter router(settings, client, clock, metrics, {});
   router.UpdateUpstreams(list);
   router.SetSeat(0);
-  SetMode(client, *servers[1], "leaving");
-  SetMode(client, *servers[2], "hang");
+  SetMode(*servers[1], "leaving");
+  SetMode(*servers[2], "hang");
   std::atomic<unsigned> wrong{ 0 };
   std::atomic<unsigned> ran{ 0 };
   std::vector<std::thread> callers;
@@ -83,12 +87,14 @@
   EXPECT_EQ(wrong, 0u);
   EXPECT_GT(ran, 0u);
   for (const auto& server : servers) {
-    std::string stats = Get(client, *server, "/control/stats");
+    std::string stats = Get(*server, "/control/stats");
     EXPECT_NE(stats.find("\"requests_started_twice\":0"), std::string::npos) << stats;
     EXPECT_EQ(stats.find("\"peak_busy\":5"), std::string::npos) << stats;
   }
   // Only the slots of unanswered requests at the hanging server are still held.
   EXPECT_LE(router.Counts("desk").slotsInUse, 4u);
+  // Ends the hanging requests, for which the router would wait until the longest deadline.
+  servers[2]->Stop();
 }
 
 } // namespace
--- a/packages/routing/tests/RequestRouterTest.cpp
+++ b/packages/routing/tests/RequestRouterTest.cpp
@@ -17,7 +17,12 @@
 class RequestRouterTest : public testing::Test
 {
 protected:
-  RequestRouterTest() { this->settings.failureDomain = "hobart"; }
+  RequestRouterTest()
+  {
+    this->settings.failureDomain = "hobart";
+    // On the virtual clock each try runs on its caller's thread.
+    this->settings.maxTryThreads = 0;
+  }
 
   RequestRouter& Router()
   {
@@ -259,6 +264,7 @@
 {
   SteadyClock realClock;
   FakeUpstreams fakes(nullptr);
+  this->settings.maxTryThreads = 8;
   fakes.faults = { { 3, FakeFault::NotStarted }, { 4, FakeFault::Refusing } };
   RequestRouter concurrent(this->settings, fakes, realClock, this->metrics, {});
   concurrent.UpdateUpstreams(UpstreamList(8));
@@ -292,11 +298,52 @@
   EXPECT_EQ(concurrent.Counts("desk").slotsInUse, 0u);
 }
 
+// Guards against callers with short deadlines that keep slots held for the longest deadline
+// although the upstream answers soon after.
+TEST_F(RequestRouterTest, LateAnswerFreesTheSlot)
+{
+  SteadyClock realClock;
+  FakeUpstreams fakes(nullptr);
+  this->settings.maxTryThreads = 8;
+  // A slot held for an unanswered request would never become free.
+  this->settings.longestDeadline = 1h;
+  RequestRouter impatient(this->settings, fakes, realClock, this->metrics, {});
+  impatient.UpdateUpstreams(UpstreamList(1));
+  impatient.SetSeat(0);
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool isReleased = false;
+  fakes.onSend = [&](const Endpoint&) {
+    std::unique_lock lock(mutex);
+    changed.wait(lock, [&] { return isReleased; });
+  };
+  RoutedAnswer answer =
+    impatient.Route("desk", "a", 1, { "POST", "/", {}, "x" }, false, realClock.Now() + 50ms);
+  EXPECT_EQ(answer.status, 504);
+  EXPECT_EQ(answer.code, "deadline_exceeded");
+  {
+    std::lock_guard lock(fakes.mutex);
+    if (fakes.starts["x"] > 0) {
+      EXPECT_EQ(answer.outcome, RequestOutcome::Unknown);
+      EXPECT_EQ(impatient.Counts("desk").slotsInUse, 1u);
+    }
+  }
+  {
+    std::lock_guard lock(mutex);
+    isReleased = true;
+  }
+  changed.notify_all();
+  while (impatient.Counts("desk").slotsInUse > 0) {
+    std::this_thread::yield();
+  }
+}
+
 // Guards against a hedged try whose late loser is given to another request or frees a slot twice.
 TEST_F(RequestRouterTest, HedgedTryWinsAndTheLateAnswerIsDropped)
 {
   SteadyClock realClock;
   FakeUpstreams fakes(nullptr);
+  this->settings.maxTryThreads = 128;
   // The first requests may be hedged too and must not use up the budget.
   this->settings.hedgeShare = 0.9;
   this->settings.hedgeReserve = 100;
