--- a/packages/routing/include/daisydrift/routing/RequestRouter.h
+++ b/packages/routing/include/daisydrift/routing/RequestRouter.h
@@ -113,6 +113,8 @@
 
   /// Numbers of a service's upstreams.
   UpstreamCounts Counts(const std::string& aService) const;
+  /// Sets the gauges of all services; to be called before the metrics are printed.
+  void UpdateGauges() const;
   /// Requests that wait for a slot of the service.
   std::size_t Waiting(const std::string& aService) const;
 
@@ -130,6 +132,7 @@
                       Duration aTimeLeft,
                       Duration aTimeout);
   void Deliver();
+  void ReportCounts();
   void Wait(std::condition_variable& aCondition,
             std::unique_lock<std::mutex>& aLock,
             TimePoint aUntil);
@@ -147,7 +150,6 @@
   std::condition_variable drained;
   /// Counts already added to the metrics.
   RoutingCounts reported;
-  std::uint64_t reportedEjections = 0;
   std::unique_ptr<TryThreads> threads;
 };
 
--- a/packages/routing/include/daisydrift/routing/UpstreamTable.h
+++ b/packages/routing/include/daisydrift/routing/UpstreamTable.h
@@ -35,6 +35,17 @@
   std::vector<UpstreamId> excluded;
 };
 
+/// An upstream was taken out of use because it failed.
+struct Ejection
+{
+  std::string service;
+  UpstreamId upstream;
+  /// Failures in a row.
+  unsigned failures = 0;
+  /// Time until the next probe.
+  Duration time{ 0 };
+};
+
 /// Numbers of a service's upstreams, for metrics and operators.
 struct UpstreamCounts
 {
@@ -81,6 +92,8 @@
   UpstreamCounts Counts(const std::string& aService, TimePoint aNow);
   /// Ejections since the start.
   std::uint64_t Ejections() const { return this->ejections; }
+  /// Ejections since the last call, in order.
+  std::vector<Ejection> TakeEjections();
   /// Names of all known services.
   std::vector<std::string> Services() const;
 
@@ -144,6 +157,7 @@
   std::map<std::string, UpstreamLimits> limits;
   std::map<std::string, Service> services;
   std::uint64_t ejections = 0;
+  std::vector<Ejection> newEjections;
 };
 
 } // namespace daisydrift
--- a/packages/routing/src/RequestRouter.cpp
+++ b/packages/routing/src/RequestRouter.cpp
@@ -293,6 +293,11 @@
     flight.changed.notify_all();
   }
   this->drained.notify_all();
+  this->ReportCounts();
+}
+
+void RequestRouter::ReportCounts()
+{
   const RoutingCounts& counts = this->engine.Counts();
   auto report = [this](const char* aName, std::uint64_t aNow, std::uint64_t& aBefore) {
     if (aNow > aBefore) {
@@ -303,7 +308,30 @@
   report("routing_tries_total", counts.tries, this->reported.tries);
   report("routing_retries_total", counts.retries, this->reported.retries);
   report("routing_hedges_total", counts.hedges, this->reported.hedges);
-  report("routing_ejections_total", this->engine.Table().Ejections(), this->reportedEjections);
+  for (const Ejection& ejection : this->engine.Table().TakeEjections()) {
+    this->metrics.Count("routing_ejections_total{service=\"" + ejection.service + "\"}");
+    LogLine(LogLevel::Warning, "upstream_ejected")
+      .Add("service", ejection.service)
+      .Add("upstream", ejection.upstream)
+      .Add("failures_in_a_row", ejection.failures)
+      .Add("next_probe_ms", ejection.time);
+  }
+}
+
+void RequestRouter::UpdateGauges() const
+{
+  std::lock_guard lock(this->mutex);
+  for (const std::string& name : this->engine.Table().Services()) {
+    UpstreamCounts counts = this->engine.Table().Counts(name, this->clock.Now());
+    std::string label = "{service=\"" + name + "\"";
+    this->metrics.Set("routing_upstreams" + label + ",state=\"live\"}", counts.live);
+    this->metrics.Set("routing_upstreams" + label + ",state=\"leaving\"}", counts.leaving);
+    this->metrics.Set("routing_upstreams" + label + ",state=\"ejected\"}", counts.ejected);
+    this->metrics.Set("routing_slots" + label + "}", counts.slots);
+    this->metrics.Set("routing_slots_in_use" + label + "}", counts.slotsInUse);
+    this->metrics.Set("routing_waiting" + label + "}",
+                      static_cast<double>(this->engine.Waiting(name)));
+  }
 }
 
 void RequestRouter::Wait(std::condition_variable& aCondition,
--- a/packages/routing/src/UpstreamTable.cpp
+++ b/packages/routing/src/UpstreamTable.cpp
@@ -327,6 +327,14 @@
   detail.lastEjection = aNow;
   load.health = Health::Ejected;
   load.ejectedUntil = aNow + time;
+  this->newEjections.push_back({ detail.info.service, detail.info.id, load.failures, time });
+}
+
+std::vector<Ejection> UpstreamTable::TakeEjections()
+{
+  std::vector<Ejection> taken;
+  taken.swap(this->newEjections);
+  return taken;
 }
 
 void UpstreamTable::OnSuccess(Service& aService,
--- a/packages/routing/tests/RequestRouterTest.cpp
+++ b/packages/routing/tests/RequestRouterTest.cpp
@@ -259,6 +259,28 @@
   EXPECT_TRUE(this->Router().Drain(60s));
 }
 
+// Guards against metrics that don't show operators what the router does.
+TEST_F(RequestRouterTest, MetricsShowOutcomesEjectionsAndSlots)
+{
+  this->upstreams.faults = { { 2, FakeFault::Refusing } };
+  for (unsigned i = 0; i < 12; ++i) {
+    this->Route("r" + std::to_string(i), false);
+  }
+  this->Router().Route("invented", "a", 1, {}, false, this->clock.Now() + 1s);
+  this->Router().UpdateGauges();
+  EXPECT_EQ(this->metrics.CounterValue("routing_requests_total{service=\"desk\",outcome=\"ran\"}"),
+            12u);
+  EXPECT_EQ(this->metrics.CounterValue("routing_ejections_total{service=\"desk\"}"), 1u);
+  EXPECT_EQ(this->metrics.CounterValue("routing_retries_total"), 3u);
+  std::string text = this->metrics.ToPrometheusText();
+  for (const char* line : { "routing_upstreams{service=\"desk\",state=\"ejected\"} 1\n",
+                            "routing_slots_in_use{service=\"desk\"} 0\n",
+                            "routing_waiting{service=\"desk\"} 0\n" }) {
+    EXPECT_NE(text.find(line), std::string::npos) << line << text;
+  }
+  EXPECT_EQ(text.find("invented"), std::string::npos);
+}
+
 // Guards against answers crossed between concurrent requests, and slots lost on the way.
 TEST_F(RequestRouterTest, ConcurrentRequestsGetTheirOwnAnswers)
 {
