Tries with an ample deadline stay on their caller's thread

Cause: handing each try to another thread costs more than the decision itself.

Change: only repeatable requests and those with less than ten times the 95th percentile of latencies left use the router's threads. The checker reports keys given twice in a JSON line; the parser had kept the last one silently.

Ruled out: callers' threads for all tries, since short deadlines would again hold slots for 30 s.

Conclusion: the change of threads is paid only where it is needed.

--- a/packages/checker/src/HistoryEvent.cpp
+++ b/packages/checker/src/HistoryEvent.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cmath>
 #include <map>
+#include <set>
 
 namespace daisydrift {
 
@@ -260,12 +261,28 @@
   bool ReadJson()
   {
     Json json;
+    std::string repeated;
+    std::set<std::string> seen;
+    // The parsed object keeps only the last of equal keys.
+    auto onEvent = [&](int aDepth, Json::parse_event_t aEvent, Json& aValue) {
+      if (aEvent == Json::parse_event_t::key && aDepth == 1 &&
+          !seen.insert(aValue.get<std::string>()).second) {
+        repeated = aValue.get<std::string>();
+      }
+      return true;
+    };
     try {
-      json = Json::parse(this->text);
+      json = Json::parse(this->text, onEvent);
     } catch (const Json::parse_error& error) {
       std::size_t offset = error.byte > 0 ? error.byte - 1 : 0;
       return this->Fail(std::min(offset, this->text.size()), "bad_json", "malformed JSON object");
     }
+    if (!repeated.empty()) {
+      std::size_t offset = this->text.rfind("\"" + repeated + "\"");
+      return this->Fail(offset == std::string_view::npos ? 0 : offset,
+                        "duplicate_key",
+                        repeated + " is given twice");
+    }
     for (const auto& [key, value] : json.items()) {
       std::size_t offset = this->text.find("\"" + key + "\"");
       offset = offset == std::string_view::npos ? 0 : offset;
--- a/packages/checker/tests/HistoryCheckerTest.cpp
+++ b/packages/checker/tests/HistoryCheckerTest.cpp
@@ -293,6 +293,7 @@
   { "event=queue at_ms=1 queue=q open=yes", "bad_value", 29 },
   { R"({"event": "end", "at_ms": 1)", "bad_json", 28 },
   { R"({"event": "end", "at_ms": [1]})", "bad_value", 18 },
+  { R"({"event": "end", "at_ms": 1, "at_ms": 2})", "duplicate_key", 30 },
   { "event=task_end at_ms=1 worker=w attempt=1.0.1", "unknown_worker", 1 },
   { "event=connection_open at_ms=1 upstream=u connection=c", "unknown_upstream", 1 },
   { "event=request_answered at_ms=1 request=r status=200 outcome=ran complete=true",
--- a/packages/routing/include/daisydrift/routing/RoutingEngine.h
+++ b/packages/routing/include/daisydrift/routing/RoutingEngine.h
@@ -115,6 +115,9 @@
   void Requeue(RequestNumber aRequest, TimePoint aNow);
   /// Time after the latest try at which Hedge() may be called; none when the request is not hedged.
   std::optional<Duration> HedgeDelay(RequestNumber aRequest) const;
+  /// True when the answer may well come after the deadline: latencies are unknown, or the time left
+  /// is less than ten times their 95th percentile.
+  bool IsDeadlineTight(RequestNumber aRequest, TimePoint aNow) const;
   /// Orders a second, concurrent try when it is allowed and a slot is free.
   void HedgeNow(RequestNumber aRequest, TimePoint aNow);
   /// Ends a request whose deadline has passed. Tries that run go on to hold their slots.
--- a/packages/routing/src/RequestRouter.cpp
+++ b/packages/routing/src/RequestRouter.cpp
@@ -212,9 +212,11 @@
   auto hedgeDelay = this->engine.HedgeDelay(aFlight.number);
   // The caller stays free to send a second try and to return at its deadline. A try that was given
   // up at a short deadline would keep its slot held for the longest one, and a team with short
-  // deadlines could so take all slots from the others.
+  // deadlines could so take all slots from the others. Other tries save the change of threads.
+  bool needsThread = hedgeDelay || this->engine.IsDeadlineTight(aFlight.number, this->clock.Now());
   Ref<InFlight> flight(&aFlight);
-  if (this->threads->TryRun([this, flight, order] { this->RunTry(*flight, order, true); })) {
+  if (needsThread &&
+      this->threads->TryRun([this, flight, order] { this->RunTry(*flight, order, true); })) {
     if (hedgeDelay) {
       aFlight.hedgeAt = this->clock.Now() + *hedgeDelay;
     }
--- a/packages/routing/src/RoutingEngine.cpp
+++ b/packages/routing/src/RoutingEngine.cpp
@@ -12,6 +12,10 @@
 /// Suggested to callers when nothing better is known.
 constexpr seconds kShortRetryAfter{ 1 };
 
+/// Latencies vary: one in twenty is above the 95th percentile, and next to none above ten times it
+/// while the upstream works.
+constexpr int kAmpleDeadlineFactor = 10;
+
 seconds RetryAfter(Duration aWait)
 {
   return std::max(kShortRetryAfter, std::chrono::ceil<seconds>(aWait));
@@ -255,6 +259,17 @@
   return service == this->services.end() ? std::nullopt : service->second->hedge.Delay();
 }
 
+bool RoutingEngine::IsDeadlineTight(RequestNumber aRequest, TimePoint aNow) const
+{
+  auto found = this->requests.find(aRequest);
+  if (found == this->requests.end()) {
+    return true;
+  }
+  auto service = this->services.find(found->second.spec.service);
+  auto p95 = service == this->services.end() ? std::nullopt : service->second->hedge.P95();
+  return !p95 || found->second.spec.deadline - aNow < *p95 * kAmpleDeadlineFactor;
+}
+
 void RoutingEngine::HedgeNow(RequestNumber aRequest, TimePoint aNow)
 {
   auto found = this->requests.find(aRequest);
