--- a/packages/routing/include/daisydrift/routing/RoutingEngine.h
+++ b/packages/routing/include/daisydrift/routing/RoutingEngine.h
@@ -37,8 +37,8 @@
   UpstreamSlot slot;
   /// Time of the order; the send must not be before it.
   TimePoint orderedAt{};
-  /// When the try is given up.
-  TimePoint giveUpAt{};
+  /// Deadline of the request. The try may go on after it so that the slot is freed by the answer.
+  TimePoint deadline{};
 };
 
 /// Order to call Requeue() after a delay.
@@ -115,6 +115,9 @@
   void Requeue(RequestNumber aRequest, TimePoint aNow);
   /// Time after the latest try at which Hedge() may be called; none when the request is not hedged.
   std::optional<Duration> HedgeDelay(RequestNumber aRequest) const;
+  /// True when the answer may well come after the deadline: latencies are unknown, or the time left
+  /// is less than ten times their 95th percentile.
+  bool IsDeadlineTight(RequestNumber aRequest, TimePoint aNow) const;
   /// Orders a second, concurrent try when it is allowed and a slot is free.
   void HedgeNow(RequestNumber aRequest, TimePoint aNow);
   /// Ends a request whose deadline has passed. Tries that run go on to hold their slots.
@@ -163,7 +166,6 @@
   void DispatchService(Service& aService, TimePoint aNow);
   bool StartTry(RequestNumber aNumber, Request& aRequest, TimePoint aNow);
   void OrderTry(RequestNumber aNumber, Request& aRequest, UpstreamSlot aSlot, TimePoint aNow);
-  TimePoint GiveUpAt(const Request& aRequest, TimePoint aNow);
   void Admit(RequestNumber aNumber, Request& aRequest, TimePoint aNow);
   void CloseTry(Request& aRequest);
   void AfterTry(const TryOrder& aOrder, Request& aRequest, TryOutcome aOutcome, TimePoint aNow);
--- a/packages/routing/src/RequestRouter.cpp
+++ b/packages/routing/src/RequestRouter.cpp
@@ -12,9 +12,6 @@
 
 using std::chrono::milliseconds;
 
-/// More threads than the slots of one seat at 50 upstreams (8 / 7 * 50), with room for tries that
-/// wait for an answer that never comes.
-constexpr std::size_t kMaxTryThreads = 128;
 /// Shortest wait of a request for a change that nobody announces.
 constexpr Duration kMinWait = milliseconds(5);
 /// Interval at which a drain looks for slots that became free by time alone.
@@ -60,7 +57,7 @@
   , metrics(aMetrics)
   , hooks(std::move(aHooks))
   , engine(aSettings)
-  , threads(std::make_unique<TryThreads>(kMaxTryThreads))
+  , threads(std::make_unique<TryThreads>(aSettings.maxTryThreads))
 {
 }
 
@@ -213,33 +210,37 @@
   TryOrder order = std::move(*aFlight.order);
   aFlight.order.reset();
   auto hedgeDelay = this->engine.HedgeDelay(aFlight.number);
-  bool isLeftBehind = false;
-  if (hedgeDelay) {
-    // The caller must stay free to send the second try and to leave this one behind.
-    Ref<InFlight> flight(&aFlight);
-    isLeftBehind = this->threads->TryRun([this, flight, order] { this->RunTry(*flight, order); });
-  }
-  if (isLeftBehind) {
-    aFlight.hedgeAt = this->clock.Now() + *hedgeDelay;
+  // The caller stays free to send a second try and to return at its deadline. A try that was given
+  // up at a short deadline would keep its slot held for the longest one, and a team with short
+  // deadlines could so take all slots from the others. Other tries save the change of threads.
+  bool needsThread = hedgeDelay || this->engine.IsDeadlineTight(aFlight.number, this->clock.Now());
+  Ref<InFlight> flight(&aFlight);
+  if (needsThread &&
+      this->threads->TryRun([this, flight, order] { this->RunTry(*flight, order, true); })) {
+    if (hedgeDelay) {
+      aFlight.hedgeAt = this->clock.Now() + *hedgeDelay;
+    }
     return;
   }
   aLock.unlock();
-  this->RunTry(aFlight, order);
+  this->RunTry(aFlight, order, false);
   aLock.lock();
 }
 
-void RequestRouter::RunTry(InFlight& aFlight, const TryOrder& aOrder)
+void RequestRouter::RunTry(InFlight& aFlight, const TryOrder& aOrder, bool aMayOutlast)
 {
   bool maySend = !this->hooks.maySend || this->hooks.maySend();
   TimePoint sentAt = this->clock.Now();
-  if (!maySend || sentAt >= aOrder.giveUpAt) {
+  if (!maySend || sentAt >= aOrder.deadline) {
     std::lock_guard lock(this->mutex);
     SkipReason reason = maySend ? SkipReason::DeadlinePassed : SkipReason::SeatNotUsable;
     this->engine.TrySkipped(aOrder, reason, sentAt);
     this->Deliver();
     return;
   }
-  UpstreamResult result = this->Send(aFlight, aOrder, aOrder.giveUpAt - sentAt);
+  Duration left = aOrder.deadline - sentAt;
+  UpstreamResult result =
+    this->Send(aFlight, aOrder, left, aMayOutlast ? this->settings.longestDeadline : left);
   std::lock_guard lock(this->mutex);
   bool wasEnded = aFlight.end.has_value();
   this->engine.TryEnded(aOrder, Classify(result), sentAt, this->clock.Now());
@@ -251,9 +252,12 @@
 
 UpstreamResult RequestRouter::Send(const InFlight& aFlight,
                                    const TryOrder& aOrder,
+                                   Duration aTimeLeft,
                                    Duration aTimeout)
 {
-  milliseconds timeout = std::max(milliseconds(1), std::chrono::floor<milliseconds>(aTimeout));
+  auto whole = [](Duration aTime) {
+    return std::max(milliseconds(1), std::chrono::floor<milliseconds>(aTime));
+  };
   UpstreamRequest request = aFlight.request;
   auto& headers = request.headers;
   headers.erase(std::remove_if(headers.begin(),
@@ -262,9 +266,9 @@
                                  return strcasecmp(aField.first.c_str(), kDeadlineHeader) == 0;
                                }),
                 headers.end());
-  headers.emplace_back(kDeadlineHeader, std::to_string(timeout.count()));
+  headers.emplace_back(kDeadlineHeader, std::to_string(whole(aTimeLeft).count()));
   try {
-    return this->client.Send(aOrder.slot.endpoint, request, timeout);
+    return this->client.Send(aOrder.slot.endpoint, request, whole(aTimeout));
   } catch (const std::exception& exception) {
     // The slot must be accounted for whatever happens; nothing is known about the send.
     LogLine(LogLevel::Error, "upstream_send_failed").Add("reason", exception.what());
@@ -291,6 +295,11 @@
     flight.changed.notify_all();
   }
   this->drained.notify_all();
+  this->ReportCounts();
+}
+
+void RequestRouter::ReportCounts()
+{
   const RoutingCounts& counts = this->engine.Counts();
   auto report = [this](const char* aName, std::uint64_t aNow, std::uint64_t& aBefore) {
     if (aNow > aBefore) {
@@ -301,7 +310,30 @@
   report("routing_tries_total", counts.tries, this->reported.tries);
   report("routing_retries_total", counts.retries, this->reported.retries);
   report("routing_hedges_total", counts.hedges, this->reported.hedges);
-  report("routing_ejections_total", this->engine.Table().Ejections(), this->reportedEjections);
+  for (const Ejection& ejection : this->engine.Table().TakeEjections()) {
+    this->metrics.Count("routing_ejections_total{service=\"" + ejection.service + "\"}");
+    LogLine(LogLevel::Warning, "upstream_ejected")
+      .Add("service", ejection.service)
+      .Add("upstream", ejection.upstream)
+      .Add("failures_in_a_row", ejection.failures)
+      .Add("next_probe_ms", ejection.time);
+  }
+}
+
+void RequestRouter::UpdateGauges() const
+{
+  std::lock_guard lock(this->mutex);
+  for (const std::string& name : this->engine.Table().Services()) {
+    UpstreamCounts counts = this->engine.Table().Counts(name, this->clock.Now());
+    std::string label = "{service=\"" + name + "\"";
+    this->metrics.Set("routing_upstreams" + label + ",state=\"live\"}", counts.live);
+    this->metrics.Set("routing_upstreams" + label + ",state=\"leaving\"}", counts.leaving);
+    this->metrics.Set("routing_upstreams" + label + ",state=\"ejected\"}", counts.ejected);
+    this->metrics.Set("routing_slots" + label + "}", counts.slots);
+    this->metrics.Set("routing_slots_in_use" + label + "}", counts.slotsInUse);
+    this->metrics.Set("routing_waiting" + label + "}",
+                      static_cast<double>(this->engine.Waiting(name)));
+  }
 }
 
 void RequestRouter::Wait(std::condition_variable& aCondition,
--- a/packages/routing/src/RoutingEngine.cpp
+++ b/packages/routing/src/RoutingEngine.cpp
@@ -11,10 +11,10 @@
 
 /// Suggested to callers when nothing better is known.
 constexpr seconds kShortRetryAfter{ 1 };
-/// A repeatable request is given up at half of its deadline, to leave time for another try, only
-/// when that half is this many times the 95th percentile of latencies; otherwise long requests
-/// would be cut off again and again.
-constexpr int kCutOffFactor = 10;
+
+/// Latencies vary: one in twenty is above the 95th percentile, and next to none above ten times it
+/// while the upstream works.
+constexpr int kAmpleDeadlineFactor = 10;
 
 seconds RetryAfter(Duration aWait)
 {
@@ -150,21 +150,10 @@
   ++this->openTries;
   ++this->counts.tries;
   aRequest.tried.push_back(aSlot.upstream);
-  TryOrder order{ aNumber, aRequest.tries, std::move(aSlot), aNow, this->GiveUpAt(aRequest, aNow) };
+  TryOrder order{ aNumber, aRequest.tries, std::move(aSlot), aNow, aRequest.spec.deadline };
   this->events.push_back({ aNumber, std::move(order), std::nullopt, std::nullopt });
 }
 
-TimePoint RoutingEngine::GiveUpAt(const Request& aRequest, TimePoint aNow)
-{
-  TimePoint deadline = aRequest.spec.deadline;
-  auto p95 = this->ServiceOf(aRequest.spec.service).hedge.P95();
-  if (!aRequest.spec.isRepeatable || !p95 || aRequest.tries >= this->settings.maxTries) {
-    return deadline;
-  }
-  Duration half = (deadline - aNow) / 2;
-  return half >= *p95 * kCutOffFactor ? aNow + half : deadline;
-}
-
 void RoutingEngine::CloseTry(Request& aRequest)
 {
   assert(aRequest.openTries > 0 && this->openTries > 0);
@@ -270,6 +259,17 @@
   return service == this->services.end() ? std::nullopt : service->second->hedge.Delay();
 }
 
+bool RoutingEngine::IsDeadlineTight(RequestNumber aRequest, TimePoint aNow) const
+{
+  auto found = this->requests.find(aRequest);
+  if (found == this->requests.end()) {
+    return true;
+  }
+  auto service = this->services.find(found->second.spec.service);
+  auto p95 = service == this->services.end() ? std::nullopt : service->second->hedge.P95();
+  return !p95 || found->second.spec.deadline - aNow < *p95 * kAmpleDeadlineFactor;
+}
+
 void RoutingEngine::HedgeNow(RequestNumber aRequest, TimePoint aNow)
 {
   auto found = this->requests.find(aRequest);
