cli: output of a watch appears at once; C1 control characters are replaced

Cause: a run of the command line against a fleet of 7 daemons showed that 'watch' into a pipe printed nothing until the job ended. A sanitizer run found a use after free in the test store that delivers writes late: edits started while it delivers append to the list that it walks. Ruled out: unbuffered output, which would cost one write a line of long tables.

--- a/packages/cli/src/CommandContext.cpp
+++ b/packages/cli/src/CommandContext.cpp
@@ -393,7 +393,7 @@
 
 void CommandContext::PrintJson(const JsonValue& aValue)
 {
-  this->environment.out << ToJsonText(aValue, 2) << "\n";
+  this->environment.out << ToJsonText(aValue, 2) << "\n" << std::flush;
 }
 
 void CommandContext::PrintTable(const TextTable& aTable)
@@ -418,6 +418,8 @@
     }
     this->environment.out << text << "\n";
   }
+  // A watch goes on after a table; its reader may be a pipe.
+  this->environment.out << std::flush;
 }
 
 void CommandContext::Print(const JsonValue& aValue, const TextTable& aTable)
@@ -441,15 +443,16 @@
 
 std::string PrintableText(const std::string& aText)
 {
-  std::string text = aText;
-  std::replace_if(
-    text.begin(),
-    text.end(),
-    [](char aCharacter) {
-      auto byte = static_cast<unsigned char>(aCharacter);
-      return byte < 0x20 || byte == 0x7f;
-    },
-    '?');
+  std::string text;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    auto byte = static_cast<unsigned char>(aText[i]);
+    auto next = static_cast<unsigned char>(i + 1 < aText.size() ? aText[i + 1] : 0);
+    // U+0080 to U+009F are control characters too, in two bytes of UTF-8.
+    bool isTwoByteControl = byte == 0xc2 && next >= 0x80 && next <= 0x9f;
+    bool isControl = byte < 0x20 || byte == 0x7f || isTwoByteControl;
+    text += isControl ? '?' : aText[i];
+    i += isTwoByteControl ? 1 : 0;
+  }
   return text;
 }
 
--- a/packages/cli/src/CommandTable.cpp
+++ b/packages/cli/src/CommandTable.cpp
@@ -288,7 +288,7 @@
   "| code | meaning |\n|---|---|\n"
   "| 0 | done |\n"
   "| 1 | refused by the server, or failed |\n"
-  "| 2 | wrong usage or bad input; nothing was sent or changed |\n"
+  "| 2 | wrong usage or bad input; nothing was changed |\n"
   "| 3 | differences were found (`teams diff`, `teams apply --dry-run`) |\n"
   "| 4 | conflict: another operator changed the same rows; nothing was changed |\n"
   "| 5 | outcome unknown: it may or may not have been carried out |\n"
--- a/packages/cli/tests/CommandLineTest.cpp
+++ b/packages/cli/tests/CommandLineTest.cpp
@@ -312,7 +312,7 @@
   FakeServer server;
   server.script = [](const SeenRequest&) {
     return ScriptedAnswer{ 200,
-                           "{\"jobs\":[{\"job\":\"r-1\",\"name\":\"a\\u001b[31mb\","
+                           "{\"jobs\":[{\"job\":\"r-1\",\"name\":\"a\\u001b[31mb\\u009b1m\","
                            "\"state\":\"failed\"}]}" };
   };
   RunOptions terminal;
@@ -321,7 +321,7 @@
   EXPECT_EQ(RunCommand(command).out.find('\033'), std::string::npos);
   std::string coloured = RunCommand(command, terminal).out;
   EXPECT_NE(coloured.find("\033[31mfailed\033[0m"), std::string::npos);
-  EXPECT_NE(coloured.find("a?[31mb"), std::string::npos);
+  EXPECT_NE(coloured.find("a?[31mb?1m"), std::string::npos);
   EXPECT_EQ(RunCommand(command + " --output json", terminal).out.find('\033'), std::string::npos);
 }
 
--- a/packages/config/tests/ConfigEditorTest.cpp
+++ b/packages/config/tests/ConfigEditorTest.cpp
@@ -30,11 +30,13 @@
 
   void Deliver()
   {
-    for (const StoreEntry& write : this->late) {
+    // The fault hook may start edits whose writes are late in turn.
+    std::vector<StoreEntry> due = std::move(this->late);
+    this->late.clear();
+    for (const StoreEntry& write : due) {
       auto ignored = this->FakeStore::CompareAndSwap(write.key, write.value, write.revision, 0, {});
       static_cast<void>(ignored.HasValue());
     }
-    this->late.clear();
   }
 
   std::function<bool()> isLate;
@@ -196,9 +198,9 @@
       checkVersion();
     }
   }
-  store.Deliver();
   store.isLate = nullptr;
   store.SetFaultHook({});
+  store.Deliver();
 
   ConfigDocument document = MakeEditor(store).Read()->document;
   RC_ASSERT(VerifyAudit(document, ReadChunks(store, document.auditChunks)).Empty());
