--- a/packages/config/tests/ConfigEditorTest.cpp
+++ b/packages/config/tests/ConfigEditorTest.cpp
@@ -30,7 +30,7 @@
 
   void Deliver()
   {
-    // The fault hook may make further late writes while these are delivered.
+    // The fault hook may start edits whose writes are late in turn.
     std::vector<StoreEntry> due = std::move(this->late);
     this->late.clear();
     for (const StoreEntry& write : due) {
@@ -198,9 +198,9 @@
       checkVersion();
     }
   }
-  store.Deliver();
   store.isLate = nullptr;
   store.SetFaultHook({});
+  store.Deliver();
 
   ConfigDocument document = MakeEditor(store).Read()->document;
   RC_ASSERT(VerifyAudit(document, ReadChunks(store, document.auditChunks)).Empty());
