Raw test connections reset without a race

Change: the destructor sets the option and closes the socket explicitly. Ruled out: a lock around each call, because a receive would hold it while it waits.

--- a/packages/standins/src/RawConnection.cpp
+++ b/packages/standins/src/RawConnection.cpp
@@ -13,9 +13,14 @@
 
 RawConnection::~RawConnection()
 {
-  if (!this->isReset) {
-    this->Close();
+  asio::error_code error;
+  if (this->isReset) {
+    // With this option an explicit close resets the connection; Asio's destructor would undo it.
+    this->socket->tcp.set_option(asio::socket_base::linger(true, 0), error);
+    this->socket->tcp.close(error);
+    return;
   }
+  this->Close();
 }
 
 std::shared_ptr<RawConnection> RawConnection::Connect(const Endpoint& aEndpoint)
@@ -90,11 +95,10 @@
 
 void RawConnection::Reset()
 {
-  // With this option the system resets the connection when the destructor closes it. Until then the
-  // receiving thread, if any, must return.
+  // Ends a waiting receive. The option that makes closing a reset is set by the destructor, because
+  // Asio does not allow it beside other calls.
   asio::error_code error;
   this->isReset = true;
-  this->socket->tcp.set_option(asio::socket_base::linger(true, 0), error);
   this->socket->tcp.shutdown(asio::ip::tcp::socket::shutdown_receive, error);
 }
 
