--- a/packages/daemon/src/ApiServer.cpp
+++ b/packages/daemon/src/ApiServer.cpp
@@ -135,6 +135,7 @@
     aResponse.set_content(isReady ? "ready\n" : "not ready\n", "text/plain");
   });
   server.Get("/metrics", [this](const httplib::Request&, httplib::Response& aResponse) {
+    this->hooks.refreshMetrics();
     aResponse.set_content(this->metrics.ToPrometheusText(), "text/plain; version=0.0.4");
   });
 }
--- a/packages/daemon/src/ApiServer.h
+++ b/packages/daemon/src/ApiServer.h
@@ -33,6 +33,8 @@
   std::function<std::string()> status;
   /// JSON of the audit trail.
   std::function<std::string()> audit;
+  /// Brings the metrics up to date before they are printed.
+  std::function<void()> refreshMetrics;
   /// True when new work is welcome.
   std::function<bool()> isReady;
 };
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -316,6 +316,7 @@
   hooks.edit = [this](const EditRequest& aRequest) { return this->ApplyEdit(aRequest); };
   hooks.status = [this] { return this->Status(); };
   hooks.audit = [this] { return this->Audit(); };
+  hooks.refreshMetrics = [this] { this->router->UpdateGauges(); };
   hooks.isReady = [this] {
     return this->isReady && this->config.IsKnown() && this->membership->Seat().has_value();
   };
--- /dev/null
+++ b/packages/daemon/tests/FleetHarness.cpp
@@ -0,0 +1,406 @@
+#include "FleetHarness.h"
+
+#include "daisydrift/config.h"
+
+#include <fcntl.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <fstream>
+#include <sstream>
+
+extern char** environ;
+
+namespace daisydrift {
+
+namespace {
+
+using Json = nlohmann::json;
+using namespace std::chrono_literals;
+
+/// Longest wait for anything; reached only when something hangs.
+constexpr std::chrono::seconds kSafeguard{ 120 };
+constexpr const char* kRegion = "lutruwita";
+constexpr const char* kDomains[] = { "hobart", "launceston", "burnie" };
+constexpr Resources kWorkerCapacity{ 16'000, 65'536, 0 };
+
+std::string ReadFile(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// Value of `key=` in a log line; "" when absent.
+std::string LogValue(const std::string& aText, const std::string& aKey)
+{
+  auto start = aText.find(" " + aKey + "=");
+  if (start == std::string::npos) {
+    return "";
+  }
+  start += aKey.size() + 2;
+  return aText.substr(start, aText.find_first_of(" \n", start) - start);
+}
+
+double NowMilliseconds()
+{
+  return static_cast<double>(SteadyClock().Now().time_since_epoch().count()) / 1000.0;
+}
+
+} // namespace
+
+FleetHarness::FleetHarness(unsigned aInstances, unsigned aWorkers, unsigned aUpstreams)
+{
+  char pattern[] = "/tmp/daisydrift-test-XXXXXX";
+  this->folder = mkdtemp(pattern);
+  this->store.Start({ "127.0.0.1", 0 });
+  for (unsigned i = 0; i < aWorkers; ++i) {
+    this->workers.push_back(
+      std::make_unique<WorkerServer>("incarnation-" + std::to_string(i), kWorkerCapacity, 15s));
+    this->workers.back()->Start({ "127.0.0.1", 0 });
+    InstanceInfo info;
+    info.id = "worker-" + std::to_string(i);
+    info.endpoint = this->workers.back()->Address();
+    info.failureDomain = kDomains[i % 3];
+    info.region = kRegion;
+    info.rack = "rack-" + std::to_string(i);
+    this->instances.push_back(info);
+  }
+  for (unsigned i = 0; i < aUpstreams; ++i) {
+    this->upstreams.push_back(std::make_unique<UpstreamServer>("upstream-" + std::to_string(i), 8));
+    this->upstreams.back()->Start({ "127.0.0.1", 0 });
+    InstanceInfo info;
+    info.id = "upstream-" + std::to_string(i);
+    info.kind = InstanceKind::Upstream;
+    info.endpoint = this->upstreams.back()->Address();
+    info.failureDomain = kDomains[i % 3];
+    info.region = kRegion;
+    info.service = "desk";
+    this->instances.push_back(info);
+  }
+  this->directory = std::make_unique<DirectoryServer>(this->instances);
+  this->directory->Start({ "127.0.0.1", 0 });
+  std::ofstream(this->folder + "/secret") << "secret-of-the-test\n";
+  for (unsigned i = 0; i < aInstances; ++i) {
+    this->StartInstance();
+  }
+}
+
+FleetHarness::~FleetHarness()
+{
+  this->StopLoad();
+  for (DaemonProcess& daemon : this->daemons) {
+    if (!daemon.isStopped) {
+      kill(daemon.pid, SIGKILL);
+      kill(daemon.pid, SIGCONT);
+      waitpid(daemon.pid, nullptr, 0);
+    }
+  }
+}
+
+void FleetHarness::WriteSettings(const std::string& aFile) const
+{
+  Json json = { { "region", kRegion },
+                { "failure_domain", kDomains[this->daemons.size() % 3] },
+                { "listen",
+                  { { "address", "127.0.0.1" },
+                    { "http_port", 0 },
+                    { "operators_port", 0 },
+                    { "rpc_port", 0 } } },
+                { "store", { { "endpoints", { ToString(this->store.Address()) } } } },
+                { "directory", { { "endpoint", ToString(this->directory->Address()) } } },
+                { "operators", { { "key_digest", KeyDigest(this->operatorKey) } } },
+                { "instances", { { "secret_file", this->folder + "/secret" } } } };
+  std::ofstream(aFile) << json.dump(2);
+}
+
+std::size_t FleetHarness::StartInstance()
+{
+  DaemonProcess daemon;
+  std::string base = this->folder + "/daemon-" + std::to_string(this->daemons.size());
+  daemon.logFile = base + ".log";
+  this->WriteSettings(base + ".json");
+  std::string settings = base + ".json";
+  const char* arguments[] = { DAISYDRIFTD_PATH, "--settings", settings.c_str(), nullptr };
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(
+    &actions, 2, daemon.logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn(
+    &daemon.pid, DAISYDRIFTD_PATH, &actions, nullptr, const_cast<char**>(arguments), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  WaitFor([&] { return this->ReadAddresses(daemon); });
+  this->daemons.push_back(daemon);
+  std::size_t index = this->daemons.size() - 1;
+  this->Record("instance_started instance=" + daemon.name);
+  WaitFor([&] { return this->Call(index, "GET", "/readyz").status == 200; });
+  return index;
+}
+
+bool FleetHarness::ReadAddresses(DaemonProcess& aDaemon) const
+{
+  std::string log = ReadFile(aDaemon.logFile);
+  auto line = log.find("event=started");
+  if (line == std::string::npos || log.find('\n', line) == std::string::npos) {
+    return false;
+  }
+  log = log.substr(line);
+  aDaemon.name = LogValue(log, "instance");
+  return ParseEndpoint(LogValue(log, "http"), aDaemon.http) &&
+         ParseEndpoint(LogValue(log, "operators"), aDaemon.operators);
+}
+
+void FleetHarness::Signal(std::size_t aInstance, int aSignal)
+{
+  DaemonProcess& daemon = this->daemons[aInstance];
+  if (aSignal == SIGKILL) {
+    this->Record("instance_crashed instance=" + daemon.name);
+  } else if (aSignal == SIGTERM) {
+    this->Record("instance_stop_planned instance=" + daemon.name);
+  }
+  kill(daemon.pid, aSignal);
+  if (aSignal == SIGKILL) {
+    waitpid(daemon.pid, nullptr, 0);
+    daemon.isStopped = true;
+  }
+}
+
+int FleetHarness::WaitForEnd(std::size_t aInstance)
+{
+  DaemonProcess& daemon = this->daemons[aInstance];
+  int status = 0;
+  WaitFor([&] { return waitpid(daemon.pid, &status, WNOHANG) == daemon.pid; });
+  daemon.isStopped = true;
+  this->Record("instance_stopped instance=" + daemon.name);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void FleetHarness::SetStoreFaults(const std::string& aJson)
+{
+  httplib::Client client(this->store.Address().address, this->store.Address().port);
+  client.Post("/control/faults", aJson, "application/json");
+}
+
+CallResult FleetHarness::Call(std::size_t aInstance,
+                              const std::string& aMethod,
+                              const std::string& aPath,
+                              const std::string& aBody,
+                              const std::string& aTeam)
+{
+  const Endpoint& endpoint =
+    aTeam.empty() ? this->daemons[aInstance].operators : this->daemons[aInstance].http;
+  httplib::Client client(endpoint.address, endpoint.port);
+  client.set_connection_timeout(5s);
+  client.set_read_timeout(40s);
+  httplib::Request request;
+  request.method = aMethod;
+  request.path = aPath;
+  request.body = aBody;
+  request.set_header("Authorization",
+                     "Bearer " + (aTeam.empty() ? this->operatorKey : this->teamKey));
+  request.set_header("Content-Type", "application/json");
+  request.set_header("Daisydrift-Deadline-Ms", "10000");
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  CallResult result;
+  if (!client.send(request, response, error)) {
+    result.isRefused = error == httplib::Error::Connection;
+    return result;
+  }
+  result.status = response.status;
+  result.body = response.body;
+  result.outcome = response.get_header_value("Daisydrift-Outcome");
+  if (result.outcome.empty()) {
+    Json json = Json::parse(response.body, nullptr, false);
+    result.outcome = json.is_object() ? json.value("outcome", std::string()) : "";
+  }
+  return result;
+}
+
+void FleetHarness::SetUpFleet()
+{
+  Json edits = Json::array();
+  for (const char* domain : kDomains) {
+    edits.push_back({ { "put_failure_domain", { { "name", domain }, { "region", kRegion } } } });
+  }
+  edits.push_back({ { "put_team",
+                      { { "name", "team" },
+                        { "weight", 1 },
+                        { "milli_cores", 60'000 },
+                        { "memory_mib", 60'000 },
+                        { "accelerators", 0 },
+                        { "max_running_tasks", 60 },
+                        { "open_queue", false } } } });
+  edits.push_back({ { "put_service",
+                      { { "name", "desk" },
+                        { "slots_per_upstream", 8 },
+                        { "connections_per_upstream", 64 },
+                        { "open_to_all_teams", true },
+                        { "teams", Json::array() } } } });
+  Json request = {
+    { "base_version", 0 }, { "actor", "test" }, { "edit_id", "set-up" }, { "edits", edits }
+  };
+  WaitFor([&] { return this->Call(0, "POST", "/v1/admin/config", request.dump()).status == 200; });
+  this->Record("ceiling team=team tasks=60 milli_cores=60000 memory_mib=60000 accelerators=0");
+  this->Record("key_issued key=k team=team");
+  Json key = Json::parse(
+    this->Call(0, "POST", "/v1/admin/keys", R"({"team": "team"})").body, nullptr, false);
+  this->teamKey = key.is_object() ? key.value("key", std::string()) : "";
+  auto isInForce = [&](std::size_t aInstance) {
+    CallResult answer =
+      this->Call(aInstance, "GET", "/v1/services/desk/requests/warm-up", "", "team");
+    return answer.status == 200;
+  };
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    WaitFor([&] { return isInForce(i); });
+  }
+  WaitFor([&] { return this->Leader().has_value(); });
+}
+
+std::string FleetHarness::Submit(const std::string& aBody)
+{
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].isStopped) {
+      continue;
+    }
+    CallResult answer = this->Call(i, "POST", "/v1/jobs", aBody, "team");
+    Json json = Json::parse(answer.body, nullptr, false);
+    if (answer.status == 202 && json.is_object()) {
+      return json.value("job", std::string());
+    }
+  }
+  return "";
+}
+
+std::string FleetHarness::JobState(const std::string& aJob)
+{
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].isStopped) {
+      continue;
+    }
+    CallResult answer = this->Call(i, "GET", "/v1/jobs/" + aJob, "", "team");
+    Json json = Json::parse(answer.body, nullptr, false);
+    if (answer.status == 200 && json.is_object()) {
+      return json.value("state", std::string());
+    }
+  }
+  return "";
+}
+
+std::optional<std::size_t> FleetHarness::Leader()
+{
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].isStopped) {
+      continue;
+    }
+    CallResult answer = this->Call(i, "GET", "/v1/admin/status");
+    Json json = Json::parse(answer.body, nullptr, false);
+    std::string leader =
+      json.is_object() && json["leader"].is_string() ? json["leader"].get<std::string>() : "";
+    for (std::size_t j = 0; j < this->daemons.size(); ++j) {
+      if (this->daemons[j].name == leader && !this->daemons[j].isStopped) {
+        return j;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+bool FleetHarness::WaitFor(const std::function<bool()>& aCondition)
+{
+  SteadyClock clock;
+  TimePoint end = clock.Now() + kSafeguard;
+  while (!aCondition()) {
+    if (clock.Now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(50ms);
+  }
+  return true;
+}
+
+void FleetHarness::StartLoad(unsigned aThreads)
+{
+  this->isLoading = true;
+  for (unsigned i = 0; i < aThreads; ++i) {
+    this->load.emplace_back([this, i] { this->RunLoad(i); });
+  }
+}
+
+void FleetHarness::StopLoad()
+{
+  this->isLoading = false;
+  for (std::thread& thread : this->load) {
+    thread.join();
+  }
+  this->load.clear();
+}
+
+void FleetHarness::RunLoad(unsigned aThread)
+{
+  for (unsigned n = 0; this->isLoading; ++n) {
+    this->SendOne("load-" + std::to_string(aThread) + "-" + std::to_string(n), n + aThread);
+    std::this_thread::sleep_for(5ms);
+  }
+}
+
+void FleetHarness::SendOne(const std::string& aId, std::size_t aFirst)
+{
+  this->Record("request_sent request=" + aId + " repeatable=false team=team key=k");
+  ++this->sent;
+  std::string path = "/v1/services/desk/requests/check?work_ms=20&rid=" + aId;
+  std::size_t count = 0;
+  {
+    std::lock_guard lock(this->mutex);
+    count = this->daemons.size();
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    std::size_t instance = (aFirst + i) % count;
+    if (this->daemons[instance].isStopped || this->Call(instance, "GET", "/readyz").status != 200) {
+      continue;
+    }
+    CallResult answer = this->Call(instance, "GET", path, "", "team");
+    bool isRefusedInTime =
+      answer.isRefused || (answer.status == 503 && answer.outcome == "not_run");
+    if (isRefusedInTime && i + 1 < count) {
+      continue;
+    }
+    if (answer.status == 0) {
+      ++this->broken;
+      this->Record("request_broken request=" + aId);
+      return;
+    }
+    bool isOwn = answer.body.find("\"request_id\":\"" + aId + "\"") != std::string::npos;
+    this->answered += answer.status == 200 && isOwn ? 1 : 0;
+    std::string outcome = answer.outcome.empty() ? "unknown" : answer.outcome;
+    this->Record("request_answered request=" + aId + " status=" + std::to_string(answer.status) +
+                 " outcome=" + outcome +
+                 " complete=" + (answer.status != 200 || isOwn ? "true" : "false"));
+    return;
+  }
+  this->Record("request_answered request=" + aId + " status=503 outcome=not_run complete=true");
+}
+
+void FleetHarness::Record(const std::string& aEvent)
+{
+  std::lock_guard lock(this->mutex);
+  auto space = aEvent.find(' ');
+  this->history += "event=" + aEvent.substr(0, space) +
+                   " at_ms=" + std::to_string(NowMilliseconds()) +
+                   (space == std::string::npos ? "" : aEvent.substr(space)) + "\n";
+}
+
+HistoryReport FleetHarness::Check()
+{
+  this->Record("end");
+  std::ostringstream text;
+  CollectHistory({ this->instances }, text);
+  std::lock_guard lock(this->mutex);
+  return CheckHistory(text.str() + this->history, "history");
+}
+
+} // namespace daisydrift
--- a/packages/platform/src/HttpConnections.cpp
+++ b/packages/platform/src/HttpConnections.cpp
@@ -4,6 +4,8 @@
 
 namespace {
 
+/// Longest time for connecting. A process that lives answers within milliseconds.
+constexpr std::chrono::milliseconds kMaxConnectTime{ 1000 };
 /// Idle connections kept for one endpoint.
 constexpr std::size_t kMaxIdleConnections = 8;
 
@@ -60,7 +62,9 @@
                                       std::chrono::milliseconds aTimeout)
 {
   std::unique_ptr<httplib::Client> client = this->Acquire(aEndpoint);
-  client->set_connection_timeout(aTimeout);
+  // A request must not be written long after the checks made before the exchange, so connecting
+  // gets little time.
+  client->set_connection_timeout(std::min(aTimeout, kMaxConnectTime));
   client->set_read_timeout(aTimeout);
   client->set_write_timeout(aTimeout);
   HttpOutcome outcome;
--- a/packages/standins/src/UpstreamServer.cpp
+++ b/packages/standins/src/UpstreamServer.cpp
@@ -65,9 +65,16 @@
                               { "request", aRequestId } });
   }
 
-  void Hang()
+  /// Holds a request until its deadline; a real upstream gives up then, too.
+  void Hang(const httplib::Request& aRequest)
   {
-    for (auto waited = std::chrono::milliseconds(0); waited < kHangTime && !this->isStopping;
+    std::chrono::milliseconds limit = kHangTime;
+    if (aRequest.has_header("Daisydrift-Deadline-Ms")) {
+      auto left =
+        std::strtoll(aRequest.get_header_value("Daisydrift-Deadline-Ms").c_str(), nullptr, 10);
+      limit = std::min(limit, std::chrono::milliseconds(left));
+    }
+    for (auto waited = std::chrono::milliseconds(0); waited < limit && !this->isStopping;
          waited += std::chrono::milliseconds(50)) {
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
@@ -84,7 +91,7 @@
       return;
     }
     if (mode == "hang") {
-      this->Hang();
+      this->Hang(aRequest);
     }
     if (aRequest.has_param("work_ms")) {
       auto work = std::strtoll(aRequest.get_param_value("work_ms").c_str(), nullptr, 10);
