Urgent work replaces other work of its own team under a full ceiling

Cause: urgent tasks of teams at their ceiling waited up to 7.6 s. Change: the least work of the same team is stopped until the urgent task fits under the ceiling, and other work of the team does not take that room. Ruled out: letting urgent work exceed the ceiling, which is hard.

--- a/packages/core/src/Entities.h
+++ b/packages/core/src/Entities.h
@@ -216,6 +216,8 @@
   std::set<std::pair<std::uint64_t, Group*>> ready;
   std::set<std::pair<std::uint64_t, Group*>> noWorkerFits;
   std::set<std::pair<std::uint64_t, Group*>> ceilingReached;
+  /// An urgent task waits in this round for room under the ceiling: other work must not take it.
+  bool isUrgentAtCeiling = false;
   /// Since when it has waiting work while it runs less than its fair share.
   std::optional<TimePoint> underservedSince;
 };
--- a/packages/core/src/Preemption.cpp
+++ b/packages/core/src/Preemption.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t kWorkersCompared = 32;
 /// Workers looked at in one search; the next search goes on from there.
 constexpr Position kWorkersExamined = 1024;
+/// Attempts of a team looked at for room under its ceiling, newest first.
+constexpr std::size_t kAttemptsExamined = 256;
 /// Loss counted for a task that can be checkpointed: the time to write and restore, in seconds.
 constexpr double kCheckpointLossSeconds = 5.0;
 /// Loss counted for interrupting a service task, in seconds.
@@ -132,6 +134,45 @@
   return true;
 }
 
+bool Preemption::MakeCeilingRoom(Team& aTeam,
+                                 const Resources& aSize,
+                                 std::uint32_t aCount,
+                                 TimePoint aNow)
+{
+  Resources need = Times(aSize, aCount);
+  auto fits = [&](const Resources& aLess, std::uint32_t aLessTasks) {
+    return (aTeam.running - aTeam.stopping - aLess + need).FitsIn(aTeam.policy.ceiling) &&
+           aTeam.runningTasks - aTeam.stoppingTasks - aLessTasks + aCount <=
+             aTeam.policy.maxRunningTasks;
+  };
+  std::vector<std::pair<double, Attempt*>> possible;
+  std::size_t examined = 0;
+  for (auto it = aTeam.attempts.rbegin();
+       it != aTeam.attempts.rend() && ++examined <= kAttemptsExamined;
+       ++it) {
+    const JobSpec& spec = it->job->spec;
+    if (!it->isStopping && spec.isRepeatable && !spec.isUrgent && !it->job->IsGang()) {
+      possible.emplace_back(this->LostWork(*it, aNow), &*it);
+    }
+  }
+  std::stable_sort(possible.begin(), possible.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first < aRight.first;
+  });
+  Resources less;
+  std::uint32_t count = 0;
+  while (!fits(less, count) && count < possible.size()) {
+    less += possible[count].second->counted;
+    ++count;
+  }
+  if (!fits(less, count)) {
+    return false;
+  }
+  for (std::uint32_t i = 0; i < count; ++i) {
+    this->commands.Stop(*possible[i].second, StopReason::Preempted);
+  }
+  return true;
+}
+
 std::optional<Preemption::Room> Preemption::TakeFreedRoom()
 {
   for (auto it = this->holds.begin(); it != this->holds.end(); ++it) {
--- a/packages/core/src/Preemption.h
+++ b/packages/core/src/Preemption.h
@@ -39,6 +39,9 @@
                               const VictimFilter& aMayStop,
                               TimePoint aNow) const;
 
+  /// Stops work of the team itself, least lost work first, until aSize and what is to start besides
+  /// fit under its ceiling once that work has ended. Returns false when that is not possible.
+  bool MakeCeilingRoom(Team& aTeam, const Resources& aSize, std::uint32_t aCount, TimePoint aNow);
   /// Room that has become free.
   struct Room
   {
--- a/packages/core/src/StartRound.cpp
+++ b/packages/core/src/StartRound.cpp
@@ -76,6 +76,9 @@
 
 void StartRound::StartUrgent(TimePoint aNow, std::size_t aMaxStarts)
 {
+  for (Team& team : this->state.teams) {
+    team.isUrgentAtCeiling = false;
+  }
   // Starting the last waiting task takes a job out of the set, so the iteration uses a copy.
   std::vector<Job*> jobs;
   for (const auto& [sequence, job] : this->state.urgentJobs) {
@@ -98,6 +101,9 @@
   Resources size = this->state.SizeOf(aJob);
   auto together = static_cast<std::uint32_t>(this->preemption.HeldFor(aJob)) + 1;
   if (!ClusterState::FitsCeiling(*aJob.team, size, together)) {
+    // Other work of the team makes way; the task starts when that has ended.
+    aJob.team->isUrgentAtCeiling = true;
+    this->preemption.MakeCeilingRoom(*aJob.team, size, together, aNow);
     return false;
   }
   Position worker = this->placer.Choose(aJob, size);
@@ -178,7 +184,8 @@
   Job& job = *group.jobs.begin()->second;
   Resources size = this->state.SizeOf(job);
   std::uint32_t together = job.IsGang() ? job.WaitingCount() : 1;
-  if (!ClusterState::FitsCeiling(aTeam, size, together) || this->IsHeldBack(aTeam, job, aNow)) {
+  if (!ClusterState::FitsCeiling(aTeam, size, together) || aTeam.isUrgentAtCeiling ||
+      this->IsHeldBack(aTeam, job, aNow)) {
     TeamQueue::SetState(aTeam, group, GroupState::CeilingReached);
     return false;
   }
--- a/packages/core/tests/PreemptionTest.cpp
+++ b/packages/core/tests/PreemptionTest.cpp
@@ -67,6 +67,17 @@
   EXPECT_EQ(this->harness.RunningOf(urgent).size(), 3U);
 }
 
+TEST_F(PreemptionTest, UrgentWorkUnderAFullCeilingReplacesOtherWorkOfItsTeam)
+{
+  this->harness.scheduler.SetTeams({ { "u", 1, Size(4, 4096), 100 } }, this->harness.now);
+  JobNumber other = this->harness.Add(this->harness.Spec("u", 4, Size(1, 100)));
+  this->harness.RunFor(seconds(10));
+  JobNumber urgent = this->AddUrgent();
+  this->harness.RunFor(PolicySettings().urgentTarget, PolicySettings().stopGrace);
+  EXPECT_EQ(this->harness.RunningOf(urgent).size(), 1U);
+  EXPECT_EQ(this->harness.RunningOf(other).size(), 2U) << "more was stopped than needed";
+}
+
 TEST_F(PreemptionTest, LeastWorkIsLost)
 {
   JobNumber old = this->AddFull(true, false);
