--- a/packages/durable/tests/JournalTest.cpp
+++ b/packages/durable/tests/JournalTest.cpp
@@ -228,6 +228,31 @@
   }
 }
 
+/// Guards against a new leader that dies at any call of its takeover and leaves something that the
+/// next one can't take over. The ring is full, so that the takeover writes a snapshot too.
+TEST(Recovery, CrashAtEachCallOfATakeOverIsSurvived)
+{
+  bool isDone = false;
+  for (std::size_t call = 0; !isDone; ++call) {
+    SCOPED_TRACE(call);
+    Region region;
+    RegionOwnership owner = region.Lead(1);
+    while (owner.journal->HasRoom()) {
+      ASSERT_FALSE(Commit(owner, { Accept(owner.state.NextJob()) }));
+    }
+    std::size_t count = 0;
+    region.store.SetFaultHook([&](const std::string&, const std::string&) {
+      return count++ < call ? StoreFault::None : StoreFault::Unreachable;
+    });
+    isDone = TakeOver(region.store, kRegion, 2, "writer-2").HasValue();
+    region.store.SetFaultHook({});
+    auto next = TakeOver(region.store, kRegion, 3, "writer-3");
+    ASSERT_TRUE(next) << next.Error().message();
+    ASSERT_EQ(next->state.Jobs(), owner.state.Jobs());
+    ASSERT_FALSE(Commit(*next, { Accept(next->state.NextJob()) }));
+  }
+}
+
 /// Guards against a takeover that loses a record which the old leader commits meanwhile, and
 /// against one that never ends while the old leader goes on.
 TEST(Recovery, WorksWhileTheOldLeaderAppends)
--- a/packages/durable/tests/UnreliableStore.h
+++ b/packages/durable/tests/UnreliableStore.h
@@ -21,9 +21,22 @@
   Delayed
 };
 
-class UnreliableStore : public Store
+/// Clock of the store; a base, because the store needs it from its construction on.
+struct StoreClock
+{
+  ManualClock storeClock;
+};
+
+class UnreliableStore
+  : private StoreClock
+  , public FakeStore
 {
 public:
+  UnreliableStore()
+    : FakeStore(this->storeClock)
+  {
+  }
+
   /// Asked before each call; empty means Normal.
   std::function<CallFate(const std::string& aOperation, const std::string& aKey)> decide;
   /// Told of each write that took effect.
@@ -40,13 +53,13 @@
   Result<StoreEntry> Get(const std::string& aKey, std::chrono::milliseconds aTimeout) override
   {
     auto fate = this->Decide("get", aKey);
-    return fate ? Result<StoreEntry>(*fate) : this->inner.Get(aKey, aTimeout);
+    return fate ? Result<StoreEntry>(*fate) : FakeStore::Get(aKey, aTimeout);
   }
   Result<std::vector<StoreEntry>> List(const std::string& aPrefix,
                                        std::chrono::milliseconds aTimeout) override
   {
     auto fate = this->Decide("list", aPrefix);
-    return fate ? Result<std::vector<StoreEntry>>(*fate) : this->inner.List(aPrefix, aTimeout);
+    return fate ? Result<std::vector<StoreEntry>>(*fate) : FakeStore::List(aPrefix, aTimeout);
   }
   Result<Revision> CompareAndSwap(const std::string& aKey,
                                   const std::string& aValue,
@@ -55,7 +68,7 @@
                                   std::chrono::milliseconds aTimeout) override
   {
     auto write = [=, this] {
-      auto written = this->inner.CompareAndSwap(aKey, aValue, aExpected, aLease, aTimeout);
+      auto written = FakeStore::CompareAndSwap(aKey, aValue, aExpected, aLease, aTimeout);
       if (written && this->onWrite) {
         this->onWrite(aKey, aValue);
       }
@@ -70,31 +83,6 @@
     }
     return fate == CallFate::Normal ? write() : Result<Revision>(ErrorOf(fate));
   }
-  std::error_code Delete(const std::string& aKey,
-                         Revision aExpected,
-                         std::chrono::milliseconds aTimeout) override
-  {
-    return this->inner.Delete(aKey, aExpected, aTimeout);
-  }
-  Result<WatchResult> Watch(const std::string& aPrefix,
-                            Revision aAfter,
-                            std::chrono::milliseconds aWait) override
-  {
-    return this->inner.Watch(aPrefix, aAfter, aWait);
-  }
-  Result<LeaseId> GrantLease(std::chrono::milliseconds aTtl,
-                             std::chrono::milliseconds aTimeout) override
-  {
-    return this->inner.GrantLease(aTtl, aTimeout);
-  }
-  std::error_code RenewLease(LeaseId aLease, std::chrono::milliseconds aTimeout) override
-  {
-    return this->inner.RenewLease(aLease, aTimeout);
-  }
-  std::error_code RevokeLease(LeaseId aLease, std::chrono::milliseconds aTimeout) override
-  {
-    return this->inner.RevokeLease(aLease, aTimeout);
-  }
 
 private:
   static Errc ErrorOf(CallFate aFate)
@@ -110,8 +98,6 @@
     return fate == CallFate::Normal ? std::nullopt : std::optional<Errc>(ErrorOf(fate));
   }
 
-  ManualClock clock;
-  FakeStore inner{ this->clock };
   std::vector<std::function<void()>> delayed;
 };
 
--- a/packages/membership/tests/LeaseTest.cpp
+++ b/packages/membership/tests/LeaseTest.cpp
@@ -120,14 +120,6 @@
   }
 }
 
-/// Fills all seats but one, so that successors claim the seat that the test wants.
-void FillOtherSeats(std::vector<SeatHolder>& aOthers)
-{
-  for (SeatHolder& other : aOthers) {
-    ASSERT_FALSE(other.Claim());
-  }
-}
-
 /// Guards against the use of a seat whose former holder may still run requests: after a clean leave
 /// at once, after proof of its stop 30 s later, without either never.
 TEST_F(Lease, SeatOfAFormerHolder)
@@ -141,8 +133,8 @@
     std::vector<SeatHolder> others;
     for (unsigned i = 0; i < kSeatCount - 1; ++i) {
       others.push_back(make("o" + std::to_string(i)));
+      ASSERT_FALSE(others.back().Claim());
     }
-    FillOtherSeats(others);
     SeatHolder former = make("former");
     ASSERT_FALSE(former.Claim());
     if (end == "clean") {
