--- a/packages/core/src/SchedulerImpl.cpp
+++ b/packages/core/src/SchedulerImpl.cpp
@@ -199,6 +199,17 @@
   this->enforcement.OnCeilingsChanged();
 }
 
+void Scheduler::Impl::RestoreLimit(const AttemptId& aAttempt, const Resources& aLimit)
+{
+  Attempt* attempt = this->state.FindAttempt(aAttempt);
+  if (attempt == nullptr) {
+    return;
+  }
+  attempt->limit = aLimit;
+  this->state.SetCounted(*attempt, aLimit);
+  this->enforcement.OnCeilingsChanged();
+}
+
 void Scheduler::Impl::RestoreTask(const TaskId& aTask,
                                   std::uint32_t aAttempts,
                                   std::uint32_t aFailures,
@@ -249,15 +260,32 @@
   }
 }
 
+void Scheduler::Impl::FailOversizedJobs()
+{
+  for (JobNumber number : this->usage.TakeOutgrown()) {
+    Job* job = this->state.FindJob(number);
+    if (job == nullptr || job->isEnding) {
+      continue;
+    }
+    JobSpec grown = job->spec;
+    grown.size = core::Max(grown.size, job->grownSize);
+    if (auto never = this->explainer.CheckJob(grown)) {
+      this->outcomes.EndJob(*job, JobState::Failed, "outgrew its size: " + never->message);
+    }
+  }
+}
+
 std::vector<Decision> Scheduler::Impl::Decide(TimePoint aNow, std::size_t aMaxStarts)
 {
   this->commands.Clear();
   this->FireTimers(aNow);
   this->placer.Advance(aNow);
   this->shares.Advance(aNow);
+  this->trust.Advance(aNow);
   this->outcomes.Settle(this->commands);
   this->enforcement.Run(aNow);
   this->usage.Run(aNow);
+  this->FailOversizedJobs();
   this->starts.Run(aNow, aMaxStarts);
   return this->commands.Take();
 }
--- a/packages/core/src/SchedulerImpl.h
+++ b/packages/core/src/SchedulerImpl.h
@@ -34,6 +34,7 @@
                       const WorkerId& aWorker,
                       const Resources& aLimit,
                       TimePoint aNow);
+  void RestoreLimit(const AttemptId& aAttempt, const Resources& aLimit);
   void RestoreTask(const TaskId& aTask,
                    std::uint32_t aAttempts,
                    std::uint32_t aFailures,
@@ -59,6 +60,8 @@
 
 private:
   void FireTimers(TimePoint aNow);
+  /// Fails jobs that have outgrown what the fleet or their team's ceiling can hold.
+  void FailOversizedJobs();
   /// Finds a task that waits; takes it off its job's list of waiting tasks. Null when there is
   /// none.
   core::Task* TakeWaitingTask(const TaskId& aTask);
