Attempts restored after the end of their job are counted and stopped

Cause: generated histories with changes of leader found workers that run more than is counted: an attempt was ignored when its job had been cancelled, or its gang had lost a task, before the attempt was restored. Change: RestoreAttempt works in any order with the end of the job; a gang with a lost or finally failed task ends when it is restored; histories replace the scheduler in the middle and restore it from what is durable. Ruled out: asking callers for an order of the calls, which the interface does not state.

--- a/packages/core/src/SchedulerImpl.cpp
+++ b/packages/core/src/SchedulerImpl.cpp
@@ -181,18 +181,31 @@
   return &job->tasks[aTask.index];
 }
 
+bool Scheduler::Impl::ReopenTask(const TaskId& aTask)
+{
+  Job* job = this->state.FindJob(aTask.job);
+  if (job == nullptr || job->isFinished || aTask.index >= job->tasks.size() ||
+      job->tasks[aTask.index].state != TaskState::Cancelled) {
+    return false;
+  }
+  job->tasks[aTask.index].state = core::TaskChart::Instance().Initial();
+  return true;
+}
+
 void Scheduler::Impl::RestoreAttempt(const AttemptId& aAttempt,
                                      const WorkerId& aWorker,
                                      const Resources& aLimit,
                                      TimePoint aNow)
 {
-  if (this->TakeWaitingTask(aAttempt.task) == nullptr) {
+  if (this->TakeWaitingTask(aAttempt.task) == nullptr && !this->ReopenTask(aAttempt.task)) {
     return;
   }
   Job& job = *this->state.FindJob(aAttempt.task.job);
   this->state.AddAttempt(
     job, aAttempt.task.index, aAttempt.attempt, this->state.WorkerPosition(aWorker), aLimit, aNow);
-  job.state = JobState::Running;
+  if (!job.isEnding) {
+    job.state = JobState::Running;
+  }
   this->state.Requeue(job);
   // A gang of which only a part is restored must be stopped.
   this->outcomes.Review(job);
@@ -220,6 +233,9 @@
   job->hasHealthyTask |= aHasSucceeded;
   this->state.Requeue(*job);
   this->outcomes.Review(*job);
+  if (job->IsGang() && !aHasSucceeded) {
+    this->outcomes.EndJob(*job, JobState::Failed, "a task failed for the last time");
+  }
 }
 
 void Scheduler::Impl::RestoreLostTask(const TaskId& aTask, std::uint32_t aAttempts)
@@ -234,6 +250,9 @@
   ++job.unknownCount;
   job.reason = "task " + std::to_string(aTask.index) + " ended without an outcome";
   this->state.Requeue(job);
+  if (job.IsGang()) {
+    this->outcomes.EndJob(job, JobState::OutcomeUnknown, job.reason);
+  }
   this->outcomes.Review(job);
 }
 
--- a/packages/core/src/SchedulerImpl.h
+++ b/packages/core/src/SchedulerImpl.h
@@ -64,6 +64,9 @@
   /// Finds a task that waits; takes it off its job's list of waiting tasks. Null when there is
   /// none.
   core::Task* TakeWaitingTask(const TaskId& aTask);
+  /// Recovery: makes a task initial again that was cancelled with its job before its running
+  /// attempt was restored. Returns false when there is none.
+  bool ReopenTask(const TaskId& aTask);
 };
 
 } // namespace daisydrift
--- a/packages/core/tests/History.cpp
+++ b/packages/core/tests/History.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 History::History()
-  : scheduler(PolicySettings())
+  : scheduler(std::make_unique<Scheduler>(PolicySettings()))
 {
   const FailureDomain domains[] = { "a", "b", "c" };
   for (std::size_t i = 0; i < kWorkers; ++i) {
@@ -33,7 +33,7 @@
                               Cores(8, 8192, i % 4 == 0 ? 4 : 0),
                               WorkerHealth::Live };
     this->workers[worker.id] = worker;
-    this->scheduler.UpdateWorker(worker, this->now);
+    this->scheduler->UpdateWorker(worker, this->now);
   }
   for (const char* name : { "s", "t", "u" }) {
     this->teams[name] = { name, name[0] == 's' ? 2U : 1U, kLargeCeiling, 1000 };
@@ -78,12 +78,19 @@
       if (!this->drained.erase(domain)) {
         this->drained.insert(domain);
       }
-      this->scheduler.SetDrainedFailureDomains(this->drained, this->now);
+      this->scheduler->SetDrainedFailureDomains(this->drained, this->now);
       break;
     }
     case 12:
       if (this->nextJob > 1) {
-        (void)this->scheduler.CancelJob(1 + value % (this->nextJob - 1), this->now);
+        JobNumber job = 1 + value % (this->nextJob - 1);
+        this->cancelled.insert(job);
+        (void)this->scheduler->CancelJob(job, this->now);
+      }
+      break;
+    case 13:
+      if (value % 2 == 0) {
+        this->Recover();
       }
       break;
     default:
@@ -105,12 +112,12 @@
   spec.declaredRunTime = std::chrono::seconds(aNumber / 64800 % 30);
   spec.isRepeatable = aNumber / 7 % 4 != 0 || spec.workClass == WorkClass::Service;
   spec.canCheckpoint = aNumber / 11 % 2 == 0;
-  if (this->scheduler.CheckJob(spec)) {
+  if (this->scheduler->CheckJob(spec)) {
     // Refused before it is accepted, because it could never run as things are.
     return;
   }
   this->jobs[spec.number] = spec;
-  if (this->scheduler.AddJob(spec, this->now)) {
+  if (this->scheduler->AddJob(spec, this->now)) {
     this->Violate("job was not accepted");
   }
 }
@@ -136,7 +143,7 @@
   if (aOutcome == AttemptOutcome::Interrupted && !spec.isRepeatable) {
     this->lost.insert(attempt.task);
   }
-  this->scheduler.OnEnded(attempt, aOutcome, "", this->now);
+  this->scheduler->OnEnded(attempt, aOutcome, "", this->now);
 }
 
 void History::ReportUsage(std::uint32_t aNumber)
@@ -145,7 +152,7 @@
   for (const auto& [attempt, entry] : this->running) {
     salt = salt * 1664525 + 1013904223;
     std::int64_t percent = 5 + (salt >> 16) % 110;
-    this->scheduler.OnUsage(
+    this->scheduler->OnUsage(
       attempt,
       { entry.limit.milliCores * percent / 100, entry.limit.memoryMiB * percent / 100, 0 },
       this->now);
@@ -167,7 +174,7 @@
       return isHere;
     });
   }
-  this->scheduler.UpdateWorker(worker, this->now);
+  this->scheduler->UpdateWorker(worker, this->now);
 }
 
 void History::ChangeTeams(std::uint32_t aNumber)
@@ -181,7 +188,35 @@
     }
     policies.push_back(policy);
   }
-  this->scheduler.SetTeams(policies, this->now);
+  this->scheduler->SetTeams(policies, this->now);
+}
+
+void History::Recover()
+{
+  this->scheduler = std::make_unique<Scheduler>(PolicySettings());
+  for (const auto& [id, worker] : this->workers) {
+    this->scheduler->UpdateWorker(worker, this->now);
+  }
+  this->ChangeTeams(0);
+  this->scheduler->SetDrainedFailureDomains(this->drained, this->now);
+  for (const auto& [number, spec] : this->jobs) {
+    if (!this->finished.contains(number)) {
+      (void)this->scheduler->AddJob(spec, this->now);
+    }
+  }
+  for (const auto& [task, attempt] : this->attempts) {
+    if (this->lost.contains(task)) {
+      this->scheduler->RestoreLostTask(task, attempt);
+    } else {
+      this->scheduler->RestoreTask(task, attempt, 0, this->succeeded.contains(task));
+    }
+  }
+  for (const auto& [attempt, entry] : this->running) {
+    this->scheduler->RestoreAttempt(attempt, entry.worker, entry.applied, this->now);
+  }
+  for (JobNumber number : this->cancelled) {
+    (void)this->scheduler->CancelJob(number, this->now);
+  }
 }
 
 void History::Decide()
@@ -199,7 +234,7 @@
   }
   this->now += std::chrono::milliseconds(25);
   std::ostringstream text;
-  for (const Decision& decision : this->scheduler.Decide(this->now, 1000)) {
+  for (const Decision& decision : this->scheduler->Decide(this->now, 1000)) {
     if (const auto* start = std::get_if<StartDecision>(&decision)) {
       text << "start " << ToString(start->attempt) << " " << start->worker << "\n";
       this->OnStart(*start);
@@ -245,6 +280,7 @@
   if (worker.health != WorkerHealth::Live || this->drained.contains(worker.failureDomain)) {
     this->Violate("start on a worker that is out of service: " + name);
   }
+  this->attempts[task] = aStart.attempt.attempt;
   this->running[aStart.attempt] = { aStart.worker, aStart.limit, aStart.limit, {},
                                     this->now,     {},           false };
   const TeamPolicy& policy = this->teams[this->jobs[task.job].team];
@@ -285,7 +321,7 @@
     if (!sum.FitsIn(this->workers[worker].capacity)) {
       this->Violate("worker " + worker + " is committed beyond its capacity");
     }
-    if (!sum.FitsIn(this->scheduler.Committed(worker))) {
+    if (!sum.FitsIn(this->scheduler->Committed(worker))) {
       this->Violate("worker " + worker + " runs more than is counted");
     }
   }
@@ -319,7 +355,7 @@
     // A team's own services may keep its other jobs waiting; those of other teams may not.
     bool mustEnd = busyTeams.empty() || (aIsLate && busyTeams.contains(spec.team));
     if (spec.workClass == WorkClass::Service && mustEnd) {
-      (void)this->scheduler.CancelJob(number, this->now);
+      (void)this->scheduler->CancelJob(number, this->now);
     }
   }
 }
@@ -327,10 +363,10 @@
 void History::Finish()
 {
   this->drained.clear();
-  this->scheduler.SetDrainedFailureDomains({}, this->now);
+  this->scheduler->SetDrainedFailureDomains({}, this->now);
   for (auto& [id, worker] : this->workers) {
     worker.health = WorkerHealth::Live;
-    this->scheduler.UpdateWorker(worker, this->now);
+    this->scheduler->UpdateWorker(worker, this->now);
   }
   for (auto& [name, policy] : this->teams) {
     policy.ceiling = kLargeCeiling;
@@ -359,7 +395,7 @@
   }
   for (const auto& [number, spec] : this->jobs) {
     if (!this->finished.contains(number)) {
-      auto reason = this->scheduler.Explain(number, this->now);
+      auto reason = this->scheduler->Explain(number, this->now);
       this->Violate("job " + std::to_string(number) + " starved: " +
                     (reason ? reason->code + ", " + reason->message : "no reason given"));
     }
--- a/packages/core/tests/History.h
+++ b/packages/core/tests/History.h
@@ -4,6 +4,7 @@
 #include "daisydrift/core.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 
 namespace daisydrift::test {
@@ -44,6 +45,8 @@
   void ReportUsage(std::uint32_t aNumber);
   void ChangeWorker(std::uint32_t aNumber);
   void ChangeTeams(std::uint32_t aNumber);
+  /// Replaces the scheduler by a new one that is told what is durable, as after a change of leader.
+  void Recover();
   void Decide();
   void OnStart(const StartDecision& aStart);
   void CheckAll();
@@ -54,7 +57,7 @@
   void Violate(const std::string& aText);
   std::pair<Resources, std::uint32_t> UsedBy(const TeamName& aTeam, bool aWithStopping) const;
 
-  Scheduler scheduler;
+  std::unique_ptr<Scheduler> scheduler;
   TimePoint now{ std::chrono::hours(1) };
   std::map<WorkerId, WorkerDescription> workers;
   std::set<FailureDomain> drained;
@@ -64,6 +67,9 @@
   std::set<TaskId> succeeded;
   std::set<TaskId> lost;
   std::set<JobNumber> finished;
+  std::set<JobNumber> cancelled;
+  /// Highest attempt of each task that was started.
+  std::map<TaskId, std::uint32_t> attempts;
   JobNumber nextJob = 1;
   std::string violation;
   std::string trace;
--- a/packages/core/tests/LifeCycleTest.cpp
+++ b/packages/core/tests/LifeCycleTest.cpp
@@ -144,6 +144,17 @@
   EXPECT_EQ(this->harness.RunningOf(job).size(), 2U);
 }
 
+TEST_F(LifeCycleTest, AttemptRestoredAfterItsJobWasCancelledIsCountedAndStopped)
+{
+  JobNumber job = this->harness.Add(this->harness.Spec("t", 2, Size(1, 100)));
+  EXPECT_FALSE(this->harness.scheduler.CancelJob(job, this->harness.now));
+  this->harness.scheduler.RestoreAttempt({ { job, 1 }, 1 }, "w0", Size(1, 100), this->harness.now);
+  EXPECT_EQ(this->harness.scheduler.Committed("w0"), Size(1, 100));
+  this->harness.Decide();
+  EXPECT_EQ(this->harness.stops.size(), 1U);
+  EXPECT_EQ(this->harness.StateOf(job), JobState::Cancelled);
+}
+
 TEST_F(LifeCycleTest, InvalidJobsAreRefused)
 {
   JobSpec spec = this->harness.Spec("t", 0, Size(1));
