Starts in freed room keep the limit of the round

Cause: tasks for which room was made by preemption started without regard to the limit of starts that Decide promises. Change: the loop stops at the limit; a test covers it. Ruled out: counting them outside the limit, which the interface does not state.

--- a/packages/core/src/StartRound.cpp
+++ b/packages/core/src/StartRound.cpp
@@ -58,7 +58,7 @@
     return;
   }
   this->preemption.Expire(aNow);
-  this->StartInFreedRoom(aNow);
+  this->StartInFreedRoom(aNow, aMaxStarts);
   this->StartUrgent(aNow, aMaxStarts);
   this->gangs.Advance(aNow);
   this->RetryBlocked(aNow);
@@ -66,9 +66,13 @@
   this->ReclaimShares(aNow);
 }
 
-void StartRound::StartInFreedRoom(TimePoint aNow)
+void StartRound::StartInFreedRoom(TimePoint aNow, std::size_t aMaxStarts)
 {
-  while (auto room = this->preemption.TakeFreedRoom()) {
+  while (this->commands.StartCount() < aMaxStarts) {
+    auto room = this->preemption.TakeFreedRoom();
+    if (!room) {
+      return;
+    }
     this->commands.Start(*room->job, room->worker, room->size, aNow);
     this->placer.OnStart(room->worker);
   }
--- a/packages/core/src/StartRound.h
+++ b/packages/core/src/StartRound.h
@@ -26,7 +26,7 @@
 
 private:
   /// Starts tasks for which room was made.
-  void StartInFreedRoom(TimePoint aNow);
+  void StartInFreedRoom(TimePoint aNow, std::size_t aMaxStarts);
   void StartUrgent(TimePoint aNow, std::size_t aMaxStarts);
   /// Starts or makes room for the next task of an urgent job; false when it can do neither.
   bool AdvanceUrgent(Job& aJob, TimePoint aNow);
--- a/packages/core/tests/PreemptionTest.cpp
+++ b/packages/core/tests/PreemptionTest.cpp
@@ -113,6 +113,19 @@
   EXPECT_TRUE(this->harness.stops.empty());
 }
 
+TEST_F(PreemptionTest, StartsInFreedRoomKeepTheLimitOfTheRound)
+{
+  this->AddFull(true, false);
+  this->AddFull(true, false);
+  JobNumber urgent = this->AddUrgent(4);
+  this->harness.Decide();
+  this->harness.EndStopping();
+  this->harness.Decide(std::chrono::milliseconds(25), 1);
+  EXPECT_EQ(this->harness.RunningOf(urgent).size(), 1U);
+  this->harness.RunFor(seconds(1));
+  EXPECT_EQ(this->harness.RunningOf(urgent).size(), 4U);
+}
+
 TEST_F(PreemptionTest, FreedRoomIsKeptForTheUrgentTask)
 {
   this->AddFull(true, false);
