--- a/packages/daemon/src/Membership.cpp
+++ b/packages/daemon/src/Membership.cpp
@@ -13,8 +13,9 @@
 
 constexpr std::chrono::milliseconds kRoleInterval{ 500 };
 constexpr std::chrono::milliseconds kSeatRenewInterval{ 1000 };
-/// A heartbeat takes 376 bytes out and 304 back (rpc_RpcBench). With six peers this interval keeps the heartbeats of an
-/// instance at 4.1 KB/s of the 6 KB/s allowed for control, and gives two in the time that evidence lasts (5 s).
+/// A heartbeat takes 376 bytes out and 304 back (rpc_RpcBench). With six peers this interval keeps
+/// the heartbeats of an instance at 4.1 KB/s of the 6 KB/s allowed for control, and gives two in
+/// the time that evidence lasts (5 s).
 constexpr std::chrono::milliseconds kHeartbeatInterval{ 2000 };
 constexpr std::chrono::milliseconds kHeartbeatTimeout{ 900 };
 constexpr std::chrono::milliseconds kFetchTimeout{ 2000 };
@@ -23,9 +24,11 @@
 constexpr std::chrono::milliseconds kLongestClaimDelay{ 1000 };
 
 /// One round of the role thread makes at most four calls and must end within kPublishedValidity.
+/// The lease is longer than the time in which instances notice an outage (kReachabilityWindow) and
+/// tell each other (two heartbeats), so that a seat stays usable when an outage begins.
 LeaseOptions SeatLease()
 {
-  return { std::chrono::milliseconds(3000), std::chrono::milliseconds(400), 1 };
+  return { std::chrono::milliseconds(8000), std::chrono::milliseconds(400), 1 };
 }
 
 /// Shorter than the seat's, so that a dead leader is replaced well within the target for urgent
@@ -35,7 +38,6 @@
   return { std::chrono::milliseconds(2000), std::chrono::milliseconds(400), 1 };
 }
 
-/// A new instance may need several calls to take a role; it has nothing to lose by a slow one.
 std::uint64_t SeedOf(const InstanceId& aInstance)
 {
   return std::hash<InstanceId>()(aInstance);
--- a/packages/platform/src/WorkerModel.cpp
+++ b/packages/platform/src/WorkerModel.cpp
@@ -6,13 +6,15 @@
 
 namespace {
 
-/// A task of the model uses this part of the size it was started with. A task that always used its whole limit would
-/// look as if it had outgrown it, and be given more and more.
+/// A task of the model uses this part of the size it was started with. A task that always used its
+/// whole limit would look as if it had outgrown it, and be given more and more.
 constexpr std::int64_t kUsagePercent = 75;
 
 Resources Scaled(const Resources& aLimit)
 {
-  return { aLimit.milliCores * kUsagePercent / 100, aLimit.memoryMiB * kUsagePercent / 100, aLimit.accelerators };
+  return { aLimit.milliCores * kUsagePercent / 100,
+           aLimit.memoryMiB * kUsagePercent / 100,
+           aLimit.accelerators };
 }
 
 Resources Smaller(const Resources& aLeft, const Resources& aRight)
