Submissions with overflowing numbers get a finding

For a number such as 1e999 the JSON parser throws out_of_range, not parse_error, and ParseJobSubmission let it pass. Ruled out: exhaustion of the stack by nesting. A payload of 32,704 nested arrays, the most that fits, is read on the main thread. Threads with smaller stacks were not tried.

--- a/packages/daemon/src/JobCodec.cpp
+++ b/packages/daemon/src/JobCodec.cpp
@@ -131,6 +131,9 @@
       place.column = isNewLine ? 1 : place.column + 1;
     }
     aFindings.Add(place, "malformed_json", "the body is not valid JSON");
+  } catch (const Json::out_of_range&) {
+    // The parser doesn't tell where the number is.
+    aFindings.Add({ kSource, 0, 0 }, "out_of_range", "a number of the body is too large");
   }
   return std::nullopt;
 }
