Empty upstream answers and lifetimes of keys are kept as given

Cause: ApiServer had no tests of its own. An upstream's error answer without a body was replaced by problem details that said "unknown_path" and "not_run", though the request had run. expires_s was cut to 32 bits, so that gave a key that had ended at once; 0 did the same. Ruled out: the key in an answer or in the upstream's request, calls under another team's name, admin paths on the callers' port: these tests passed before the change. Conclusion: both faults are mended.

--- a/packages/daemon/src/ApiServer.cpp
+++ b/packages/daemon/src/ApiServer.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <limits>
 #include <thread>
 
 namespace daisydrift {
@@ -17,6 +18,8 @@
 constexpr std::chrono::milliseconds kWatchPollInterval{ 250 };
 constexpr std::chrono::seconds kLongestWatch{ 25 };
 constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
+/// Longest life of a key that can be asked for; a larger number would leave the range of times.
+constexpr std::uint64_t kMaxKeyLifeSeconds = std::numeric_limits<std::uint32_t>::max();
 constexpr const char* kBearer = "Bearer ";
 
 std::string BearerKey(const httplib::Request& aRequest)
@@ -25,6 +28,13 @@
   return header.starts_with(kBearer) ? header.substr(std::string_view(kBearer).size()) : "";
 }
 
+/// True when a key may be issued for this number of seconds.
+bool IsKeyLife(const Json& aSeconds)
+{
+  return aSeconds.is_number_unsigned() && aSeconds.get<std::uint64_t>() >= 1 &&
+         aSeconds.get<std::uint64_t>() <= kMaxKeyLifeSeconds;
+}
+
 /// Reads a whole number of milliseconds; returns aDefault when absent and nothing when malformed.
 std::optional<std::chrono::milliseconds> ReadMilliseconds(const std::string& aText,
                                                           std::chrono::milliseconds aDefault)
@@ -536,7 +546,7 @@
 {
   Json json = Json::parse(aRequest.body, nullptr, false);
   if (!json.is_object() || !json.contains("team") || !json["team"].is_string() ||
-      (json.contains("expires_s") && !json["expires_s"].is_number_unsigned())) {
+      (json.contains("expires_s") && !IsKeyLife(json["expires_s"]))) {
     SendProblem({ 400,
                   "invalid_key_request",
                   "expected {\"team\": NAME, \"expires_s\": SECONDS}",
@@ -554,7 +564,7 @@
   key->entry.team = json["team"].get<std::string>();
   if (json.contains("expires_s")) {
     auto now = std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
-    key->entry.expiry = now + std::chrono::seconds(json["expires_s"].get<std::uint32_t>());
+    key->entry.expiry = now + std::chrono::seconds(json["expires_s"].get<std::uint64_t>());
   }
   this->ApplyEdit(IssueKey{ key->entry }, aRequest, aResponse);
   if (aResponse.status == -1 || aResponse.status == 200) {
--- a/packages/daemon/src/HttpServer.cpp
+++ b/packages/daemon/src/HttpServer.cpp
@@ -31,7 +31,8 @@
   this->server->set_keep_alive_max_count(100'000);
   this->server->set_tcp_nodelay(true);
   this->server->set_error_handler([](const httplib::Request&, httplib::Response& aResponse) {
-    if (aResponse.body.empty()) {
+    // An upstream's answer is passed on as it is, also when it has no body.
+    if (aResponse.body.empty() && !aResponse.has_header("Daisydrift-Outcome")) {
       Problem problem;
       problem.status = aResponse.status;
       problem.code = aResponse.status == 413   ? "body_too_large"
--- /dev/null
+++ b/packages/daemon/tests/ApiServerTest.cpp
@@ -0,0 +1,319 @@
+#include <gtest/gtest.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "ApiServer.h"
+
+#include "daisydrift/standins/RawConnection.h"
+
+#include <mutex>
+
+namespace daisydrift {
+namespace {
+
+using Json = nlohmann::json;
+
+const std::string kKey = "dd_key-of-red";
+const std::string kRevokedKey = "dd_revoked-key";
+const std::string kOperatorKey = "dd_key-of-operators";
+const std::string kJob = R"({"name":"a","size":{"milli_cores":1,"memory_mib":1}})";
+
+ConfigDocument MakeDocument()
+{
+  ConfigDocument document;
+  document.version = 5;
+  document.teams["red"] = { "red", 1, { 1, 1, 0 }, 1, false };
+  document.teams["open"] = { "open", 1, { 1, 1, 0 }, 1, true };
+  document.keys["1"] = { "1", "red", "dd_key-o", KeyDigest(kKey), {}, {} };
+  document.keys["2"] = { "2", "red", "dd_revok", KeyDigest(kRevokedKey), {}, WallTime() };
+  document.services["echo"] = { "echo", 1, 1, true, {} };
+  return document;
+}
+
+/// One port with hooks that record what they are given.
+class Port
+{
+public:
+  explicit Port(ApiPort aPort)
+    : server({ aPort, Limits(), {}, KeyDigest(kOperatorKey) },
+             this->Hooks(),
+             this->clock,
+             this->metrics)
+  {
+    EXPECT_TRUE(this->server.Http().Start({ "127.0.0.1", 0 }));
+  }
+
+  const Endpoint& Address() { return this->server.Http().Address(); }
+
+  httplib::Client Client()
+  {
+    httplib::Client client(this->Address().address, this->Address().port);
+    client.set_read_timeout(60, 0);
+    return client;
+  }
+
+  /// Posts and returns the answer, which must not contain a key that was sent.
+  httplib::Response Post(const std::string& aPath,
+                         const std::string& aBody,
+                         const httplib::Headers& aHeaders)
+  {
+    httplib::Result result = this->Client().Post(aPath, aHeaders, aBody, "application/json");
+    EXPECT_TRUE(result) << httplib::to_string(result.error());
+    httplib::Response answer = result ? *result : httplib::Response();
+    std::string text = answer.body;
+    for (const auto& [name, value] : answer.headers) {
+      text += name + value;
+    }
+    for (const std::string& key : { kKey, kRevokedKey, kOperatorKey }) {
+      EXPECT_EQ(text.find(key), std::string::npos) << text;
+    }
+    return answer;
+  }
+
+  bool isFresh = true;
+  RoutedAnswer answer;
+  EditOutcome outcome;
+  std::vector<Call> calls;
+  std::vector<RoutedRequest> requests;
+  std::vector<EditRequest> edits;
+
+private:
+  static HttpLimits Limits()
+  {
+    HttpLimits limits;
+    limits.threads = 4;
+    limits.readTimeout = std::chrono::seconds(60);
+    return limits;
+  }
+
+  ApiHooks Hooks()
+  {
+    ApiHooks hooks;
+    hooks.config = [config = MakeRef<const ConfigView>(MakeDocument())] { return config; };
+    hooks.isConfigFresh = [this] { return this->isFresh; };
+    hooks.callLeader = [this](const std::string&, const Call& aCall) {
+      this->calls.push_back(aCall);
+      return CallReply{ 201, "application/json", "{}", {} };
+    };
+    hooks.route = [this](const RoutedRequest& aRequest) {
+      this->requests.push_back(aRequest);
+      return this->answer;
+    };
+    hooks.edit = [this](const EditRequest& aRequest) {
+      this->edits.push_back(aRequest);
+      return this->outcome;
+    };
+    hooks.status = [] { return "{}"; };
+    hooks.audit = [] { return "[]"; };
+    hooks.refreshMetrics = [] {};
+    hooks.isReady = [] { return true; };
+    return hooks;
+  }
+
+  SteadyClock clock;
+  Metrics metrics;
+  ApiServer server;
+};
+
+httplib::Headers WithKey(const std::string& aKey)
+{
+  return { { "Authorization", "Bearer " + aKey } };
+}
+
+/// Checks that an answer is complete problem details with this status and code.
+void ExpectProblem(const httplib::Response& aAnswer, int aStatus, const std::string& aCode)
+{
+  EXPECT_EQ(aAnswer.status, aStatus) << aAnswer.body;
+  EXPECT_EQ(aAnswer.get_header_value("Content-Type"), "application/problem+json");
+  Json json = Json::parse(aAnswer.body, nullptr, false);
+  ASSERT_TRUE(json.is_object()) << aAnswer.body;
+  for (const char* name : { "type", "title", "code", "detail", "outcome" }) {
+    EXPECT_TRUE(json.contains(name) && json[name].is_string()) << name;
+  }
+  EXPECT_EQ(json.value("status", 0), aStatus);
+  EXPECT_EQ(json.value("code", ""), aCode);
+  EXPECT_EQ(json.value("outcome", ""), "not_run");
+}
+
+// Guards against a submission that reaches the leader though it must be refused, and against
+// refusals without complete problem details.
+TEST(ApiServer, RefusesBadCalls)
+{
+  struct Case
+  {
+    std::string path;
+    std::string body;
+    httplib::Headers headers;
+    int status;
+    std::string code;
+  };
+  httplib::Headers badDeadline = WithKey(kKey);
+  badDeadline.emplace("Daisydrift-Deadline-Ms", "-1");
+  httplib::Headers zeroDeadline = WithKey(kKey);
+  zeroDeadline.emplace("Daisydrift-Deadline-Ms", "0");
+  httplib::Headers textDeadline = WithKey(kKey);
+  textDeadline.emplace("Daisydrift-Deadline-Ms", "5s");
+  httplib::Headers longId = WithKey(kKey);
+  longId.emplace("Idempotency-Key", std::string(201, 'i'));
+  const std::vector<Case> kCases = {
+    { "/v1/jobs", kJob, {}, 401, "key_missing" },
+    { "/v1/jobs", kJob, { { "Daisydrift-Team", "red" } }, 401, "key_missing" },
+    { "/v1/jobs", kJob, WithKey("dd_unknown"), 401, "key_refused" },
+    { "/v1/jobs", kJob, WithKey(kRevokedKey), 401, "key_refused" },
+    { "/v1/jobs", kJob, WithKey(kOperatorKey), 401, "key_refused" },
+    { "/v1/jobs", kJob, badDeadline, 400, "bad_deadline" },
+    { "/v1/jobs", kJob, zeroDeadline, 400, "bad_deadline" },
+    { "/v1/jobs", kJob, textDeadline, 400, "bad_deadline" },
+    { "/v1/jobs", kJob, longId, 400, "bad_idempotency_key" },
+    { "/v1/jobs", std::string(64 * 1024 + 1, ' '), WithKey(kKey), 413, "body_too_large" },
+    { "/v1/jobs", std::string(1024 * 1024 + 1, ' '), WithKey(kKey), 413, "body_too_large" },
+    { "/v1/jobs", "{", WithKey(kKey), 400, "invalid_job" },
+    { "/v1/nothing", "", WithKey(kKey), 404, "unknown_path" },
+    { "/v1/admin/keys", "{}", WithKey(kOperatorKey), 404, "unknown_path" },
+    { "/v1/services/none/requests/", "", WithKey(kKey), 404, "unknown_service" },
+  };
+  Port port(ApiPort::Callers);
+  for (const Case& one : kCases) {
+    SCOPED_TRACE(one.path + " " + one.code);
+    ExpectProblem(port.Post(one.path, one.body, one.headers), one.status, one.code);
+  }
+  EXPECT_TRUE(port.calls.empty());
+  EXPECT_TRUE(port.requests.empty());
+}
+
+// Guards against a key that is accepted while it may have been revoked.
+TEST(ApiServer, StaleConfigurationRefusesKeys)
+{
+  Port port(ApiPort::Callers);
+  port.isFresh = false;
+  httplib::Response answer = port.Post("/v1/jobs", kJob, WithKey(kKey));
+  ExpectProblem(answer, 503, "configuration_unconfirmed");
+  EXPECT_EQ(answer.get_header_value("Retry-After"), "2");
+  EXPECT_TRUE(port.calls.empty());
+}
+
+// Guards against a caller who is taken for another team.
+TEST(ApiServer, CallsCarryTheTeamOfTheirKey)
+{
+  Port port(ApiPort::Callers);
+  httplib::Headers headers = WithKey(kKey);
+  headers.emplace("Daisydrift-Team", "open");
+  EXPECT_EQ(port.Post("/v1/jobs", kJob, headers).status, 201);
+  EXPECT_EQ(port.Post("/v1/jobs", kJob, { { "Daisydrift-Team", "open" } }).status, 201);
+  ASSERT_EQ(port.calls.size(), 2U);
+  EXPECT_EQ(port.calls[0].team, "red");
+  EXPECT_EQ(port.calls[1].team, "open");
+}
+
+// Guards against an answer of an upstream that is changed on its way, also when its body is empty,
+// and against a key that is passed on.
+TEST(ApiServer, PassesWholeAnswersThrough)
+{
+  Port port(ApiPort::Callers);
+  httplib::Headers headers = WithKey(kKey);
+  headers.emplace("Daisydrift-Team", "open");
+  headers.emplace("X-Own", "kept");
+  for (const std::string& body : { std::string("a\0b", 3), std::string() }) {
+    port.answer = { 404, { { "X-Upstream", "yes" } }, body, RequestOutcome::Ran, "", {} };
+    httplib::Response answer = port.Post("/v1/services/echo/requests/a%2Fb?c=%20", "in", headers);
+    EXPECT_EQ(answer.status, 404);
+    EXPECT_EQ(answer.body, body);
+    EXPECT_EQ(answer.get_header_value("X-Upstream"), "yes");
+    EXPECT_EQ(answer.get_header_value("Daisydrift-Outcome"), "ran");
+    EXPECT_FALSE(answer.get_header_value("Content-Type") == "application/problem+json");
+  }
+  ASSERT_EQ(port.requests.size(), 2U);
+  const UpstreamRequest& request = port.requests[0].request;
+  EXPECT_EQ(request.method, "POST");
+  EXPECT_EQ(request.target, "/a%2Fb?c=%20");
+  EXPECT_EQ(request.body, "in");
+  std::string own;
+  std::string teams;
+  for (const auto& [name, value] : request.headers) {
+    EXPECT_NE(strcasecmp(name.c_str(), "Authorization"), 0);
+    EXPECT_EQ(value.find(kKey), std::string::npos);
+    own += name == "X-Own" ? value : "";
+    teams += name == "Daisydrift-Team" ? value : "";
+  }
+  EXPECT_EQ(own, "kept");
+  EXPECT_EQ(teams, "red");
+}
+
+// Guards against edit errors that the operator can't trace to rows.
+TEST(ApiServer, ReportsEditErrors)
+{
+  Port port(ApiPort::Operators);
+  port.outcome.error = make_error_code(Errc::Conflict);
+  port.outcome.conflicts = { { "team red", "changed" } };
+  httplib::Response conflict =
+    port.Post("/v1/admin/keys", R"({"team":"red"})", WithKey(kOperatorKey));
+  ExpectProblem(conflict, 409, "edit_conflict");
+  EXPECT_EQ(Json::parse(conflict.body)["conflicts"][0]["row"], "team red");
+  port.outcome = {};
+  port.outcome.error = make_error_code(Errc::InvalidArgument);
+  port.outcome.findings.Add({ "edit", 1, 2 }, "bad_value", "no");
+  httplib::Response invalid =
+    port.Post("/v1/admin/keys", R"({"team":"red"})", WithKey(kOperatorKey));
+  ExpectProblem(invalid, 422, "invalid_edit");
+  EXPECT_EQ(Json::parse(invalid.body)["findings"][0]["code"], "bad_value");
+  ExpectProblem(port.Post("/v1/admin/config", "{", WithKey(kOperatorKey)), 422, "invalid_edit");
+  ExpectProblem(
+    port.Post("/v1/admin/keys", R"({"team":"red"})", WithKey(kKey)), 401, "operator_key_refused");
+}
+
+// Guards against an expiry that wraps to a near time, and against a new key that is kept anywhere
+// but in its one answer.
+TEST(ApiServer, IssuesKeys)
+{
+  Port port(ApiPort::Operators);
+  for (const char* expiry :
+       { "0", "-1", "1.5", "\"1\"", "4294967296", "18446744073709551615", "1e999" }) {
+    SCOPED_TRACE(expiry);
+    ExpectProblem(port.Post("/v1/admin/keys",
+                            std::string(R"({"team":"red","expires_s":)") + expiry + "}",
+                            WithKey(kOperatorKey)),
+                  400,
+                  "invalid_key_request");
+  }
+  EXPECT_TRUE(port.edits.empty());
+  httplib::Response answer =
+    port.Post("/v1/admin/keys", R"({"team":"red","expires_s":4294967295})", WithKey(kOperatorKey));
+  EXPECT_EQ(answer.status, 200);
+  std::string key = Json::parse(answer.body).value("key", "");
+  EXPECT_EQ(key.substr(0, 3), "dd_");
+  EXPECT_EQ(answer.body.find(key), answer.body.rfind(key));
+  ASSERT_EQ(port.edits.size(), 1U);
+  const auto& entry = std::get<IssueKey>(port.edits[0].edits[0]).key;
+  EXPECT_EQ(entry.digest, KeyDigest(key));
+  EXPECT_EQ(entry.team, "red");
+  ASSERT_TRUE(entry.expiry.has_value());
+  EXPECT_GT(*entry.expiry, std::chrono::system_clock::now() + std::chrono::hours(24 * 365 * 100));
+}
+
+// Guards against broken, oversized or slow requests that end the server or keep others from it.
+TEST(ApiServer, ServesOthersDespiteBadConnections)
+{
+  Port port(ApiPort::Callers);
+  auto slow = RawConnection::Connect(port.Address());
+  ASSERT_TRUE(slow);
+  ASSERT_TRUE(slow->Send("GET /healthz HT"));
+  for (const std::string& bytes :
+       { std::string("\0\xff\x16\x03 garbage\r\n\r\n", 16),
+         std::string("POST /v1/jobs HTTP/1.1\r\nContent-Length: 99\r\n\r\n{"),
+         "GET / HTTP/1.1\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n" }) {
+    auto bad = RawConnection::Connect(port.Address());
+    ASSERT_TRUE(bad);
+    bad->Send(bytes);
+    bad->EndSending();
+    bad->AwaitEnd();
+    httplib::Result good = port.Client().Get("/healthz");
+    ASSERT_TRUE(good);
+    EXPECT_EQ(good->status, 200);
+  }
+  ASSERT_TRUE(slow->Send("TP/1.1\r\nConnection: close\r\n\r\n"));
+  EXPECT_EQ(slow->ReceiveUntil("\r\n"), "HTTP/1.1 200 OK\r\n");
+  EXPECT_TRUE(port.calls.empty());
+}
+
+} // namespace
+} // namespace daisydrift
