--- a/packages/daemon/src/ApiServer.cpp
+++ b/packages/daemon/src/ApiServer.cpp
@@ -358,7 +358,6 @@
   routed.weight = team == config->Document().teams.end() ? 1 : team->second.weight;
   routed.request.method = aRequest.method;
   // The raw target keeps the caller's encoding of path and query.
-  std::string prefix = "/v1/services/" + service + "/requests";
   std::size_t start = aRequest.target.find("/requests/");
   routed.request.target = start == std::string::npos ? "/" : aRequest.target.substr(start + 9);
   routed.request.headers = PassedHeaders(aRequest, identity->team);
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -23,6 +23,9 @@
 /// requests. Balancers look at readiness about once a second.
 constexpr std::chrono::milliseconds kReadinessLead{ 2500 };
 constexpr std::chrono::milliseconds kPeerStopLimit{ 5000 };
+constexpr std::size_t kCallerThreads = 96;
+constexpr std::size_t kOperatorThreads = 16;
+constexpr std::chrono::seconds kLongestKeepAlive{ 5 };
 constexpr std::chrono::milliseconds kDirectoryTimeout{ 2000 };
 
 std::string ReadFirstLine(const std::string& aFile,
@@ -276,7 +279,13 @@
   options.limits.readTimeout = this->settings.limits.headerTimeout;
   options.tls = { this->settings.tlsCertificateFile, this->settings.tlsKeyFile };
   options.operatorKeyDigest = this->secrets.operatorKeyDigest;
-  options.limits.threads = aPort == ApiPort::Callers ? 96 : 16;
+  options.limits.maxHeaderBytes = this->settings.limits.headerBytes;
+  // Each open connection takes a thread, so few are served at once and idle ones are kept for a
+  // short time only.
+  std::size_t threads = aPort == ApiPort::Callers ? kCallerThreads : kOperatorThreads;
+  options.limits.threads = std::min<std::size_t>(threads, this->settings.limits.connections);
+  options.limits.keepAlive = std::min(
+    kLongestKeepAlive, std::chrono::ceil<std::chrono::seconds>(this->settings.limits.idleTimeout));
   ApiHooks hooks;
   hooks.config = [this] { return this->config.View(); };
   hooks.isConfigFresh = [this] { return this->config.MayAcceptKeyedWork(); };
--- a/packages/daemon/src/HttpServer.cpp
+++ b/packages/daemon/src/HttpServer.cpp
@@ -12,6 +12,19 @@
   std::thread thread;
 };
 
+namespace {
+
+std::size_t HeaderBytes(const httplib::Request& aRequest)
+{
+  std::size_t bytes = aRequest.target.size();
+  for (const auto& [name, value] : aRequest.headers) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
 HttpServer::HttpServer(HttpLimits aLimits, const TlsFiles& aTls)
   : runner(std::make_unique<Runner>())
   , isTls(aTls.IsSet())
@@ -25,6 +38,17 @@
     return new httplib::ThreadPool(threads);
   };
   this->server->set_payload_max_length(aLimits.maxBodyBytes);
+  this->server->set_pre_routing_handler(
+    [limit = aLimits.maxHeaderBytes](const httplib::Request& aRequest,
+                                     httplib::Response& aResponse) {
+      if (HeaderBytes(aRequest) <= limit) {
+        return httplib::Server::HandlerResponse::Unhandled;
+      }
+      SendProblem(
+        { 431, "header_too_large", "the header is over the limit of this port", "not_run", {}, {} },
+        aResponse);
+      return httplib::Server::HandlerResponse::Handled;
+    });
   this->server->set_read_timeout(aLimits.readTimeout);
   this->server->set_write_timeout(aLimits.writeTimeout);
   this->server->set_keep_alive_timeout(aLimits.keepAlive.count());
--- a/packages/daemon/src/HttpServer.h
+++ b/packages/daemon/src/HttpServer.h
@@ -21,6 +21,8 @@
 struct HttpLimits
 {
   std::size_t maxBodyBytes = 1024 * 1024;
+  /// All names and values of a request's header together.
+  std::size_t maxHeaderBytes = 16 * 1024;
   /// Threads; each open connection takes one while it is kept.
   std::size_t threads = 64;
   /// A peer that sends nothing for this long in the middle of a request is disconnected.
--- a/packages/daemon/src/LeaderCalls.cpp
+++ b/packages/daemon/src/LeaderCalls.cpp
@@ -178,10 +178,9 @@
         aReply({ make_error_code(Errc::NotFound), 0 });
         return;
       }
-      aLeader.Cancel(
-        jobs, this->clock.Now(), deadline, [aReply](std::error_code aError, std::size_t aCount) {
-          aReply({ aError, aCount });
-        });
+      aLeader.Cancel(jobs, deadline, [aReply](std::error_code aError, std::size_t aCount) {
+        aReply({ aError, aCount });
+      });
     },
     aCall.deadline + Duration(kReplyReserve));
   if (!outcome) {
--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -408,7 +408,6 @@
 }
 
 void RegionLeader::Cancel(const std::vector<JobNumber>& aJobs,
-                          TimePoint aNow,
                           TimePoint aDeadline,
                           const std::function<void(std::error_code, std::size_t)>& aReply)
 {
@@ -423,7 +422,6 @@
     aReply({}, 0);
     return;
   }
-  static_cast<void>(aNow);
   // The deadline applies to the whole request: either all its entries are given up or none is,
   // since they have the same deadline and are committed in order. The reply tells what the last one
   // became.
--- a/packages/daemon/src/RegionLeader.h
+++ b/packages/daemon/src/RegionLeader.h
@@ -104,7 +104,6 @@
   void Submit(SubmitCall aCall, TimePoint aNow);
   /// Cancels the jobs given; aReply gets the error and the number of jobs after the commit.
   void Cancel(const std::vector<JobNumber>& aJobs,
-              TimePoint aNow,
               TimePoint aDeadline,
               const std::function<void(std::error_code, std::size_t)>& aReply);
 
--- a/packages/daemon/tests/ApiServerTest.cpp
+++ b/packages/daemon/tests/ApiServerTest.cpp
@@ -155,7 +155,13 @@
   textDeadline.emplace("Daisydrift-Deadline-Ms", "5s");
   httplib::Headers longId = WithKey(kKey);
   longId.emplace("Idempotency-Key", std::string(201, 'i'));
+  // No single line is over the library's limit of 8 KiB; together they are over the port's limit.
+  httplib::Headers largeHeader = WithKey(kKey);
+  for (int i = 0; i < 4; ++i) {
+    largeHeader.emplace("Filler-" + std::to_string(i), std::string(5000, 'x'));
+  }
   const std::vector<Case> kCases = {
+    { "/v1/jobs", kJob, largeHeader, 431, "header_too_large" },
     { "/v1/jobs", kJob, {}, 401, "key_missing" },
     { "/v1/jobs", kJob, { { "Daisydrift-Team", "red" } }, 401, "key_missing" },
     { "/v1/jobs", kJob, WithKey("dd_unknown"), 401, "key_refused" },
--- /dev/null
+++ b/packages/daemon/tests/CancelTest.cpp
@@ -0,0 +1,48 @@
+// Guards against a cancellation without a selector that ends all open jobs.
+
+#include "LeaderCalls.h"
+
+#include <gtest/gtest.h>
+
+namespace daisydrift {
+namespace {
+
+TEST(CancelTest, NeedsASelector)
+{
+  ManualClock clock;
+  bool hasReachedLeader = false;
+  LeaderCalls calls(
+    "r",
+    clock,
+    [&](const std::function<void(RegionLeader*)>&) { hasReachedLeader = true; },
+    [] { return ConfigDocument(); });
+  for (const char* body : { "{}", "[]", "", "{\"job\": 7}", "{\"jobs\": \"r-1\"}" }) {
+    Call call;
+    call.kind = CallKind::Cancel;
+    call.body = body;
+    CallReply reply = calls.Handle(call);
+    EXPECT_EQ(reply.status, 400) << body;
+    EXPECT_NE(reply.body.find("\"not_run\""), std::string::npos) << reply.body;
+  }
+  EXPECT_FALSE(hasReachedLeader);
+}
+
+TEST(CancelTest, WithoutLeaderIsNotRun)
+{
+  ManualClock clock;
+  LeaderCalls calls(
+    "r",
+    clock,
+    [](const std::function<void(RegionLeader*)>& aWork) { aWork(nullptr); },
+    [] { return ConfigDocument(); });
+  Call call;
+  call.kind = CallKind::Cancel;
+  call.body = R"({"name": "n"})";
+  call.deadline = std::chrono::seconds(1);
+  CallReply reply = calls.Handle(call);
+  EXPECT_EQ(reply.status, 503);
+  EXPECT_NE(reply.body.find("\"not_run\""), std::string::npos) << reply.body;
+}
+
+} // namespace
+} // namespace daisydrift
--- a/packages/daemon/tests/RegionHistory.cpp
+++ b/packages/daemon/tests/RegionHistory.cpp
@@ -242,10 +242,8 @@
   std::size_t index = this->Random(static_cast<unsigned>(this->accepted.size()));
   // Counts as cancelled from the request on: it may take effect without an answer.
   this->accepted[index].isCancelled = true;
-  this->leaders.back().region->Cancel({ this->accepted[index].job },
-                                      this->clock.Now(),
-                                      this->clock.Now() + 5s,
-                                      [](std::error_code, std::size_t) {});
+  this->leaders.back().region->Cancel(
+    { this->accepted[index].job }, this->clock.Now() + 5s, [](std::error_code, std::size_t) {});
 }
 
 void RegionHistory::DeliverDue()
--- a/packages/settings/src/SettingsSchema.cpp
+++ b/packages/settings/src/SettingsSchema.cpp
@@ -256,16 +256,16 @@
     "bytes",
     "Largest header of a request.",
     [](auto& aSettings, auto& aValue) { aSettings.limits.headerBytes = aValue.integer; }));
-  aOut.push_back(IntegerSpec("limits.connections",
-                             1,
-                             65536,
-                             "4096",
-                             "",
-                             "Open connections of callers and operators.",
-                             [](auto& aSettings, auto& aValue) {
-                               aSettings.limits.connections =
-                                 static_cast<std::uint32_t>(aValue.integer);
-                             }));
+  aOut.push_back(IntegerSpec(
+    "limits.connections",
+    1,
+    65536,
+    "4096",
+    "",
+    "Connections served at once; at most 96 of callers and 16 of operators, further ones wait.",
+    [](auto& aSettings, auto& aValue) {
+      aSettings.limits.connections = static_cast<std::uint32_t>(aValue.integer);
+    }));
   aOut.push_back(IntegerSpec(
     "limits.header_timeout_ms",
     100,
@@ -280,7 +280,7 @@
     3600000,
     "60000",
     "ms",
-    "Time after which a connection without a request is closed.",
+    "Time after which a connection without a request is closed; at most 5 s.",
     [](auto& aSettings, auto& aValue) { aSettings.limits.idleTimeout = Milliseconds(aValue); }));
   aOut.push_back(ChoiceSpec(
     "log.level",
--- a/packages/standins/src/HttpListener.cpp
+++ b/packages/standins/src/HttpListener.cpp
@@ -7,7 +7,7 @@
   this->server.new_task_queue = [aThreads] { return new httplib::ThreadPool(aThreads); };
   this->server.set_tcp_nodelay(true);
   this->server.set_keep_alive_max_count(1'000'000);
-  this->server.set_keep_alive_timeout(60);
+  this->server.set_keep_alive_timeout(10);
 }
 
 HttpListener::~HttpListener()
