Longer backlog of the HTTP ports; connect limit above one lost SYN; old channels closed

Channels to replaced instances were never closed. Change: the connect limit is 1.5 s, below the clock margin of seat checks; the daemon's ports listen again with 512; the membership keeps channels to seats and unproved former holders only. Ruled out: a limit of 3 s (above the margin of 2 s); a longer backlog in the test's stand-in only, which would hide it from the product. Conclusion: a burst from the load balancer no longer costs a second.

--- a/packages/daemon/src/HttpServer.cpp
+++ b/packages/daemon/src/HttpServer.cpp
@@ -10,10 +10,25 @@
 struct HttpServer::Runner
 {
   std::thread thread;
+  std::function<bool()> raiseBacklog;
 };
 
 namespace {
 
+/// Connections that wait to be accepted. Debian's cpp-httplib listens with 5; a burst beyond that
+/// loses its SYN packets, and those callers wait 1 s for the second try.
+constexpr int kListenBacklog = 512;
+
+/// A server whose listening socket can be given a longer backlog.
+template<typename Base>
+class BacklogServer : public Base
+{
+public:
+  using Base::Base;
+  /// To be called after the port was bound; listening again on a socket changes its backlog only.
+  bool RaiseBacklog() { return ::listen(this->svr_sock_, kListenBacklog) == 0; }
+};
+
 std::size_t HeaderBytes(const httplib::Request& aRequest)
 {
   std::size_t bytes = aRequest.target.size();
@@ -30,9 +45,14 @@
   , isTls(aTls.IsSet())
 {
   if (this->isTls) {
-    this->server = std::make_unique<httplib::SSLServer>(aTls.certificate.c_str(), aTls.key.c_str());
+    auto server = std::make_unique<BacklogServer<httplib::SSLServer>>(aTls.certificate.c_str(),
+                                                                      aTls.key.c_str());
+    this->runner->raiseBacklog = [raw = server.get()] { return raw->RaiseBacklog(); };
+    this->server = std::move(server);
   } else {
-    this->server = std::make_unique<httplib::Server>();
+    auto server = std::make_unique<BacklogServer<httplib::Server>>();
+    this->runner->raiseBacklog = [raw = server.get()] { return raw->RaiseBacklog(); };
+    this->server = std::move(server);
   }
   this->server->new_task_queue = [threads = aLimits.threads] {
     return new httplib::ThreadPool(threads);
@@ -90,6 +110,9 @@
   } else if (!this->server->bind_to_port(aEndpoint.address.c_str(), aEndpoint.port)) {
     return false;
   }
+  if (!this->runner->raiseBacklog()) {
+    return false;
+  }
   this->runner->thread = std::thread([this] { this->server->listen_after_bind(); });
   while (!this->server->is_running()) {
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
--- a/packages/daemon/src/Membership.cpp
+++ b/packages/daemon/src/Membership.cpp
@@ -376,9 +376,26 @@
   }
 }
 
+void Membership::DropOldChannels(const std::vector<PeerInfo>& aPeers)
+{
+  std::vector<Endpoint> used;
+  for (const PeerInfo& peer : aPeers) {
+    used.push_back(peer.rpc);
+  }
+  // Former holders are not in the seat table any more, but are asked whether they have stopped.
+  for (const RoleHolder& former : this->UnprovedFormers()) {
+    Endpoint endpoint;
+    if (ParseEndpoint(former.address, endpoint)) {
+      used.push_back(endpoint);
+    }
+  }
+  this->channels.Retain(used);
+}
+
 void Membership::BeatAll()
 {
   std::vector<std::future<void>> beats;
+  this->DropOldChannels(this->peers.All());
   for (const PeerInfo& peer : this->peers.All()) {
     auto done = std::make_shared<std::promise<void>>();
     beats.push_back(done->get_future());
@@ -501,21 +518,24 @@
   }
 }
 
-void Membership::ProbeFormers()
+std::vector<RoleHolder> Membership::UnprovedFormers() const
 {
+  std::lock_guard lock(this->rolesMutex);
   std::vector<RoleHolder> formers;
-  {
-    std::lock_guard lock(this->rolesMutex);
-    if (this->seat.StateName() == "waiting") {
-      formers = this->seat.Formers();
-    }
-    if (this->leadership.LeaderEpoch() != 0 &&
-        !this->leadership.FormersStoppedAt(this->clock.Now())) {
-      formers.insert(
-        formers.end(), this->leadership.Formers().begin(), this->leadership.Formers().end());
-    }
+  if (this->seat.StateName() == "waiting") {
+    formers = this->seat.Formers();
+  }
+  if (this->leadership.LeaderEpoch() != 0 &&
+      !this->leadership.FormersStoppedAt(this->clock.Now())) {
+    formers.insert(
+      formers.end(), this->leadership.Formers().begin(), this->leadership.Formers().end());
   }
-  for (const RoleHolder& former : formers) {
+  return formers;
+}
+
+void Membership::ProbeFormers()
+{
+  for (const RoleHolder& former : this->UnprovedFormers()) {
     Endpoint endpoint;
     if (!ParseEndpoint(former.address, endpoint)) {
       continue;
--- a/packages/daemon/src/Membership.h
+++ b/packages/daemon/src/Membership.h
@@ -114,6 +114,10 @@
   void FetchConfigFrom(const Endpoint& aEndpoint);
   void NotifySuccession(const PeerInfo& aPeer);
   void ProbeFormers();
+  /// Earlier holders of this instance's roles that are not known to have stopped.
+  std::vector<RoleHolder> UnprovedFormers() const;
+  /// Closes channels to instances that have been replaced.
+  void DropOldChannels(const std::vector<PeerInfo>& aPeers);
   std::set<InstanceId> RegionPeers() const;
   Heartbeat OwnState() const;
 
--- a/packages/daemon/tests/ApiServerTest.cpp
+++ b/packages/daemon/tests/ApiServerTest.cpp
@@ -1,6 +1,11 @@
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "ApiServer.h"
 
@@ -321,5 +326,44 @@
   EXPECT_TRUE(port.calls.empty());
 }
 
+/// Connects without waiting; the connection is complete once the socket is writable.
+int BeginConnect(const Endpoint& aEndpoint)
+{
+  int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aEndpoint.port);
+  inet_pton(AF_INET, aEndpoint.address.c_str(), &address.sin_addr);
+  static_cast<void>(connect(handle, reinterpret_cast<const sockaddr*>(&address), sizeof address));
+  return handle;
+}
+
+/// Waits until a connection is complete; returns how often a segment of it was sent again.
+unsigned RetransmissionsOf(int aHandle)
+{
+  pollfd waited{ aHandle, POLLOUT, 0 };
+  poll(&waited, 1, 60'000);
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  getsockopt(aHandle, IPPROTO_TCP, TCP_INFO, &info, &size);
+  return info.tcpi_state == TCP_ESTABLISHED ? info.tcpi_total_retrans : 1;
+}
+
+// Guards against a backlog so short that a burst of callers loses its first SYN and waits 1 s.
+TEST(ApiServer, AcceptsABurstOfConnections)
+{
+  Port port(ApiPort::Callers);
+  std::vector<int> handles;
+  for (int i = 0; i < 400; ++i) {
+    handles.push_back(BeginConnect(port.Address()));
+  }
+  unsigned retransmissions = 0;
+  for (int handle : handles) {
+    retransmissions += RetransmissionsOf(handle);
+    close(handle);
+  }
+  EXPECT_EQ(retransmissions, 0u);
+}
+
 } // namespace
 } // namespace daisydrift
--- a/packages/platform/src/HttpConnections.cpp
+++ b/packages/platform/src/HttpConnections.cpp
@@ -4,8 +4,10 @@
 
 namespace {
 
-/// Longest time for connecting. A process that lives answers within milliseconds.
-constexpr std::chrono::milliseconds kMaxConnectTime{ 1000 };
+/// Longest time for connecting. It allows for one lost SYN, which is sent again after 1 s: a burst
+/// of connections can overflow the backlog of a listener (5 in cpp-httplib). It stays below the
+/// clock margin of seat checks (2 s).
+constexpr std::chrono::milliseconds kMaxConnectTime{ 1500 };
 /// Idle connections kept for one endpoint.
 constexpr std::size_t kMaxIdleConnections = 8;
 
