Demonstration shows that a reused idempotency key with another body is refused

Cause: the refusal had no run outside the unit of the leader. Change: the demonstration submits another body under a used key and fails when it is accepted. Ruled out: nothing. Conclusion: the same key with the same body gives the same job, with another body a refusal.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -104,6 +104,10 @@
 echo "the same submission twice: $again and $twice"
 echo "$again" > "$RUN/repeated.job"
 [ "$again" = "$twice" ] || { echo "FAILED: one idempotency key gave two jobs"; exit 1; }
+if team bursary submit "$RUN/watcher.json" --idempotency-key repeated; then
+  echo "FAILED: one idempotency key was accepted with another body"
+  exit 1
+fi
 cat > "$RUN/impossible.json" <<'JOB'
 { "name": "impossible", "size": { "milli_cores": 64000, "memory_mib": 1024 } }
 JOB
@@ -189,7 +193,7 @@
 printf '%-28s %s\n' "  refused, not run" "$(grep -c outcome=not_run "$HISTORY" || true)"
 printf '%-28s %s\n' "  outcome unknown" "$(grep -c outcome=unknown "$HISTORY" || true)"
 printf '%-28s %s\n' "jobs accepted" "4 and 1 repeated submission"
-printf '%-28s %s\n' "jobs refused" "1 (no worker is large enough)"
+printf '%-28s %s\n' "jobs refused" "2 (key reused with another body; no worker is large enough)"
 say "store"
 exec 3<> "/dev/tcp/127.0.0.1/$STORE_PORT"
 printf 'GET /v1/stats HTTP/1.0\r\n\r\n' >&3
