Neutral region name in a test

Cause: a test used a place name of a deployment. Change: 'north', as in the other tests. Ruled out: nothing. Measured: rpc.PeerContractTest passes. Conclusion: no behaviour changes.

--- a/packages/rpc/tests/PeerContractTest.cpp
+++ b/packages/rpc/tests/PeerContractTest.cpp
@@ -75,7 +75,7 @@
   auto config = channel->FetchConfig(kHangLimit);
   ASSERT_TRUE(config);
   EXPECT_EQ(*config, (ConfigReply{ 99, std::string(1'000'000, 'c') }));
-  SuccessorNotice notice{ "scheduler/erongo", 8, 6 };
+  SuccessorNotice notice{ "scheduler/north", 8, 6 };
   auto ack = channel->NotifySuccessor(notice, kHangLimit);
   ASSERT_TRUE(ack);
   EXPECT_EQ(*ack, (SuccessorAck{ false, std::nullopt, 5s }));
