One path for heartbeat evidence; no copies on the leader's step and status

Cause: reading the whole change once more. The answer of a heartbeat was given to the evidence of both roles in three copies; each step of the leader built its queue of entries anew although nothing had expired; each status call copied the whole configuration; two members were never read. Change: Membership::NoteEvidence; CommitQueue::DropExpired returns early; LeaderCalls takes the configuration by reference; KnownLeader::seenAt and ConfigHolder::IsFallbackReadDue are gone. Conclusion: behaviour is unchanged.

--- a/packages/daemon/src/CommitQueue.cpp
+++ b/packages/daemon/src/CommitQueue.cpp
@@ -1,5 +1,6 @@
 #include "CommitQueue.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace daisydrift {
@@ -111,10 +112,17 @@
 
 void CommitQueue::DropExpired(TimePoint aNow)
 {
+  auto isExpired = [aNow](const Pending& aPending) {
+    return aPending.deadline && *aPending.deadline <= aNow;
+  };
+  // Runs in every step; the queue is built anew only when something has expired.
+  if (std::none_of(this->entries.begin(), this->entries.end(), isExpired)) {
+    return;
+  }
   std::deque<Pending> kept;
   std::vector<Action> dropped;
   for (Pending& pending : this->entries) {
-    if (pending.deadline && *pending.deadline <= aNow) {
+    if (isExpired(pending)) {
       dropped.push_back(std::move(pending.action));
     } else {
       kept.push_back(std::move(pending));
--- a/packages/daemon/src/ConfigHolder.cpp
+++ b/packages/daemon/src/ConfigHolder.cpp
@@ -78,12 +78,6 @@
   return this->confirmedAt;
 }
 
-bool ConfigHolder::IsFallbackReadDue(bool aIsLeader) const
-{
-  std::lock_guard lock(this->mutex);
-  return this->freshness.IsFallbackReadDue(this->clock.Now(), aIsLeader);
-}
-
 void ConfigHolder::Adopt(ConfigDocument aDocument)
 {
   auto adopted = MakeRef<const ConfigView>(std::move(aDocument));
--- a/packages/daemon/src/ConfigHolder.h
+++ b/packages/daemon/src/ConfigHolder.h
@@ -41,8 +41,6 @@
   bool IsKnown() const;
   /// When the document was last confirmed by the store.
   TimePoint ConfirmedAt() const;
-  /// True when a read is due because the watch gave no answer.
-  bool IsFallbackReadDue(bool aIsLeader) const;
 
 private:
   void Adopt(ConfigDocument aDocument);
--- a/packages/daemon/src/LeaderCalls.cpp
+++ b/packages/daemon/src/LeaderCalls.cpp
@@ -94,7 +94,7 @@
 LeaderCalls::LeaderCalls(std::string aRegion,
                          const Clock& aClock,
                          Post aPost,
-                         std::function<ConfigDocument()> aConfig)
+                         std::function<const ConfigDocument&()> aConfig)
   : region(std::move(aRegion))
   , clock(aClock)
   , post(std::move(aPost))
--- a/packages/daemon/src/LeaderCalls.h
+++ b/packages/daemon/src/LeaderCalls.h
@@ -23,7 +23,7 @@
   LeaderCalls(std::string aRegion,
               const Clock& aClock,
               Post aPost,
-              std::function<ConfigDocument()> aConfig);
+              std::function<const ConfigDocument&()> aConfig);
 
   /// Answers a call; blocks up to its deadline.
   CallReply Handle(const Call& aCall);
@@ -44,7 +44,7 @@
   std::string region;
   const Clock& clock;
   Post post;
-  std::function<ConfigDocument()> config;
+  std::function<const ConfigDocument&()> config;
 };
 
 } // namespace daisydrift
--- a/packages/daemon/src/LeaderRunner.cpp
+++ b/packages/daemon/src/LeaderRunner.cpp
@@ -44,7 +44,7 @@
         [this](std::function<void(RegionLeader*)> aWork) {
           this->Post([this, work = std::move(aWork)] { work(this->leader.get()); });
         },
-        [this] { return *this->config; })
+        [this]() -> const ConfigDocument& { return *this->config; })
   {
   }
 
--- a/packages/daemon/src/Membership.cpp
+++ b/packages/daemon/src/Membership.cpp
@@ -232,7 +232,7 @@
       ReadLeaderOf(this->store, this->options.region, LeaderLease().callTimeout);
     this->OnStoreCall(leader.Error() == Errc::NotFound ? std::error_code() : leader.Error(), aNow);
     if (leader && leader->epoch != 0) {
-      KnownLeader known{ {}, leader->epoch, aNow };
+      KnownLeader known{ {}, leader->epoch };
       ParseEndpoint(leader->address, known.rpc);
       {
         std::lock_guard lock(this->leadersMutex);
@@ -427,19 +427,25 @@
   }
   if (reply.Failure() == PeerFailure::Refused) {
     this->peers.OnRefused(aPeer.seat.instance);
-    std::lock_guard lock(this->rolesMutex);
-    this->seat.Evidence().OnAnswer(aPeer.seat.instance, PeerAnswer::Refused, sentAt);
-    this->leadership.Evidence().OnAnswer(aPeer.seat.instance, PeerAnswer::Refused, sentAt);
+    this->NoteEvidence(aPeer.seat.instance, PeerAnswer::Refused, PeerAnswer::Refused, sentAt);
   }
 }
 
+void Membership::NoteEvidence(const InstanceId& aPeer,
+                              PeerAnswer aForSeat,
+                              PeerAnswer aForLeader,
+                              TimePoint aSentAt)
+{
+  std::lock_guard lock(this->rolesMutex);
+  this->seat.Evidence().OnAnswer(aPeer, aForSeat, aSentAt);
+  this->leadership.Evidence().OnAnswer(aPeer, aForLeader, aSentAt);
+}
+
 void Membership::TakeAnswer(const PeerInfo& aPeer, const Heartbeat& aAnswer, TimePoint aSentAt)
 {
   // An answer of another process at the same address says nothing about the instance in the table.
   if (aAnswer.instance != aPeer.seat.instance) {
-    std::lock_guard lock(this->rolesMutex);
-    this->seat.Evidence().OnAnswer(aPeer.seat.instance, PeerAnswer::Refused, aSentAt);
-    this->leadership.Evidence().OnAnswer(aPeer.seat.instance, PeerAnswer::Refused, aSentAt);
+    this->NoteEvidence(aPeer.seat.instance, PeerAnswer::Refused, PeerAnswer::Refused, aSentAt);
     return;
   }
   PeerAnswer plain =
@@ -450,16 +456,12 @@
     bool isLeaderRole = successor.scope == LeaderRole(this->options.region);
     (isLeaderRole ? forLeader : forSeat) = PeerAnswer::SuccessorKnown;
   }
-  {
-    std::lock_guard lock(this->rolesMutex);
-    this->seat.Evidence().OnAnswer(aPeer.seat.instance, forSeat, aSentAt);
-    this->leadership.Evidence().OnAnswer(aPeer.seat.instance, forLeader, aSentAt);
-  }
+  this->NoteEvidence(aPeer.seat.instance, forSeat, forLeader, aSentAt);
   if (aAnswer.highestEpoch != 0) {
     std::lock_guard lock(this->leadersMutex);
     KnownLeader& known = this->leaders[aAnswer.region];
     if (aAnswer.highestEpoch >= known.epoch) {
-      known = { aPeer.rpc, aAnswer.highestEpoch, this->clock.Now() };
+      known = { aPeer.rpc, aAnswer.highestEpoch };
     }
   }
   if (aAnswer.configVersion > this->config.Version()) {
--- a/packages/daemon/src/Membership.h
+++ b/packages/daemon/src/Membership.h
@@ -98,7 +98,6 @@
   {
     Endpoint rpc;
     Epoch epoch = 0;
-    TimePoint seenAt{};
   };
 
   void RunRoles();
@@ -110,6 +109,11 @@
   void LogStates();
   void BeatAll();
   void Beat(const PeerInfo& aPeer);
+  /// Gives what a heartbeat sent at aSentAt showed about a peer to the evidence of both roles.
+  void NoteEvidence(const InstanceId& aPeer,
+                    PeerAnswer aForSeat,
+                    PeerAnswer aForLeader,
+                    TimePoint aSentAt);
   void TakeAnswer(const PeerInfo& aPeer, const Heartbeat& aAnswer, TimePoint aSentAt);
   void FetchConfigFrom(const Endpoint& aEndpoint);
   void NotifySuccession(const PeerInfo& aPeer);
--- a/packages/daemon/tests/CancelTest.cpp
+++ b/packages/daemon/tests/CancelTest.cpp
@@ -7,6 +7,12 @@
 namespace daisydrift {
 namespace {
 
+const ConfigDocument& NoConfig()
+{
+  static const ConfigDocument sConfig;
+  return sConfig;
+}
+
 TEST(CancelTest, NeedsASelector)
 {
   ManualClock clock;
@@ -15,7 +21,7 @@
     "r",
     clock,
     [&](const std::function<void(RegionLeader*)>&) { hasReachedLeader = true; },
-    [] { return ConfigDocument(); });
+    NoConfig);
   for (const char* body : { "{}", "[]", "", "{\"job\": 7}", "{\"jobs\": \"r-1\"}" }) {
     Call call;
     call.kind = CallKind::Cancel;
@@ -31,10 +37,7 @@
 {
   ManualClock clock;
   LeaderCalls calls(
-    "r",
-    clock,
-    [](const std::function<void(RegionLeader*)>& aWork) { aWork(nullptr); },
-    [] { return ConfigDocument(); });
+    "r", clock, [](const std::function<void(RegionLeader*)>& aWork) { aWork(nullptr); }, NoConfig);
   Call call;
   call.kind = CallKind::Cancel;
   call.body = R"({"name": "n"})";
