--- a/packages/daemon/bench/FleetBench.cpp
+++ b/packages/daemon/bench/FleetBench.cpp
@@ -229,9 +229,10 @@
   std::size_t count = aFleet.Instances().size();
   for (std::size_t i = 0; i < count; ++i) {
     if (!aFleet.Instances()[i].isStopped) {
-      aFleet.StartInstance();
+      // All seats are taken, so the new instance can serve only after the old one has left.
       aFleet.Signal(i, SIGTERM);
       aFleet.WaitForEnd(i);
+      aFleet.StartInstance();
     }
   }
   double elapsed = Seconds(start, SteadyClock().Now());
--- a/packages/daemon/src/LeaderRunner.cpp
+++ b/packages/daemon/src/LeaderRunner.cpp
@@ -392,6 +392,14 @@
         { 400, "wrong_type", std::string("'") + field + "' must be a text", "not_run", {}, {} });
     }
   }
+  if (!json.contains("job") && !json.contains("team") && !json.contains("name")) {
+    return ProblemReply({ 400,
+                          "selector_missing",
+                          "name the jobs to cancel by 'job', 'team' or 'name'",
+                          "not_run",
+                          {},
+                          {} });
+  }
   // Members may cancel the work of their own team only; operators have no team and select any.
   TeamName team = aCall.team.empty() ? json.value("team", std::string()) : aCall.team;
   std::string name = json.value("name", std::string());
