--- a/packages/daemon/bench/FleetBench.cpp
+++ b/packages/daemon/bench/FleetBench.cpp
@@ -16,16 +16,19 @@
 using namespace std::chrono_literals;
 
 constexpr unsigned kInstances = 7;
-constexpr unsigned kWorkers = 50;
+constexpr unsigned kDefaultWorkers = 50;
 constexpr unsigned kUpstreams = 20;
 constexpr std::chrono::seconds kIdleTime{ 10 };
 constexpr std::chrono::seconds kLoadTime{ 10 };
 
+/// Workers of this run, printed with each figure.
+unsigned sWorkers = kDefaultWorkers;
+
 void Print(const char* aMetric, double aValue, const char* aUnit, const std::string& aExtra = "")
 {
   std::printf("bench=fleet instances=%u workers=%u metric=%s value=%.3f unit=%s%s\n",
               kInstances,
-              kWorkers,
+              sWorkers,
               aMetric,
               aValue,
               aUnit,
@@ -243,10 +246,20 @@
   Print("requests_broken", aFleet.Broken(), "requests", " phase=replacement");
 }
 
+/// Figures from which the slopes over the number of workers are taken.
+int RunScale(unsigned aWorkers)
+{
+  sWorkers = aWorkers;
+  FleetHarness fleet(kInstances, aWorkers, kUpstreams);
+  fleet.SetUpFleet(800);
+  MeasureIdle(fleet);
+  MeasureStarts(fleet);
+  return 0;
+}
+
 int Run()
 {
-  ConfigureLogging(LogLevel::Error);
-  FleetHarness fleet(kInstances, kWorkers, kUpstreams);
+  FleetHarness fleet(kInstances, kDefaultWorkers, kUpstreams);
   fleet.SetUpFleet(800);
   MeasureIdle(fleet);
   MeasureStarts(fleet);
@@ -261,7 +274,12 @@
 } // namespace
 } // namespace daisydrift
 
-int main()
+/// Without an argument: all figures with 50 workers. With a number of workers: the figures for the slopes.
+int main(int aCount, char** aArguments)
 {
+  daisydrift::ConfigureLogging(daisydrift::LogLevel::Error);
+  if (aCount > 1) {
+    return daisydrift::RunScale(static_cast<unsigned>(std::strtoul(aArguments[1], nullptr, 10)));
+  }
   return daisydrift::Run();
 }
