--- a/packages/config/tests/TeamTableTest.cpp
+++ b/packages/config/tests/TeamTableTest.cpp
@@ -55,8 +55,8 @@
   }
 }
 
-// Guards against tables from a spreadsheet (byte order mark, CRLF, quotes, other order of columns)
-// that are refused or misread.
+// Guards against tables saved by an office program (byte order mark, CRLF, quotes, other order of
+// columns) that are refused or misread.
 TEST(TeamTable, ReadsTablesOfSpreadsheets)
 {
   Findings findings;
--- a/packages/daemon/bench/FleetBench.cpp
+++ b/packages/daemon/bench/FleetBench.cpp
@@ -274,7 +274,8 @@
 } // namespace
 } // namespace daisydrift
 
-/// Without an argument: all figures with 50 workers. With a number of workers: the figures for the slopes.
+/// Without an argument: all figures with 50 workers. With a number of workers: the figures for the
+/// slopes.
 int main(int aCount, char** aArguments)
 {
   daisydrift::ConfigureLogging(daisydrift::LogLevel::Error);
--- a/packages/daemon/src/ApiServer.cpp
+++ b/packages/daemon/src/ApiServer.cpp
@@ -18,8 +18,6 @@
 constexpr std::chrono::milliseconds kWatchPollInterval{ 250 };
 constexpr std::chrono::seconds kLongestWatch{ 25 };
 constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
-/// Longest life of a key that can be asked for; a larger number would leave the range of times.
-constexpr std::uint64_t kMaxKeyLifeSeconds = std::numeric_limits<std::uint32_t>::max();
 constexpr const char* kBearer = "Bearer ";
 
 std::string BearerKey(const httplib::Request& aRequest)
@@ -28,13 +26,6 @@
   return header.starts_with(kBearer) ? header.substr(std::string_view(kBearer).size()) : "";
 }
 
-/// True when a key may be issued for this number of seconds.
-bool IsKeyLife(const Json& aSeconds)
-{
-  return aSeconds.is_number_unsigned() && aSeconds.get<std::uint64_t>() >= 1 &&
-         aSeconds.get<std::uint64_t>() <= kMaxKeyLifeSeconds;
-}
-
 /// Reads a whole number of milliseconds; returns aDefault when absent and nothing when malformed.
 std::optional<std::chrono::milliseconds> ReadMilliseconds(const std::string& aText,
                                                           std::chrono::milliseconds aDefault)
@@ -69,15 +60,6 @@
   return std::min<std::chrono::milliseconds>(*deadline, kLongestDeadline);
 }
 
-void SendReply(const CallReply& aReply, httplib::Response& aResponse)
-{
-  aResponse.status = aReply.status;
-  for (const auto& [name, value] : aReply.headers) {
-    aResponse.set_header(name, value);
-  }
-  aResponse.set_content(aReply.body, aReply.contentType);
-}
-
 std::string RegionOf(const std::string& aJobId)
 {
   std::string region;
@@ -103,19 +85,6 @@
   return fields;
 }
 
-const char* NameOf(RequestOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case RequestOutcome::Ran:
-      return "ran";
-    case RequestOutcome::NotRun:
-      return "not_run";
-    case RequestOutcome::Unknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 ApiServer::ApiServer(ApiOptions aOptions, ApiHooks aHooks, const Clock& aClock, Metrics& aMetrics)
@@ -129,7 +98,12 @@
   this->RegisterJobs();
   this->RegisterRequests();
   if (this->options.port == ApiPort::Operators) {
-    this->RegisterAdmin();
+    this->admin = std::make_unique<AdminApi>(
+      this->http,
+      this->hooks,
+      [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+        return this->AdmitOperator(aRequest, aResponse);
+      });
   }
 }
 
@@ -394,12 +368,12 @@
   TimePoint begin = this->clock.Now();
   RoutedAnswer answer = this->hooks.route(routed);
   this->metrics.Observe("request_seconds", this->clock.Now() - begin);
-  aResponse.set_header("Daisydrift-Outcome", NameOf(answer.outcome));
+  aResponse.set_header("Daisydrift-Outcome", ToString(answer.outcome));
   if (!answer.code.empty() && answer.body.empty()) {
     SendProblem({ answer.status,
                   answer.code,
                   "the request has no answer of an upstream",
-                  NameOf(answer.outcome),
+                  ToString(answer.outcome),
                   answer.retryAfter.value_or(std::chrono::seconds(0)),
                   {} },
                 aResponse);
@@ -412,181 +386,4 @@
   aResponse.body = answer.body;
 }
 
-void ApiServer::RegisterAdmin()
-{
-  httplib::Server& server = this->http.Server();
-  auto guarded = [this](std::function<void(const httplib::Request&, httplib::Response&)> aHandler) {
-    return [this, handler = std::move(aHandler)](const httplib::Request& aRequest,
-                                                 httplib::Response& aResponse) {
-      if (this->AdmitOperator(aRequest, aResponse)) {
-        handler(aRequest, aResponse);
-      }
-    };
-  };
-  server.Get(
-    "/v1/admin/config", guarded([this](const httplib::Request&, httplib::Response& aResponse) {
-      aResponse.set_content(EncodeConfig(this->hooks.config()->Document(), KeyDigests::Omitted),
-                            "application/json");
-    }));
-  server.Post("/v1/admin/config",
-              guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-                this->EditConfig(aRequest, aResponse);
-              }));
-  server.Post("/v1/admin/keys",
-              guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-                this->IssueKeyFor(aRequest, aResponse);
-              }));
-  server.Delete("/v1/admin/keys/([^/]+)",
-                guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-                  this->RevokeKeyOf(aRequest, aResponse);
-                }));
-  server.Post("/v1/admin/failure-domains/([^/]+)/(drain|return)",
-              guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-                this->ChangeDomain(aRequest, aResponse);
-              }));
-  server.Get("/v1/admin/status",
-             guarded([this](const httplib::Request&, httplib::Response& aResponse) {
-               aResponse.set_content(this->hooks.status(), "application/json");
-             }));
-  server.Get("/v1/admin/audit",
-             guarded([this](const httplib::Request&, httplib::Response& aResponse) {
-               aResponse.set_content(this->hooks.audit(), "application/json");
-             }));
-  server.Get("/v1/admin/queue",
-             guarded([this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-               Call call;
-               call.kind = CallKind::Query;
-               call.path = aRequest.path;
-               call.deadline = kDefaultDeadline;
-               SendReply(this->hooks.callLeader("", call), aResponse);
-             }));
-}
-
-void ApiServer::EditConfig(const httplib::Request& aRequest, httplib::Response& aResponse)
-{
-  Problem problem{ 422, "invalid_edit", "the edit is not valid", "not_run", {}, {} };
-  std::optional<EditRequest> request = ParseEdits(aRequest.body, "request body", problem.findings);
-  if (!request) {
-    SendProblem(problem, aResponse);
-    return;
-  }
-  this->SendEditOutcome(this->hooks.edit(*request), aResponse);
-}
-
-void ApiServer::ApplyEdit(Edit aEdit,
-                          const httplib::Request& aRequest,
-                          httplib::Response& aResponse)
-{
-  EditRequest request;
-  request.baseVersion = this->hooks.config()->Document().version;
-  request.actor = aRequest.has_header("Daisydrift-Actor")
-                    ? aRequest.get_header_value("Daisydrift-Actor")
-                    : "operator";
-  request.editId = aRequest.get_header_value("Idempotency-Key");
-  if (request.editId.empty()) {
-    Result<std::string> id = GenerateId();
-    if (!id) {
-      SendProblem({ 500, "no_random_numbers", "no edit id can be made", "not_run", {}, {} },
-                  aResponse);
-      return;
-    }
-    request.editId = *id;
-  }
-  request.edits.push_back(std::move(aEdit));
-  this->SendEditOutcome(this->hooks.edit(request), aResponse);
-}
-
-void ApiServer::SendEditOutcome(const EditOutcome& aOutcome, httplib::Response& aResponse)
-{
-  if (!aOutcome.error) {
-    aResponse.set_content(
-      Json{ { "version", aOutcome.version }, { "changed", aOutcome.hasChanged } }.dump(),
-      "application/json");
-    return;
-  }
-  if (aOutcome.error == Errc::Conflict) {
-    Json conflicts = Json::array();
-    for (const EditConflict& conflict : aOutcome.conflicts) {
-      conflicts.push_back({ { "row", conflict.row }, { "message", conflict.message } });
-    }
-    Json json =
-      Json::parse(EncodeProblem({ 409,
-                                  "edit_conflict",
-                                  "rows were changed by another operator; nothing was changed",
-                                  "not_run",
-                                  {},
-                                  {} }));
-    json["conflicts"] = conflicts;
-    aResponse.status = 409;
-    aResponse.set_content(json.dump(), "application/problem+json");
-    return;
-  }
-  if (aOutcome.error == Errc::InvalidArgument) {
-    SendProblem({ 422,
-                  "invalid_edit",
-                  "the edit is not valid; nothing was changed",
-                  "not_run",
-                  {},
-                  aOutcome.findings },
-                aResponse);
-    return;
-  }
-  bool isUnknown = aOutcome.error == Errc::OutcomeUnknown;
-  SendProblem({ isUnknown ? 504 : 503,
-                isUnknown ? "outcome_unknown" : "store_unavailable",
-                isUnknown ? "the edit may or may not be in force; repeat it with the same edit id"
-                          : "the store can't be reached; nothing was changed",
-                isUnknown ? "unknown" : "not_run",
-                std::chrono::seconds(2),
-                {} },
-              aResponse);
-}
-
-void ApiServer::IssueKeyFor(const httplib::Request& aRequest, httplib::Response& aResponse)
-{
-  Json json = Json::parse(aRequest.body, nullptr, false);
-  if (!json.is_object() || !json.contains("team") || !json["team"].is_string() ||
-      (json.contains("expires_s") && !IsKeyLife(json["expires_s"]))) {
-    SendProblem({ 400,
-                  "invalid_key_request",
-                  "expected {\"team\": NAME, \"expires_s\": SECONDS}",
-                  "not_run",
-                  {},
-                  {} },
-                aResponse);
-    return;
-  }
-  Result<GeneratedKey> key = GenerateKey();
-  if (!key) {
-    SendProblem({ 500, "no_random_numbers", "no key can be made", "not_run", {}, {} }, aResponse);
-    return;
-  }
-  key->entry.team = json["team"].get<std::string>();
-  if (json.contains("expires_s")) {
-    auto now = std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
-    key->entry.expiry = now + std::chrono::seconds(json["expires_s"].get<std::uint64_t>());
-  }
-  this->ApplyEdit(IssueKey{ key->entry }, aRequest, aResponse);
-  if (aResponse.status == -1 || aResponse.status == 200) {
-    Json answer = Json::parse(aResponse.body);
-    answer["id"] = key->entry.id;
-    answer["prefix"] = key->entry.prefix;
-    answer["key"] = key->text;
-    aResponse.set_content(answer.dump(), "application/json");
-  }
-}
-
-void ApiServer::RevokeKeyOf(const httplib::Request& aRequest, httplib::Response& aResponse)
-{
-  this->ApplyEdit(RevokeKey{ aRequest.matches[1] }, aRequest, aResponse);
-}
-
-void ApiServer::ChangeDomain(const httplib::Request& aRequest, httplib::Response& aResponse)
-{
-  std::string name = aRequest.matches[1];
-  Edit edit = aRequest.matches[2] == "drain" ? Edit(DrainFailureDomain{ name })
-                                             : Edit(ReturnFailureDomain{ name });
-  this->ApplyEdit(std::move(edit), aRequest, aResponse);
-}
-
 } // namespace daisydrift
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "FleetStatus.h"
 #include "LeaderRunner.h"
 #include "Membership.h"
+#include "ProblemReply.h"
 
 #include "daisydrift/routing.h"
 
@@ -57,23 +58,6 @@
   return policy;
 }
 
-Problem NoLeader(const std::string& aDetail)
-{
-  return { 503, "no_leader", aDetail, "not_run", std::chrono::seconds(1), {} };
-}
-
-CallReply ToReply(const Problem& aProblem)
-{
-  CallReply reply{ static_cast<std::uint16_t>(aProblem.status),
-                   "application/problem+json",
-                   EncodeProblem(aProblem),
-                   {} };
-  if (aProblem.retryAfter > std::chrono::seconds::zero()) {
-    reply.headers.emplace_back("Retry-After", std::to_string(aProblem.retryAfter.count()));
-  }
-  return reply;
-}
-
 RequestOutcome OutcomeFrom(const std::string& aText)
 {
   if (aText == "ran") {
@@ -82,19 +66,6 @@
   return aText == "not_run" ? RequestOutcome::NotRun : RequestOutcome::Unknown;
 }
 
-const char* NameOf(RequestOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case RequestOutcome::Ran:
-      return "ran";
-    case RequestOutcome::NotRun:
-      return "not_run";
-    case RequestOutcome::Unknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 DaemonSecrets LoadSecrets(const DaemonSettings& aSettings, Findings& aFindings)
@@ -355,7 +326,7 @@
   }
   std::optional<Endpoint> endpoint = this->membership->LeaderOf(region);
   if (!endpoint) {
-    return ToReply(NoLeader("no leader of region '" + region + "' is known"));
+    return MakeProblemReply(NoLeaderProblem("no leader of region '" + region + "' is known"));
   }
   auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(aCall.deadline) +
                  std::chrono::milliseconds(200);
@@ -364,15 +335,10 @@
     return *reply;
   }
   if (reply.Error() == Errc::OutcomeUnknown && aCall.kind != CallKind::Query) {
-    return ToReply(
-      { 504,
-        "outcome_unknown",
-        "the call may or may not have been carried out; repeat it with the same Idempotency-Key",
-        "unknown",
-        std::chrono::seconds(1),
-        {} });
+    return MakeProblemReply(OutcomeUnknownProblem());
   }
-  return ToReply(NoLeader("the leader did not take the call: " + reply.Error().message()));
+  return MakeProblemReply(
+    NoLeaderProblem("the leader did not take the call: " + reply.Error().message()));
 }
 
 std::optional<RoutedAnswer> Daemon::Parts::ForwardToPeer(const RoutedRequest& aRequest)
@@ -488,7 +454,7 @@
 Result<CallReply> Daemon::Parts::OnCall(const Call& aCall)
 {
   if (!this->leader->IsLeading()) {
-    return ToReply(NoLeader("this instance does not lead the region"));
+    return MakeProblemReply(NoLeaderProblem("this instance does not lead the region"));
   }
   return this->leader->Handle(aCall);
 }
@@ -507,7 +473,7 @@
   return ForwardedReply{ static_cast<std::uint16_t>(answer.status),
                          answer.headers,
                          answer.body,
-                         NameOf(answer.outcome),
+                         ToString(answer.outcome),
                          answer.code };
 }
 
--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -1,11 +1,22 @@
 #include "RegionLeader.h"
 
+#include "RegionConfig.h"
+
 #include <algorithm>
 
 namespace daisydrift {
 
 namespace {
 
+/// Hexadecimal digits of a digest that are kept with each job: 128 bits, enough against chance. A
+/// team that made two texts alike on purpose would harm only itself.
+constexpr std::size_t kShortDigestLength = 32;
+
+std::string ShortDigest(const std::string& aText)
+{
+  return Sha256Hex(aText).substr(0, kShortDigestLength);
+}
+
 EndOutcome ToEndOutcome(AttemptOutcome aOutcome)
 {
   switch (aOutcome) {
@@ -21,52 +32,6 @@
   return EndOutcome::Interrupted;
 }
 
-/// Number of regions that the configuration names; each gets an equal part of every ceiling, so
-/// that the parts never sum to more than the ceiling.
-std::int64_t RegionCount(const ConfigDocument& aConfig)
-{
-  std::set<std::string> regions;
-  for (const auto& [name, domain] : aConfig.failureDomains) {
-    regions.insert(domain.region);
-  }
-  return std::max<std::int64_t>(1, static_cast<std::int64_t>(regions.size()));
-}
-
-std::vector<TeamPolicy> TeamsOf(const ConfigDocument& aConfig,
-                                const std::map<JobNumber, JobRecord>& aJobs)
-{
-  std::int64_t regions = RegionCount(aConfig);
-  std::map<TeamName, TeamPolicy> teams;
-  for (const auto& [name, entry] : aConfig.teams) {
-    Resources ceiling{ entry.ceiling.milliCores / regions,
-                       entry.ceiling.memoryMiB / regions,
-                       entry.ceiling.accelerators / regions };
-    teams[name] = {
-      name, entry.weight, ceiling, static_cast<std::uint32_t>(entry.maxRunningTasks / regions)
-    };
-  }
-  // A team that was removed keeps its accepted jobs visible, with nothing allowed to run.
-  for (const auto& [number, job] : aJobs) {
-    teams.try_emplace(job.team, TeamPolicy{ job.team, 1, {}, 0 });
-  }
-  std::vector<TeamPolicy> list;
-  for (const auto& [name, team] : teams) {
-    list.push_back(team);
-  }
-  return list;
-}
-
-std::set<FailureDomain> DrainedDomains(const ConfigDocument& aConfig)
-{
-  std::set<FailureDomain> drained;
-  for (const auto& [name, domain] : aConfig.failureDomains) {
-    if (domain.isDrained) {
-      drained.insert(name);
-    }
-  }
-  return drained;
-}
-
 } // namespace
 
 RegionLeader::RegionLeader(RegionLeaderOptions aOptions,
@@ -374,8 +339,8 @@
     aCall.reply(reply);
     return;
   }
-  std::string keyDigest = aCall.idempotencyKey.empty() ? "" : Sha256Hex(aCall.idempotencyKey);
-  std::string bodyDigest = Sha256Hex(aCall.body);
+  std::string keyDigest = aCall.idempotencyKey.empty() ? "" : ShortDigest(aCall.idempotencyKey);
+  std::string bodyDigest = ShortDigest(aCall.body);
   if (const IdempotencyRecord* earlier = this->commits.State().FindKey(aCall.team, keyDigest);
       earlier != nullptr && !keyDigest.empty()) {
     reply.isRepeat = true;
--- a/packages/durable/bench/Load.h
+++ b/packages/durable/bench/Load.h
@@ -13,7 +13,7 @@
 constexpr unsigned kStartsPerSecond = 980;
 /// Group commits a second.
 constexpr unsigned kRecordsPerSecond = 40;
-inline const std::string kBenchRegion = "erongo";
+inline const std::string kBenchRegion = "north";
 
 /// Prints one figure as a key=value line; aParameters are further pairs.
 void Print(const std::string& aBench,
--- a/packages/durable/tests/DurableFixtures.h
+++ b/packages/durable/tests/DurableFixtures.h
@@ -9,7 +9,7 @@
 
 namespace daisydrift {
 
-inline const std::string kRegion = "erongo";
+inline const std::string kRegion = "north";
 
 /// Position of an error in the tables below.
 inline const std::vector<std::pair<std::string, StoreFault>> kStoreFaults = {
--- a/packages/membership/tests/LeaseTest.cpp
+++ b/packages/membership/tests/LeaseTest.cpp
@@ -24,11 +24,11 @@
 
   SeatHolder MakeSeat(const std::string& aInstance)
   {
-    return { this->store, this->clock, { 0, aInstance, aInstance + ":1", "swakop", "erongo" } };
+    return { this->store, this->clock, { 0, aInstance, aInstance + ":1", "north-1", "north" } };
   }
   Leadership MakeLeader(const std::string& aInstance)
   {
-    return { this->store, this->clock, "erongo", aInstance, aInstance + ":1" };
+    return { this->store, this->clock, "north", aInstance, aInstance + ":1" };
   }
   void FaultAt(std::size_t aCall, StoreFault aFault)
   {
@@ -128,7 +128,7 @@
     SCOPED_TRACE(end);
     FakeStore fresh(this->clock);
     auto make = [&](const std::string& aId) {
-      return SeatHolder(fresh, this->clock, { 0, aId, aId, "swakop", "erongo" });
+      return SeatHolder(fresh, this->clock, { 0, aId, aId, "north-1", "north" });
     };
     std::vector<SeatHolder> others;
     for (unsigned i = 0; i < kSeatCount - 1; ++i) {
@@ -198,7 +198,7 @@
       if (epoch) {
         EXPECT_GT(*epoch, last);
         last = *epoch;
-        EXPECT_EQ(ReadLeaderOf(this->store, "erongo", 1s)->epoch, last);
+        EXPECT_EQ(ReadLeaderOf(this->store, "north", 1s)->epoch, last);
         EXPECT_EQ(this->MakeLeader("b").Campaign({}).Error(), Errc::Conflict);
       }
       EXPECT_EQ(leader.Status(this->clock.Now()) == LeadershipStatus::Leading, epoch.HasValue());
@@ -232,7 +232,7 @@
   EXPECT_FALSE(slow.Campaign({}));
   EXPECT_EQ(slow.Status(this->clock.Now()), LeadershipStatus::Follower);
   EXPECT_EQ(fast.Status(this->clock.Now()), LeadershipStatus::Leading);
-  EXPECT_EQ(ReadLeaderOf(this->store, "erongo", 1s)->epoch, fastEpoch);
+  EXPECT_EQ(ReadLeaderOf(this->store, "north", 1s)->epoch, fastEpoch);
 }
 
 /// Guards against a leader that acts fully in an outage, or not at all although its peers confirm
