Lost answers to looks and orders are found out sooner

A worker reports an end once for each look; when that answer is lost the leader knew it only after the look's wait of 1 s, 0.5 s and a pause of 0.2 s. Ruled out: advice and the leader's processor (lanes free, rounds below 4 ms in the load lines).

--- a/packages/coordination/src/WorkerLooks.cpp
+++ b/packages/coordination/src/WorkerLooks.cpp
@@ -5,8 +5,13 @@
 namespace daisydrift::coordination {
 
 namespace {
-/// Pause before a worker that did not answer is asked again.
+/// Pause before a worker that did not answer twice is asked again.
 constexpr std::chrono::milliseconds kRetryDelay{ 200 };
+/// Wait of looks while answers get lost: an end is reported once, so a lost answer hides it until
+/// the next look.
+constexpr std::chrono::milliseconds kLossyWait{ 250 };
+/// Time for which one lost answer shortens the looks at all workers.
+constexpr std::chrono::seconds kLossMemory{ 3 };
 /// Time between looks while the store is away: leases go on, ends are seen.
 constexpr std::chrono::milliseconds kAwayInterval{ 300 };
 } // namespace
@@ -64,6 +69,13 @@
   });
 }
 
+Duration WorkerLooks::WaitOfLook(TimePoint aNow) const
+{
+  bool isLossy = this->lostAnswerAt && aNow - *this->lostAnswerAt < kLossMemory;
+  return isLossy ? std::min<Duration>(kLossyWait, this->settings.lookWait)
+                 : this->settings.lookWait;
+}
+
 void WorkerLooks::Look(const WorkerId& aWorker)
 {
   Watch& watch = this->watches[aWorker];
@@ -84,7 +96,7 @@
   request.lastEnd = watch.confirmed;
   request.lease = this->dispatcher.NextLease(aWorker, now);
   // The first look must not wait: it raises the fencing number.
-  request.wait = request.lease && !this->isStoreAway ? this->settings.lookWait : Duration(0);
+  request.wait = request.lease && !this->isStoreAway ? this->WaitOfLook(now) : Duration(0);
   this->gateway.Look(
     *listing,
     request,
@@ -112,10 +124,17 @@
     }
     bool wasNeverSent = aReport.Error() == make_error_code(Errc::Unreachable);
     this->dispatcher.OnSilence(aWorker, wasNeverSent, now);
-    this->LookLater(aWorker, kRetryDelay);
+    // One lost answer is no proof that the worker is out of reach.
+    bool wasWell = watch.hasAnswered;
+    watch.hasAnswered = false;
+    if (wasWell && !wasNeverSent) {
+      this->lostAnswerAt = now;
+    }
+    this->LookLater(aWorker, wasWell ? Duration(0) : Duration(kRetryDelay));
     this->hooks.onNews();
     return;
   }
+  watch.hasAnswered = true;
   if (watch.incarnation != aReport->incarnation) {
     watch.incarnation = aReport->incarnation;
     watch.taken = 0;
--- a/packages/coordination/src/WorkerLooks.h
+++ b/packages/coordination/src/WorkerLooks.h
@@ -42,6 +42,8 @@
   {
     bool isOpen = false;
     bool wasAsked = false;
+    /// The last look was answered.
+    bool hasAnswered = false;
     std::uint64_t taken = 0;
     std::uint64_t confirmed = 0;
     /// Waits for its ends to be stored before the next look.
@@ -50,6 +52,8 @@
     std::int64_t incarnation = 0;
   };
 
+  /// Longest time that a look may wait for an end.
+  Duration WaitOfLook(TimePoint aNow) const;
   void Look(const WorkerId& aWorker);
   void LookLater(const WorkerId& aWorker, Duration aDelay);
   void OnAnswer(const WorkerId& aWorker, TimePoint aSentAt, const Result<WorkerReport>& aReport);
@@ -61,6 +65,8 @@
   Epoch fence;
   Hooks hooks;
   bool isStoreAway = false;
+  /// When a look at a worker that was well had no answer.
+  std::optional<TimePoint> lostAnswerAt;
   std::map<WorkerId, Watch> watches;
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -79,6 +79,32 @@
   this->ExpectAllDone({ "job" }, other, seconds(6));
 }
 
+// The store turns the leader away and serves the others: nobody led until its lease had ended.
+TEST_F(ClusterTest, ALeaderThatTheStoreTurnsAwayHandsLeadershipOver)
+{
+  int leader = this->LeaderNumber();
+  int other = (leader + 1) % 3;
+  ASSERT_EQ(this->Submit(other, "job", 12), SubmitOutcome::Accepted);
+  this->processes[leader]->store.isTurnedAway = true;
+  // The next renewal, its confirmation, an election and a recovery; the lease is longer.
+  this->loop.RunFor(milliseconds(900));
+  int next = this->LeaderNumber();
+  EXPECT_NE(next, leader);
+  EXPECT_GE(next, 0);
+  this->ExpectAllDone({ "job" }, other, seconds(5));
+}
+
+TEST_F(ClusterTest, ALeaderIsNotReplacedDuringAnOutageForAll)
+{
+  int leader = this->LeaderNumber();
+  this->store.isDown = true;
+  this->loop.RunFor(milliseconds(700));
+  this->store.isDown = false;
+  this->loop.RunFor(seconds(2));
+  EXPECT_EQ(this->LeaderNumber(), leader);
+  EXPECT_EQ(this->metrics.CounterValue("terms_total"), 1U);
+}
+
 TEST_F(ClusterTest, LostAndLateAnswersToStartsNeverMakeTwoRuns)
 {
   int starts = 0;
@@ -96,6 +122,29 @@
   this->ExpectAllDone(jobs, 0, seconds(20));
 }
 
+// Load of interactive jobs while one look in twelve has no answer: ends were seen up to 1.7 s late.
+TEST_F(ClusterTest, LostAnswersToLooksKeepFewJobsFromTheirObjective)
+{
+  int looks = 0;
+  this->fleet.isLookLost = [&looks](const WorkerId&) { return ++looks % 12 == 0; };
+  // Objective of the queue: 1.5 x 600 ms + 250 ms.
+  constexpr milliseconds kObjective{ 1150 };
+  constexpr int kJobs = 40;
+  int inTime = 0;
+  for (int number = 0; number < kJobs; ++number) {
+    JobId id = "job" + std::to_string(number);
+    TimePoint begin = this->loop.Now();
+    ASSERT_EQ(this->Submit(number % 3, id, 8), SubmitOutcome::Accepted);
+    while (*this->State(this->LeaderNumber(), id) != DispatchState::Completed) {
+      this->loop.RunFor(milliseconds(10));
+      ASSERT_LT(this->loop.Now() - begin, seconds(10));
+    }
+    inTime += this->loop.Now() - begin <= kObjective ? 1 : 0;
+  }
+  EXPECT_GE(inTime, kJobs * 9 / 10);
+  EXPECT_TRUE(this->fleet.violations.empty());
+}
+
 TEST_F(ClusterTest, RunsOfAVanishedWorkerAreStartedElsewhereOnceTheirLeaseIsOver)
 {
   this->fleet.runTime = seconds(3);
--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -5,6 +5,8 @@
 namespace {
 constexpr std::chrono::milliseconds kWay{ 1 };
 constexpr std::chrono::milliseconds kNoAnswer{ 400 };
+/// Time that the adapter to the platform adds to the wait of a look.
+constexpr std::chrono::milliseconds kLookTimeout{ 200 };
 constexpr std::chrono::milliseconds kStep{ 10 };
 constexpr std::chrono::seconds kLate{ 2 };
 constexpr std::chrono::milliseconds kLongestLease{ 6000 };
@@ -212,7 +214,11 @@
     this->loop.After(kNoAnswer, [aDone] { aDone(Errc::OutcomeUnknown); });
     return;
   }
-  this->loop.After(kWay, [this, id = aWorker.id, aRequest, aFence, aDone] {
+  bool isLost = this->isLookLost && this->isLookLost(aWorker.id);
+  if (isLost) {
+    this->loop.After(aRequest.wait + kLookTimeout, [aDone] { aDone(Errc::OutcomeUnknown); });
+  }
+  this->loop.After(kWay, [this, id = aWorker.id, aRequest, aFence, isLost, aDone] {
     Worker& worker = this->workers[id];
     if (aFence < worker.fence) {
       aDone(Errc::Fenced);
@@ -229,7 +235,9 @@
     }
     std::erase_if(worker.ended,
                   [&](const EndedTask& aEnd) { return aEnd.number <= aRequest.lastEnd; });
-    this->Answer(id, aRequest, this->loop.Now() + aRequest.wait, aDone);
+    if (!isLost) {
+      this->Answer(id, aRequest, this->loop.Now() + aRequest.wait, aDone);
+    }
   });
 }
 
