A leader that the store turns away hands leadership over; lease of 1 s

Change: class Handover offers leadership to the strongest members, which stand at once when they reach the store; lease of membership 1.5 s to 1.0 s (the platform's shortest), renewed every 0.3 s. Ruled out: giving the key up, which needs the store that refuses.

--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -28,12 +28,13 @@
   std::string operatorPrefix;
   std::string workerPrefix;
   DispatchSettings dispatch;
-  /// Lease of membership and leadership: bounds the gap after a leader that vanishes.
-  Duration membershipLease = std::chrono::milliseconds(1500);
+  /// Lease of membership and leadership: bounds the gap after a leader that vanishes. Source: the
+  /// shortest one that the platform's store grants.
+  Duration membershipLease = std::chrono::milliseconds(1000);
   /// Weak instances stand for leadership later, so that strong ones lead.
   Duration standDelay{ 0 };
-  /// Time between renewals: three may be lost.
-  Duration renewInterval = std::chrono::milliseconds(400);
+  /// Time between renewals: two may be lost.
+  Duration renewInterval = std::chrono::milliseconds(300);
   /// Longest wait of a watch for rare changes: bounds the time that a silent connection hides them.
   Duration watchWait = std::chrono::seconds(3);
   /// Time between looks at the lists of workers and of new jobs.
--- /dev/null
+++ b/packages/coordination/src/Handover.cpp
@@ -0,0 +1,109 @@
+#include "Handover.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace daisydrift::coordination {
+
+using nlohmann::json;
+
+namespace {
+/// Time after which a store that still refuses calls is taken to be out of reach; one refused call
+/// alone may be due to its rate limit.
+constexpr std::chrono::milliseconds kConfirmation{ 60 };
+/// Answer time of a member that is offered leadership.
+constexpr std::chrono::milliseconds kOfferTimeout{ 250 };
+/// Members that are asked; by then the lease is about to end.
+constexpr std::size_t kMostOffers = 5;
+} // namespace
+
+Handover::Handover(EventLoop& aLoop,
+                   PeerTransport& aPeers,
+                   Membership& aMembership,
+                   const InstanceSettings& aSettings)
+  : loop(aLoop)
+  , peers(aPeers)
+  , membership(aMembership)
+  , settings(aSettings)
+{
+}
+
+Handover::~Handover()
+{
+  *this->isAlive = false;
+}
+
+bool Handover::IsLeading() const
+{
+  const std::optional<LeaderRecord>& leader = this->membership.Leader();
+  return leader && leader->incarnation == this->membership.Incarnation();
+}
+
+std::vector<SocketEndpoint> Handover::Candidates() const
+{
+  std::vector<const MemberRecord*> members;
+  for (const auto& [name, member] : this->membership.Members()) {
+    if (name != this->settings.name) {
+      members.push_back(&member);
+    }
+  }
+  std::stable_sort(members.begin(), members.end(), [](const auto* aLeft, const auto* aRight) {
+    return aLeft->standDelay < aRight->standDelay;
+  });
+  members.resize(std::min(members.size(), kMostOffers));
+  std::vector<SocketEndpoint> endpoints;
+  endpoints.reserve(members.size());
+  for (const MemberRecord* member : members) {
+    endpoints.push_back(member->endpoint);
+  }
+  return endpoints;
+}
+
+void Handover::OnStoreLost()
+{
+  if (this->isOffering || !this->IsLeading()) {
+    return;
+  }
+  this->isOffering = true;
+  this->membership.ProbeStore();
+  this->loop.After(kConfirmation, [this, alive = this->isAlive] {
+    if (*alive) {
+      this->Offer(this->Candidates(), 0);
+    }
+  });
+}
+
+void Handover::Offer(const std::vector<SocketEndpoint>& aCandidates, std::size_t aNext)
+{
+  if (aNext >= aCandidates.size() || !this->IsLeading() || this->membership.IsStoreInReach()) {
+    this->isOffering = false;
+    return;
+  }
+  this->peers.Call(aCandidates[aNext],
+                   "succeed",
+                   { { "incarnation", this->membership.Incarnation() } },
+                   kOfferTimeout,
+                   [this, alive = this->isAlive, aCandidates, aNext](const Result<json>& aAnswer) {
+                     if (!*alive) {
+                       return;
+                     }
+                     bool isTaken = aAnswer && aAnswer->value("stands", false);
+                     LogLine(LogLevel::Warning, "leadership_offered")
+                       .Add("to", aCandidates[aNext].address)
+                       .Add("taken", isTaken)
+                       .Add("error", aAnswer ? std::error_code() : aAnswer.Error());
+                     if (!isTaken) {
+                       this->Offer(aCandidates, aNext + 1);
+                       return;
+                     }
+                     // The member may fail in turn.
+                     this->loop.After(kOfferTimeout, [this, alive, aCandidates, aNext] {
+                       if (*alive) {
+                         this->Offer(aCandidates, aNext + 1);
+                       }
+                     });
+                   });
+}
+
+} // namespace daisydrift::coordination
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -1,12 +1,14 @@
 #include "daisydrift/coordination/Instance.h"
 
 #include "Caller.h"
+#include "Handover.h"
 #include "RecordCodec.h"
 
 namespace daisydrift {
 
 using coordination::Caller;
 using coordination::ConfigFollower;
+using coordination::Handover;
 using coordination::Leader;
 using coordination::LeaderRecord;
 using coordination::MemberRecord;
@@ -53,6 +55,7 @@
   std::function<void(const FleetConfig&)> onConfigChange;
   ConfigFollower config;
   Membership membership;
+  Handover handover;
   Leader::Environment environment;
   std::unique_ptr<Leader> leader;
   Caller caller;
@@ -91,7 +94,9 @@
                this->settings,
                this->settings.name + "@" + std::to_string(aLoop.Wall().time_since_epoch().count()),
                Membership::Hooks{ [this](const LeaderRecord& aRecord) { this->OnElected(aRecord); },
-                                  [this] { this->leaderHeardAt = this->loop.Now(); } })
+                                  [this] { this->leaderHeardAt = this->loop.Now(); },
+                                  [this] { this->handover.OnStoreLost(); } })
+  , handover(aLoop, aPeers, this->membership, this->settings)
   , environment{ aLoop,    aStore,         aWorkers,       aAdvice,          aPeers,
                  aMetrics, this->decoders, this->settings, this->membership, this->config }
   , caller(this->environment, this->membership, [this] { return this->OwnLeader(); })
@@ -294,6 +299,10 @@
     aReply(json::object());
     return;
   }
+  if (aMethod == "succeed") {
+    aReply(json{ { "stands", self.membership.Succeed(aArguments.value("incarnation", "")) } });
+    return;
+  }
   if (aMethod == "announce") {
     self.OnAnnounced(aArguments);
     aReply(json{ { "config", self.config.Version() } });
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -85,6 +85,9 @@
   if (isInReach != this->isStoreInReach) {
     this->isStoreInReach = isInReach;
     LogLine(LogLevel::Warning, isInReach ? "store_regained" : "store_lost").Add("error", aError);
+    if (!isInReach) {
+      this->hooks.onStoreLost();
+    }
   }
 }
 
@@ -131,6 +134,11 @@
     return;
   }
   this->loop.After(this->settings.renewInterval, [this] { this->Renew(); });
+  this->ProbeStore();
+}
+
+void Membership::ProbeStore()
+{
   if (this->lease == 0) {
     return;
   }
@@ -428,6 +436,16 @@
   }
 }
 
+bool Membership::Succeed(const std::string& aIncarnation)
+{
+  bool isWilling = this->isStoreInReach && !this->isStopping && this->lease != 0 && this->leader &&
+                   this->leader->incarnation == aIncarnation && this->leader->revision != 0;
+  if (isWilling) {
+    this->Stand();
+  }
+  return isWilling;
+}
+
 void Membership::OnLost()
 {
   if (this->leader && this->leader->incarnation == this->incarnation) {
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -41,6 +41,8 @@
     std::function<void(const LeaderRecord&)> onElected;
     /// Another instance leads, or none.
     std::function<void()> onLeaderChanged;
+    /// A call to the store failed after others had succeeded.
+    std::function<void()> onStoreLost;
   };
 
   Membership(EventLoop& aLoop,
@@ -63,6 +65,11 @@
   void NoteStore(std::error_code aError);
   /// True when the last call to the store was answered.
   bool IsStoreInReach() const { return this->isStoreInReach; }
+  /// Renews the lease now, to find out whether the store is in reach.
+  void ProbeStore();
+  /// The leader of that incarnation does not reach the store and offers leadership. True when this
+  /// instance stands for it.
+  bool Succeed(const std::string& aIncarnation);
   /// A call to the leader failed: finds out whether its process is gone.
   void Suspect();
   /// Another instance says who leads.
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -40,7 +40,7 @@
                          const PlatformDecoders& aDecoders,
                          const InstanceSettings& aSettings)
   : loop(aLoop, this->isAlive)
-  , store(aStore, this->isAlive)
+  , store(aStore, this->loop, this->isAlive)
   , workers(aFleet, this->isAlive)
   , peers(aPeers, this->isAlive)
   , instance(this->loop,
--- a/packages/coordination/tests/Gates.h
+++ b/packages/coordination/tests/Gates.h
@@ -43,15 +43,16 @@
 class StoreGate : public KeyValueStore
 {
 public:
-  StoreGate(KeyValueStore& aStore, const bool& aIsAlive)
+  StoreGate(KeyValueStore& aStore, EventLoop& aLoop, const bool& aIsAlive)
     : store(aStore)
+    , loop(aLoop)
     , isAlive(aIsAlive)
   {
   }
   void Read(const std::string& aKey,
             std::function<void(const Result<std::optional<KeyValueItem>>&)> aDone) override
   {
-    if (this->isAlive) {
+    if (this->Passes(aDone)) {
       this->store.Read(aKey, WhileAlive(this->isAlive, std::move(aDone)));
     }
   }
@@ -59,7 +60,7 @@
                 const std::string& aAfter,
                 std::function<void(const Result<KeyValuePage>&)> aDone) override
   {
-    if (this->isAlive) {
+    if (this->Passes(aDone)) {
       this->store.ReadPage(aPrefix, aAfter, WhileAlive(this->isAlive, std::move(aDone)));
     }
   }
@@ -68,7 +69,7 @@
              Duration aWait,
              std::function<void(const Result<KeyValueChanges>&)> aDone) override
   {
-    if (this->isAlive) {
+    if (this->Passes(aDone)) {
       this->store.Watch(
         aPrefix, aAfterRevision, aWait, WhileAlive(this->isAlive, std::move(aDone)));
     }
@@ -76,26 +77,41 @@
   void Commit(const KeyValueTransaction& aTransaction,
               std::function<void(const Result<std::uint64_t>&)> aDone) override
   {
-    if (this->isAlive) {
+    if (this->Passes(aDone)) {
       this->store.Commit(aTransaction, WhileAlive(this->isAlive, std::move(aDone)));
     }
   }
   void GrantLease(Duration aTimeToLive,
                   std::function<void(const Result<std::uint64_t>&)> aDone) override
   {
-    if (this->isAlive) {
+    if (this->Passes(aDone)) {
       this->store.GrantLease(aTimeToLive, WhileAlive(this->isAlive, std::move(aDone)));
     }
   }
   void RenewLease(std::uint64_t aLease, std::function<void(std::error_code)> aDone) override
   {
-    if (this->isAlive) {
+    if (this->Passes(aDone)) {
       this->store.RenewLease(aLease, WhileAlive(this->isAlive, std::move(aDone)));
     }
   }
 
+  /// The store answers this process that it is busy, and does nothing.
+  bool isTurnedAway = false;
+
 private:
+  /// True when a call goes on to the store.
+  template<typename Callback>
+  bool Passes(const Callback& aDone)
+  {
+    if (this->isAlive && this->isTurnedAway) {
+      this->loop.After(std::chrono::milliseconds(1),
+                       [aDone] { aDone(make_error_code(Errc::Overloaded)); });
+    }
+    return this->isAlive && !this->isTurnedAway;
+  }
+
   KeyValueStore& store;
+  EventLoop& loop;
   const bool& isAlive;
 };
 
