A restarted leader takes over from its former self at once

Change: it stands when the lease is granted and when the members are loaded. Test: ARestartedLeaderTakesOverFromItsFormerSelfAtOnce, which failed before.

--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -102,6 +102,7 @@
                            }
                            this->lease = *aLease;
                            this->Register();
+                           this->StandForFormerSelf();
                          });
 }
 
@@ -179,6 +180,7 @@
     if (!hasLeader) {
       this->Apply(leaderKey, std::nullopt, aPage->revision);
     }
+    this->StandForFormerSelf();
     this->Watch(aPage->revision, load);
   });
 }
@@ -278,9 +280,16 @@
   this->hooks.onLeaderChanged();
   if (!this->leader) {
     this->StandSoon();
-  } else if (this->leader->name == this->settings.name &&
-             this->leader->incarnation != this->incarnation && this->leader->revision != 0) {
-    this->Stand(); // An earlier process of this instance, which has ended.
+  } else {
+    this->StandForFormerSelf();
+  }
+}
+
+void Membership::StandForFormerSelf()
+{
+  if (this->leader && this->leader->name == this->settings.name &&
+      this->leader->incarnation != this->incarnation && this->leader->revision != 0) {
+    this->Stand();
   }
 }
 
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -88,6 +88,8 @@
   /// Stands for leadership after a pause that differs between instances.
   void StandSoon();
   void Stand();
+  /// Takes over from an earlier process of this instance, which has ended.
+  void StandForFormerSelf();
   void ConfirmElection(const LeaderRecord& aRecord);
   void Probe(int aTriesLeft);
   /// Lets the strongest members look at the leader too, so that one of them takes over.
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -172,6 +172,21 @@
   this->ExpectAllDone(jobs, 0, seconds(8));
 }
 
+// Load of a fleet whose instances were all killed and are back before the leader's lease has ended:
+// it found its own former leadership before it had a lease to stand with.
+TEST_F(ClusterTest, ARestartedLeaderTakesOverFromItsFormerSelfAtOnce)
+{
+  for (int number = 0; number < 3; ++number) {
+    this->KillInstance(number);
+  }
+  this->loop.RunFor(milliseconds(100));
+  for (int number = 0; number < 3; ++number) {
+    this->StartInstance(number);
+  }
+  this->loop.RunFor(milliseconds(200));
+  EXPECT_GE(this->LeaderNumber(), 0);
+}
+
 TEST_F(ClusterTest, WithoutTheStoreJobsAreRefusedAndAcceptedOnesGoOnAfterwards)
 {
   ASSERT_EQ(this->Submit(0, "before", 4), SubmitOutcome::Accepted);
