Work is ordered by when it must start, on a replay of a flooding team

Change: a step's turn is its job's objective less the longest chain of run times that is left; jobs that can't be in time any more wait for those that can, ordered by when they must start to be worth anything. The load was recorded from the leader's log and is replayed by WorkOrderTest, which compares three orders.

--- a/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
@@ -5,6 +5,18 @@
 
 namespace daisydrift {
 
+/// Order in which waiting steps are served; the first two are kept as baselines.
+enum class OrderOfWork
+{
+  /// First come, first served.
+  Arrival,
+  /// By priority, then by when the job's objective ends.
+  EarliestDue,
+  /// By priority, then by when a step must start for its job to meet the objective; jobs that can't
+  /// meet it any more wait for those that can.
+  LatestStart
+};
+
 /// All have defaults; the adapter sets those that the platform states.
 struct DispatchSettings
 {
@@ -46,6 +58,7 @@
   Duration slowAdvice = std::chrono::milliseconds(150);
   /// Most workers in one question. Source: the platform's contract.
   std::size_t longestQuestion = 100;
+  OrderOfWork order = OrderOfWork::LatestStart;
   /// Starts in one round.
   std::size_t startsPerRound = 200;
   /// The run numbers of a leader begin above those of all before it.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -179,6 +179,7 @@
   job->queue = this->state.EnsureQueue(aDefinition.queue);
   job->addedAt = aNow;
   job->objective = dispatch::ObjectiveOf(aDefinition, *job->queue);
+  job->chains = dispatch::ChainsFrom(aDefinition);
   if (!aDefinition.team.empty()) {
     job->team = &this->state.EnsureTeam(aDefinition.team);
   }
@@ -420,7 +421,7 @@
     }
     for (const auto& step : job->steps) {
       if (step->Waiting() > 0 && (step->isReady || this->impl->advice.IsSoonReady(*step, aNow))) {
-        waiting.emplace_back(dispatch::RankOf(*step, aNow), step.get());
+        waiting.emplace_back(dispatch::RankOf(*step, this->impl->settings.order, aNow), step.get());
       }
     }
   }
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -149,6 +149,8 @@
   std::vector<std::unique_ptr<Step>> steps;
   /// Objective and the end of what a late job earns, from addedAt.
   Duration objective{ 0 };
+  /// Longest chain of declared run times from each step to the end of the job.
+  std::vector<Duration> chains;
 
   bool IsFinished() const
   {
--- a/packages/dispatch/src/WorkOrder.cpp
+++ b/packages/dispatch/src/WorkOrder.cpp
@@ -11,21 +11,46 @@
 constexpr double kTokenSeconds = 2;
 } // namespace
 
-WorkRank RankOf(const Step& aStep, TimePoint aNow)
+WorkRank RankOf(const Step& aStep, OrderOfWork aOrder, TimePoint aNow)
 {
   const Job& job = *aStep.job;
   WorkRank rank;
+  if (aOrder == OrderOfWork::Arrival) {
+    rank.turn = job.addedAt;
+    return rank;
+  }
   rank.priority = job.queue->priority;
-  rank.due = job.addedAt + job.objective;
+  rank.turn = job.addedAt + job.objective;
+  rank.isLast = job.isExcess;
   if (aStep.spec->isService) {
-    rank.isLast = job.isExcess;
     return rank;
   }
-  rank.isLate = aNow > rank.due;
-  rank.isLast = job.isExcess || aNow > job.addedAt + job.objective * kWorthlessFactor;
+  TimePoint worthlessAt = job.addedAt + job.objective * kWorthlessFactor;
+  if (aOrder == OrderOfWork::LatestStart) {
+    rank.turn -= job.chains[aStep.number];
+    worthlessAt -= job.chains[aStep.number];
+  }
+  rank.isLate = aNow > rank.turn;
+  if (rank.isLate && aOrder == OrderOfWork::LatestStart) {
+    rank.turn = worthlessAt;
+  }
+  rank.isLast = rank.isLast || aNow > worthlessAt;
   return rank;
 }
 
+std::vector<Duration> ChainsFrom(const JobDefinition& aDefinition)
+{
+  std::vector<Duration> chains(aDefinition.steps.size(), Duration(0));
+  for (std::size_t number = chains.size(); number-- > 0;) {
+    const StepSpec& step = aDefinition.steps[number];
+    chains[number] += step.estimate;
+    for (std::uint32_t earlier : step.after) {
+      chains[earlier] = std::max(chains[earlier], chains[number]);
+    }
+  }
+  return chains;
+}
+
 Duration ObjectiveOf(const JobDefinition& aDefinition, const QueuePolicy& aQueue)
 {
   std::vector<Duration> chains;
--- /dev/null
+++ b/packages/dispatch/tests/LoadReplay.cpp
@@ -0,0 +1,215 @@
+#include "LoadReplay.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace daisydrift {
+
+using std::chrono::milliseconds;
+
+namespace {
+constexpr milliseconds kTick{ 10 };
+constexpr milliseconds kEstimate{ 640 };
+constexpr milliseconds kTargetLatency{ 250 };
+constexpr double kStretch = 1.5;
+constexpr int kWorthlessFactor = 3;
+constexpr double kLateWorth = 0.2;
+constexpr std::int64_t kTaskMilliCores = 2000;
+constexpr std::int64_t kWorkerMilliCores = 32000;
+constexpr int kWorkers = 60;
+/// Run times are this share of the estimate, and up to this much more.
+constexpr double kLeastRunShare = 0.7;
+constexpr double kRunShareSpread = 0.6;
+constexpr int kHashSteps = 1000;
+} // namespace
+
+std::vector<RecordedJob> ReadRecordedLoad(const std::string& aName)
+{
+  std::ifstream file(std::string(TEST_DATA_FOLDER) + "/" + aName);
+  std::vector<RecordedJob> load;
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.empty() || line[0] == '#') {
+      continue;
+    }
+    std::istringstream fields(line);
+    std::int64_t arrival = 0;
+    RecordedJob job;
+    fields >> arrival >> job.team;
+    job.arrival = milliseconds(arrival);
+    for (std::uint32_t width = 0; fields >> width;) {
+      job.widths.push_back(width);
+    }
+    load.push_back(std::move(job));
+  }
+  return load;
+}
+
+double ReplayResult::Worth() const
+{
+  return (static_cast<double>(this->inTime) + kLateWorth * static_cast<double>(this->late)) /
+         static_cast<double>(std::max<std::size_t>(this->jobs, 1));
+}
+
+double ReplayResult::Served() const
+{
+  return static_cast<double>(this->inTime + this->late) /
+         static_cast<double>(std::max<std::size_t>(this->jobs, 1));
+}
+
+double ReplayResult::WidestServed() const
+{
+  return static_cast<double>(this->widestServed) /
+         static_cast<double>(std::max<std::size_t>(this->widest, 1));
+}
+
+LoadReplay::LoadReplay(OrderOfWork aOrder, std::int64_t aCeilingMilliCores)
+  : settings{ .order = aOrder }
+  , dispatcher(this->settings, this->now)
+{
+  FleetPolicy policy;
+  policy.queues["quick"] = { "quick", "desk", 0, 3, kStretch, kTargetLatency, {} };
+  for (int team = 0; team < 20; ++team) {
+    std::string name = std::to_string(team);
+    policy.teams[name] = { name, 1000, { aCeilingMilliCores, 0, 0 } };
+  }
+  this->dispatcher.SetPolicy(policy);
+  for (int number = 0; number < kWorkers; ++number) {
+    WorkerListing listing;
+    listing.id = "w" + std::to_string(100 + number);
+    listing.service = "desk";
+    listing.endpoint = { "10.0.0.1", 80 };
+    listing.domain = "north";
+    listing.labels = { "a", "r1" };
+    listing.rack = "r1";
+    listing.capacity = { kWorkerMilliCores, 640000, 0 };
+    listing.incarnation = 1;
+    this->dispatcher.ListWorker(listing);
+    this->running[listing.id];
+  }
+}
+
+Duration LoadReplay::RunTimeOf(const TaskName& aTask)
+{
+  std::size_t hash = std::hash<std::string>()(aTask.job + "." + std::to_string(aTask.step) + "." +
+                                              std::to_string(aTask.index));
+  double share = static_cast<double>(hash % kHashSteps) / kHashSteps;
+  return std::chrono::duration_cast<Duration>(kEstimate *
+                                              (kLeastRunShare + kRunShareSpread * share));
+}
+
+void LoadReplay::Add(const RecordedJob& aJob)
+{
+  JobDefinition job;
+  job.id = "job" + std::to_string(this->nextJob++);
+  job.queue = "quick";
+  job.team = aJob.team;
+  Expectation expectation;
+  expectation.arrival = this->now;
+  Duration chain{ 0 };
+  for (std::uint32_t number = 0; number < aJob.widths.size(); ++number) {
+    StepSpec step;
+    step.taskCount = aJob.widths[number];
+    step.size = { kTaskMilliCores, 100, 0 };
+    step.estimate = kEstimate;
+    if (number > 0) {
+      step.after = { number - 1 };
+    }
+    job.steps.push_back(step);
+    Duration longest{ 0 };
+    for (std::uint32_t index = 0; index < step.taskCount; ++index) {
+      longest = std::max(longest, RunTimeOf({ job.id, 0, number, index }));
+    }
+    chain += longest;
+    expectation.tasks += step.taskCount;
+  }
+  expectation.objective = std::chrono::duration_cast<Duration>(chain * kStretch) + kTargetLatency;
+  this->open[job.id] = expectation;
+  this->dispatcher.AddJob(job, this->now, this->wall);
+}
+
+void LoadReplay::Start()
+{
+  DispatchRound round = this->dispatcher.Decide(this->now, this->wall, 0);
+  for (AttemptKey key : round.starts) {
+    if (std::optional<StartOrder> order = this->dispatcher.TakeStart(key, this->now)) {
+      this->dispatcher.OnStartAnswer(key, StartAnswer::Accepted, this->now);
+      this->running[order->worker].push_back({ *order, this->now + RunTimeOf(order->task) });
+    }
+  }
+}
+
+void LoadReplay::EndDue(ReplayResult& aResult)
+{
+  for (auto& [id, runs] : this->running) {
+    WorkerReport report;
+    report.incarnation = 1;
+    report.clock = this->workerClock;
+    std::erase_if(runs, [&](const Running& aRun) {
+      if (aRun.endsAt > this->now) {
+        return false;
+      }
+      report.ended.push_back(
+        { ++this->lastEnd[id], aRun.order.task, aRun.order.run, RunOutcome::Succeeded, "" });
+      return true;
+    });
+    for (const Running& run : runs) {
+      RunningTask running;
+      running.task = run.order.task;
+      running.run = run.order.run;
+      running.percent = static_cast<int>(run.order.attempt % 2); // Progress keeps changing.
+      report.running.push_back(running);
+    }
+    this->dispatcher.OnReport(id, report, this->now, this->now);
+    this->dispatcher.NextLease(id, this->now);
+  }
+  for (auto entry = this->open.begin(); entry != this->open.end();) {
+    const Expectation& job = entry->second;
+    if (this->dispatcher.State(entry->first) != DispatchState::Completed) {
+      ++entry;
+      continue;
+    }
+    Duration taken = this->now - job.arrival;
+    bool isInTime = taken <= job.objective;
+    bool isLate = !isInTime && taken <= job.objective * kWorthlessFactor;
+    aResult.inTime += isInTime ? 1 : 0;
+    aResult.late += isLate ? 1 : 0;
+    aResult.widestServed += job.tasks >= this->widestFrom && (isInTime || isLate) ? 1 : 0;
+    entry = this->open.erase(entry);
+  }
+}
+
+ReplayResult LoadReplay::Play(const std::vector<RecordedJob>& aLoad)
+{
+  std::vector<std::uint32_t> sizes;
+  for (const RecordedJob& job : aLoad) {
+    std::uint32_t tasks = 0;
+    for (std::uint32_t width : job.widths) {
+      tasks += width;
+    }
+    sizes.push_back(tasks);
+  }
+  std::vector<std::uint32_t> sorted = sizes;
+  std::sort(sorted.begin(), sorted.end());
+  this->widestFrom = sorted.empty() ? 0 : sorted[sorted.size() * 9 / 10];
+  ReplayResult result;
+  result.jobs = aLoad.size();
+  result.widest = static_cast<std::size_t>(std::count_if(
+    sizes.begin(), sizes.end(), [&](std::uint32_t aTasks) { return aTasks >= this->widestFrom; }));
+  TimePoint begin = this->now;
+  std::size_t next = 0;
+  while (next < aLoad.size() || !this->open.empty()) {
+    while (next < aLoad.size() && begin + aLoad[next].arrival <= this->now) {
+      this->Add(aLoad[next++]);
+    }
+    this->EndDue(result);
+    this->Start();
+    this->now += kTick;
+    this->wall += kTick;
+    this->workerClock += kTick;
+  }
+  return result;
+}
+
+} // namespace daisydrift
