An election that is carried out late counts; leadership is offered only on refusals

Leadership was offered on single lost renewals, which made such elections frequent (six terms in 8 s). Change: an instance leads as soon as the store names its process for a term that it has not held; it stands again when it has lost that term. Leadership is offered only when a renewal fails within 0.2 s. Tests: AnInstanceThatIsElectedLateLeads (failed before), ALeaderKeepsLeadingWhileTheStoreLosesAnswers.

--- a/packages/coordination/src/Handover.cpp
+++ b/packages/coordination/src/Handover.cpp
@@ -60,7 +60,7 @@
   return endpoints;
 }
 
-void Handover::OnStoreLost()
+void Handover::OnStoreRefused()
 {
   if (this->isOffering || !this->IsLeading()) {
     return;
--- a/packages/coordination/src/Handover.h
+++ b/packages/coordination/src/Handover.h
@@ -23,8 +23,8 @@
   Handover(const Handover&) = delete;
   Handover& operator=(const Handover&) = delete;
 
-  /// A call to the store failed after others had succeeded.
-  void OnStoreLost();
+  /// The store refused a call of this instance.
+  void OnStoreRefused();
 
 private:
   bool IsLeading() const;
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -95,7 +95,7 @@
                this->settings.name + "@" + std::to_string(aLoop.Wall().time_since_epoch().count()),
                Membership::Hooks{ [this](const LeaderRecord& aRecord) { this->OnElected(aRecord); },
                                   [this] { this->leaderHeardAt = this->loop.Now(); },
-                                  [this] { this->handover.OnStoreLost(); } })
+                                  [this] { this->handover.OnStoreRefused(); } })
   , handover(aLoop, aPeers, this->membership, this->settings)
   , environment{ aLoop,    aStore,         aWorkers,       aAdvice,          aPeers,
                  aMetrics, this->decoders, this->settings, this->membership, this->config }
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -15,6 +15,8 @@
 constexpr const char* kTermPart = "term";
 /// Pause before a failed call to the store is made again.
 constexpr std::chrono::milliseconds kStoreRetry{ 200 };
+/// A call that fails within this time was refused; the store answers within 4 ms.
+constexpr std::chrono::milliseconds kRefusalTime{ 200 };
 /// Instances stand for leadership spread over this time, so that few collide.
 constexpr std::int64_t kStandSpreadMs = 40;
 /// Answer time of a probe of the leader's process.
@@ -85,9 +87,6 @@
   if (isInReach != this->isStoreInReach) {
     this->isStoreInReach = isInReach;
     LogLine(LogLevel::Warning, isInReach ? "store_regained" : "store_lost").Add("error", aError);
-    if (!isInReach) {
-      this->hooks.onStoreLost();
-    }
   }
 }
 
@@ -143,8 +142,12 @@
   if (this->lease == 0) {
     return;
   }
-  this->store.RenewLease(this->lease, [this](std::error_code aError) {
+  this->store.RenewLease(this->lease, [this, sentAt = this->loop.Now()](std::error_code aError) {
     this->NoteStore(aError);
+    // A lost answer shows only after a timeout and is no refusal.
+    if (!this->isStoreInReach && this->loop.Now() - sentAt < kRefusalTime) {
+      this->hooks.onStoreRefused();
+    }
     if (aError == make_error_code(Errc::LeaseExpired) && this->lease != 0) {
       LogLine(LogLevel::Warning, "membership_lease_expired");
       this->lease = 0;
@@ -235,7 +238,15 @@
     if (found) {
       found->revision = aRevision;
     }
-    this->SetLeader(std::move(found));
+    bool isOwn = found && found->incarnation == this->incarnation;
+    if (isOwn && found->term > this->heldTerm) {
+      // Elected by a transaction that was carried out late.
+      this->TakeOffice(*found);
+    } else if (isOwn && found->term == this->lostTerm) {
+      this->Stand();
+    } else {
+      this->SetLeader(std::move(found));
+    }
     return;
   }
   if (part.rfind(kMembersPart, 0) != 0) {
@@ -334,11 +345,7 @@
     if (aRevision) {
       LeaderRecord elected = record;
       elected.revision = *aRevision;
-      this->leaderRevision = *aRevision;
-      this->term = record.term;
-      this->termRevision = *aRevision;
-      this->SetLeader(elected);
-      this->hooks.onElected(elected);
+      this->TakeOffice(elected);
     } else if (aRevision.Error() == make_error_code(Errc::OutcomeUnknown)) {
       this->ConfirmElection(record);
     } else if (aRevision.Error() == make_error_code(Errc::LeaseExpired)) {
@@ -354,6 +361,19 @@
   });
 }
 
+void Membership::TakeOffice(const LeaderRecord& aElected)
+{
+  if (aElected.term <= this->heldTerm) {
+    return; // Known already, by another way.
+  }
+  this->heldTerm = aElected.term;
+  this->leaderRevision = aElected.revision;
+  this->term = aElected.term;
+  this->termRevision = aElected.revision;
+  this->SetLeader(aElected);
+  this->hooks.onElected(aElected);
+}
+
 void Membership::ConfirmElection(const LeaderRecord& aRecord)
 {
   this->store.Read(
@@ -365,11 +385,7 @@
       if (*aItem && (*aItem)->value == ToJson(aRecord).dump()) {
         LeaderRecord elected = aRecord;
         elected.revision = (*aItem)->revision;
-        this->leaderRevision = elected.revision;
-        this->term = aRecord.term;
-        this->termRevision = elected.revision;
-        this->SetLeader(elected);
-        this->hooks.onElected(elected);
+        this->TakeOffice(elected);
       } else if (!*aItem && !this->leader) {
         this->StandSoon();
       }
@@ -457,6 +473,7 @@
 
 void Membership::OnLost()
 {
+  this->lostTerm = this->heldTerm;
   if (this->leader && this->leader->incarnation == this->incarnation) {
     this->leader.reset();
     this->Load();
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -41,8 +41,8 @@
     std::function<void(const LeaderRecord&)> onElected;
     /// Another instance leads, or none.
     std::function<void()> onLeaderChanged;
-    /// A call to the store failed after others had succeeded.
-    std::function<void()> onStoreLost;
+    /// The store refused a renewal.
+    std::function<void()> onStoreRefused;
   };
 
   Membership(EventLoop& aLoop,
@@ -91,6 +91,8 @@
   /// Takes over from an earlier process of this instance, which has ended.
   void StandForFormerSelf();
   void ConfirmElection(const LeaderRecord& aRecord);
+  /// This instance leads under that record.
+  void TakeOffice(const LeaderRecord& aElected);
   void Probe(int aTriesLeft);
   /// Lets the strongest members look at the leader too, so that one of them takes over.
   void AlertStrongest();
@@ -116,6 +118,9 @@
   std::uint64_t leaderRevision = 0;
   Epoch term = 0;
   std::uint64_t termRevision = 0;
+  /// Last term in which this instance led, and the last one that ended before its time.
+  Epoch heldTerm = 0;
+  Epoch lostTerm = 0;
   std::map<std::string, MemberRecord> members;
 };
 
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -172,6 +172,39 @@
   this->ExpectAllDone(jobs, 0, seconds(8));
 }
 
+// An election whose answer is lost may be carried out seconds later, when the candidate has given
+// it up: the store then named a leader that did not know of it, and nobody led.
+TEST_F(ClusterTest, AnInstanceThatIsElectedLateLeads)
+{
+  int leader = this->LeaderNumber();
+  this->store.commitFault = [](const KeyValueTransaction& aTransaction) {
+    bool isElection =
+      aTransaction.puts.size() == 2 && aTransaction.puts[0].key == "daisydrift/group/leader";
+    return isElection ? CommitFault::DoneLate : CommitFault::None;
+  };
+  // The leader offers leadership, and goes on leading when the election seems to have failed.
+  this->processes[leader]->store.isTurnedAway = true;
+  this->loop.RunFor(milliseconds(500));
+  this->processes[leader]->store.isTurnedAway = false;
+  this->loop.RunFor(milliseconds(100));
+  this->store.commitFault = nullptr;
+  this->loop.RunFor(seconds(3));
+  ASSERT_GE(this->LeaderNumber(), 0);
+  ASSERT_EQ(this->Submit(leader, "job", 6), SubmitOutcome::Accepted);
+  this->ExpectAllDone({ "job" }, (leader + 1) % 3, seconds(5));
+}
+
+// One lost answer of the store is no refusal.
+TEST_F(ClusterTest, ALeaderKeepsLeadingWhileTheStoreLosesAnswers)
+{
+  int leader = this->LeaderNumber();
+  int renewals = 0;
+  this->store.isRenewalLost = [&renewals] { return ++renewals % 3 == 0; };
+  this->loop.RunFor(seconds(5));
+  EXPECT_EQ(this->LeaderNumber(), leader);
+  EXPECT_EQ(this->metrics.CounterValue("terms_total"), 1U);
+}
+
 // Load of a fleet whose instances were all killed and are back before the leader's lease has ended:
 // it found its own former leadership before it had a lease to stand with.
 TEST_F(ClusterTest, ARestartedLeaderTakesOverFromItsFormerSelfAtOnce)
@@ -244,6 +277,38 @@
   this->ExpectAllDone(jobs, 0, seconds(15));
 }
 
+// Records side by side at a slow store that loses answers, and a leader killed in between.
+TEST_F(ClusterTest, ASlowStoreThatLosesAnswersMakesNoTwoRuns)
+{
+  int commits = 0;
+  this->store.answerTime = milliseconds(270);
+  this->store.commitFault = [&commits](const KeyValueTransaction&) {
+    ++commits;
+    return commits % 5 == 0   ? CommitFault::AnswerLost
+           : commits % 7 == 0 ? CommitFault::DoneLate
+                              : CommitFault::None;
+  };
+  std::vector<JobId> jobs;
+  for (int number = 0; number < 16; ++number) {
+    if (number == 8) {
+      int leader = this->LeaderNumber();
+      ASSERT_GE(leader, 0);
+      this->KillInstance(leader);
+      this->StartInstance(leader);
+      this->loop.RunFor(milliseconds(100));
+    }
+    jobs.push_back("job" + std::to_string(number));
+    SubmitOutcome outcome = this->Submit(number % 3, jobs.back(), 3);
+    if (outcome != SubmitOutcome::Accepted) {
+      jobs.pop_back();
+    }
+  }
+  EXPECT_GE(jobs.size(), 10U);
+  this->store.answerTime = milliseconds(4);
+  this->store.commitFault = nullptr;
+  this->ExpectAllDone(jobs, 0, seconds(20));
+}
+
 TEST_F(ClusterTest, ACancelledJobStopsAndStaysCancelledAfterAChangeOfLeader)
 {
   this->fleet.runTime = seconds(30);
--- a/packages/coordination/tests/MemoryStore.cpp
+++ b/packages/coordination/tests/MemoryStore.cpp
@@ -3,15 +3,16 @@
 namespace daisydrift {
 
 namespace {
-constexpr std::chrono::milliseconds kAnswerTime{ 4 };
 constexpr std::chrono::milliseconds kLostAnswerTime{ 1000 };
+/// Time after which the adapter to the platform gives up a renewal.
+constexpr std::chrono::milliseconds kLostRenewalTime{ 500 };
 constexpr std::chrono::milliseconds kWatchStep{ 5 };
 } // namespace
 
 void MemoryStore::Read(const std::string& aKey,
                        std::function<void(const Result<std::optional<KeyValueItem>>&)> aDone)
 {
-  this->loop.After(kAnswerTime, [this, aKey, aDone] {
+  this->loop.After(this->answerTime, [this, aKey, aDone] {
     using Answer = Result<std::optional<KeyValueItem>>;
     auto found = this->items.find(aKey);
     if (this->isDown) {
@@ -27,7 +28,7 @@
                            const std::string& aAfter,
                            std::function<void(const Result<KeyValuePage>&)> aDone)
 {
-  this->loop.After(kAnswerTime, [this, aPrefix, aAfter, aDone] {
+  this->loop.After(this->answerTime, [this, aPrefix, aAfter, aDone] {
     if (this->isDown) {
       aDone(Errc::Unreachable);
       return;
@@ -100,12 +101,12 @@
 {
   CommitFault fault = this->commitFault ? this->commitFault(aTransaction) : CommitFault::None;
   if (this->isDown || fault == CommitFault::Refused) {
-    this->loop.After(kAnswerTime, [aDone] { aDone(Errc::Unreachable); });
+    this->loop.After(this->answerTime, [aDone] { aDone(Errc::Unreachable); });
   } else if (fault == CommitFault::None) {
-    this->loop.After(kAnswerTime,
+    this->loop.After(this->answerTime,
                      [this, aTransaction, aDone] { aDone(this->Apply(aTransaction)); });
   } else {
-    this->loop.After(fault == CommitFault::DoneLate ? this->lateBy : Duration(kAnswerTime),
+    this->loop.After(fault == CommitFault::DoneLate ? this->lateBy : this->answerTime,
                      [this, aTransaction] { static_cast<void>(this->Apply(aTransaction)); });
     this->loop.After(kLostAnswerTime, [aDone] { aDone(Errc::OutcomeUnknown); });
   }
@@ -114,7 +115,7 @@
 void MemoryStore::GrantLease(Duration aTimeToLive,
                              std::function<void(const Result<std::uint64_t>&)> aDone)
 {
-  this->loop.After(kAnswerTime, [this, aTimeToLive, aDone] {
+  this->loop.After(this->answerTime, [this, aTimeToLive, aDone] {
     if (this->isDown) {
       aDone(Errc::Unreachable);
       return;
@@ -151,7 +152,7 @@
 
 void MemoryStore::RenewLease(std::uint64_t aLease, std::function<void(std::error_code)> aDone)
 {
-  this->loop.After(kAnswerTime, [this, aLease, aDone] {
+  this->loop.After(this->answerTime, [this, aLease, aDone] {
     auto lease = this->leases.find(aLease);
     if (this->isDown) {
       aDone(make_error_code(Errc::Unreachable));
@@ -159,6 +160,11 @@
       aDone(make_error_code(Errc::LeaseExpired));
     } else {
       lease->second.second = this->loop.Now() + lease->second.first;
+      if (this->isRenewalLost && this->isRenewalLost()) {
+        this->loop.After(kLostRenewalTime,
+                         [aDone] { aDone(make_error_code(Errc::OutcomeUnknown)); });
+        return;
+      }
       aDone({});
     }
   });
--- a/packages/coordination/tests/MemoryStore.h
+++ b/packages/coordination/tests/MemoryStore.h
@@ -50,9 +50,12 @@
 
   /// Decides about each transaction; empty for no faults.
   std::function<CommitFault(const KeyValueTransaction&)> commitFault;
+  /// True for a renewal that is carried out and whose answer is lost; empty for none.
+  std::function<bool()> isRenewalLost;
   /// While true all calls fail as Unreachable.
   bool isDown = false;
   Duration lateBy = std::chrono::seconds(2);
+  Duration answerTime = std::chrono::milliseconds(4);
   /// Transactions that were carried out.
   std::size_t commits = 0;
 
