Groups of records are stored side by side

Cause: with one group under way a change waited 1.5 answer times of a slow store, and one lost answer held up all jobs for 0.15 s and more. Change: up to 8 groups, 40 ms apart, each part with a guard of its own; no job is in two groups. Tests: AChangeDoesNotWaitForASlowGroupUnderWay and AGroupWithoutAnswerDoesNotHoldUpTheNext failed before.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -43,8 +43,8 @@
     KeyValueTransaction::Condition{ this->env.settings.storePrefix + "group/leader",
                                     aRecord.revision },
     this->env.settings.storePrefix + "guards/" + std::to_string(aRecord.term) + "/",
-    RecordStore::Hooks{ [this] { return this->TakeGroup(); },
-                        [this] { this->OnStored(); },
+    RecordStore::Hooks{ [this](std::uint64_t aGroup) { return this->TakeGroup(aGroup); },
+                        [this](std::uint64_t aGroup) { this->OnStored(aGroup); },
                         [this] { this->Lose("replaced_in_store"); } });
   this->looks = std::make_unique<WorkerLooks>(
     this->env.loop,
@@ -250,7 +250,11 @@
   this->isKicked = false;
   ++this->rounds;
   DispatchRound round = this->dispatcher->Decide(now, this->env.loop.Wall(), this->lanes->Count());
-  this->startsDecided.insert(this->startsDecided.end(), round.starts.begin(), round.starts.end());
+  for (AttemptKey start : round.starts) {
+    if (const JobId* job = this->dispatcher->JobOf(start)) {
+      this->startsDecided[*job].push_back(start);
+    }
+  }
   for (const StopOrder& order : round.stops) {
     this->SendStop(order);
   }
@@ -264,34 +268,53 @@
   this->records->Flush();
 }
 
-std::map<std::string, std::string> Leader::TakeGroup()
+std::map<std::string, std::string> Leader::TakeGroup(std::uint64_t aGroup)
 {
   const std::string& prefix = this->env.settings.storePrefix;
-  std::map<std::string, std::string> group;
-  this->looks->MarkTaken();
-  this->startsUnderWay = std::move(this->startsDecided);
-  this->startsDecided.clear();
+  std::map<std::string, std::string> records;
+  GroupUnderWay& group = this->groupsUnderWay[aGroup];
   for (const JobId& id : this->dispatcher->TakeChanged()) {
+    this->jobsDeferred.insert(id);
+  }
+  std::set<JobId> changed = std::exchange(this->jobsDeferred, {});
+  for (const JobId& id : changed) {
+    // Two records of one job must not overtake each other.
+    if (this->jobsUnderWay.count(id) != 0) {
+      this->jobsDeferred.insert(id);
+      continue;
+    }
+    group.jobs.insert(id);
+    if (auto starts = this->startsDecided.extract(id)) {
+      group.starts.insert(group.starts.end(), starts.mapped().begin(), starts.mapped().end());
+    }
     std::optional<JobProgress> progress = this->dispatcher->Progress(id);
     if (!progress) {
       continue;
     }
-    group[ProgressKey(prefix, id)] = ToJson(*progress).dump();
+    this->jobsUnderWay.insert(id);
+    records[ProgressKey(prefix, id)] = ToJson(*progress).dump();
     if (IsFinal(progress->state) && this->finished.count(id) == 0) {
-      this->finishedUnderWay[id] = { progress->state, progress->finishedAt };
+      group.finished[id] = { progress->state, progress->finishedAt };
     }
   }
+  this->storedEnds.OnGroupBegun(aGroup, this->looks->Taken(), group.jobs, this->jobsDeferred);
   // Clean-up does not cause writes of its own.
-  if (!group.empty()) {
-    group.merge(this->extraRecords);
+  if (!records.empty()) {
+    records.merge(this->extraRecords);
     this->extraRecords.clear();
   }
-  return group;
+  return records;
 }
 
-void Leader::OnStored()
+void Leader::OnStored(std::uint64_t aGroup)
 {
-  for (const auto& [id, job] : this->finishedUnderWay) {
+  GroupUnderWay group = std::move(this->groupsUnderWay.extract(aGroup).mapped());
+  bool hasReleased = false;
+  for (const JobId& id : group.jobs) {
+    this->jobsUnderWay.erase(id);
+    hasReleased = hasReleased || this->jobsDeferred.count(id) != 0;
+  }
+  for (const auto& [id, job] : group.finished) {
     this->finished[id] = job;
     LogLine(LogLevel::Info, "job_finished")
       .Add("job", id)
@@ -302,12 +325,20 @@
     }
     this->cancellations.erase(waiting.first, waiting.second);
   }
-  this->finishedUnderWay.clear();
+  this->SendStarts(group.starts);
+  for (const TakenEnds& ends : this->storedEnds.OnGroupStored(aGroup)) {
+    this->looks->Confirm(ends);
+  }
+  if (hasReleased) {
+    this->records->Flush();
+  }
+}
+
+void Leader::SendStarts(const std::vector<AttemptKey>& aStarts)
+{
   TimePoint now = this->env.loop.Now();
-  std::vector<AttemptKey> starts = std::move(this->startsUnderWay);
-  this->startsUnderWay.clear();
   std::map<StepName, unsigned> startedTasks;
-  for (AttemptKey key : starts) {
+  for (AttemptKey key : aStarts) {
     if (std::optional<StartOrder> order = this->dispatcher->TakeStart(key, now)) {
       ++startedTasks[{ order->task.job, order->task.occurrence, order->task.step }];
       this->SendStart(*order, 1);
@@ -320,7 +351,6 @@
       .Add("tasks", tasks)
       .Add("term", this->record.term);
   }
-  this->looks->ConfirmTaken();
 }
 
 void Leader::SendStart(const StartOrder& aOrder, int aTry)
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -86,12 +86,14 @@
   void Kick();
   void Decide();
   void Tick();
+  /// Sends the starts that are still wanted; their records are stored.
+  void SendStarts(const std::vector<AttemptKey>& aStarts);
   void SendStart(const StartOrder& aOrder, int aTry);
   void OnStartAnswer(const StartOrder& aOrder, int aTry, StartAnswer aAnswer, bool aIsFenced);
   void SendStop(const StopOrder& aOrder);
   void SendPace(const PaceOrder& aOrder);
-  std::map<std::string, std::string> TakeGroup();
-  void OnStored();
+  std::map<std::string, std::string> TakeGroup(std::uint64_t aGroup);
+  void OnStored(std::uint64_t aGroup);
   void Lose(const char* aReason);
   /// Drops closed jobs from the decisions, and their records when nobody asks for them any more.
   void ForgetOldJobs();
@@ -122,18 +124,28 @@
   Duration longestLag{ 0 };
   Duration longestRound{ 0 };
   std::size_t rounds = 0;
-  /// Starts whose records are in the group under way, and those of the next group.
-  std::vector<AttemptKey> startsUnderWay;
-  std::vector<AttemptKey> startsDecided;
   /// A job in a final state.
   struct FinishedJob
   {
     DispatchState state = DispatchState::Completed;
     WallTime finishedAt;
   };
-  /// Jobs whose final state is stored, or is in the group under way.
+  /// Jobs whose final state is stored.
   std::unordered_map<JobId, FinishedJob> finished;
-  std::map<JobId, FinishedJob> finishedUnderWay;
+  /// What follows when a group of records is stored.
+  struct GroupUnderWay
+  {
+    std::set<JobId> jobs;
+    std::vector<AttemptKey> starts;
+    std::map<JobId, FinishedJob> finished;
+  };
+  std::map<std::uint64_t, GroupUnderWay> groupsUnderWay;
+  /// Jobs with a record under way, and those of them that have changed since.
+  std::set<JobId> jobsUnderWay;
+  std::set<JobId> jobsDeferred;
+  /// Starts whose records are in no group yet.
+  std::map<JobId, std::vector<AttemptKey>> startsDecided;
+  StoredEnds storedEnds;
   /// Records for the next group beside the jobs' progress; an empty value removes a key.
   std::map<std::string, std::string> extraRecords;
   std::multimap<JobId, std::function<void(std::error_code)>> cancellations;
--- a/packages/coordination/src/RecordStore.cpp
+++ b/packages/coordination/src/RecordStore.cpp
@@ -7,6 +7,10 @@
 constexpr std::chrono::milliseconds kRetryDelay{ 100 };
 /// A transaction without an answer for this long is sent again beside it.
 constexpr std::chrono::milliseconds kHedgeDelay{ 150 };
+/// Groups under way at a time, and the time between their begins: at a store that takes 0.3 s to
+/// answer, a change waits little longer than that.
+constexpr std::size_t kMostGroups = 8;
+constexpr std::chrono::milliseconds kGroupInterval{ 40 };
 /// Records in one transaction; the other entries are two conditions and the guard.
 constexpr std::size_t kRecordsPerTransaction = kMaxTransactionEntries - 3;
 /// Bytes of the values of one transaction, well below what one value may hold.
@@ -53,15 +57,36 @@
 
 std::optional<TimePoint> RecordStore::BusySince() const
 {
-  return this->isBusy ? std::optional(this->busySince) : std::nullopt;
+  return this->underWay.empty() ? std::nullopt
+                                : std::optional(this->underWay.begin()->second.begunAt);
 }
 
 void RecordStore::Flush()
 {
   this->isWanted = true;
-  if (!this->isBusy) {
+  this->BeginIfDue();
+}
+
+void RecordStore::BeginIfDue()
+{
+  if (!this->isWanted || this->underWay.size() >= kMostGroups) {
+    return;
+  }
+  Duration sinceLast = this->loop.Now() - this->lastBegun;
+  if (this->underWay.empty() || sinceLast >= kGroupInterval) {
     this->Begin();
+    return;
+  }
+  if (this->isTimerSet) {
+    return;
   }
+  this->isTimerSet = true;
+  this->loop.After(kGroupInterval - sinceLast, [this, alive = this->isAlive] {
+    if (*alive) {
+      this->isTimerSet = false;
+      this->BeginIfDue();
+    }
+  });
 }
 
 std::string RecordStore::GuardKey(std::size_t aPosition) const
@@ -69,29 +94,37 @@
   return this->guardPrefix + std::to_string(aPosition);
 }
 
+std::size_t RecordStore::TakePosition()
+{
+  if (this->freePositions.empty()) {
+    this->guards.push_back(0);
+    return this->guards.size() - 1;
+  }
+  return this->freePositions.extract(this->freePositions.begin()).value();
+}
+
 void RecordStore::Begin()
 {
   this->isWanted = false;
-  std::map<std::string, std::string> records = this->hooks.takeGroup();
+  std::uint64_t number = ++this->groups;
+  std::map<std::string, std::string> records = this->hooks.takeGroup(number);
   if (records.empty()) {
-    this->hooks.onStored();
+    this->hooks.onStored(number);
     return;
   }
-  ++this->groups;
+  this->lastBegun = this->loop.Now();
   std::vector<Part> parts;
   std::size_t entries = kRecordsPerTransaction;
   std::size_t bytes = 0;
   for (auto& [key, value] : records) {
     if (entries >= kRecordsPerTransaction || bytes + value.size() > kBytesPerTransaction) {
-      std::size_t position = parts.size();
-      this->guards.resize(std::max(this->guards.size(), position + 1));
-      parts.emplace_back();
-      parts.back().position = position;
-      parts.back().transaction.conditions = {
-        this->leadership, { this->GuardKey(position), this->guards[position] }
+      Part& part = parts.emplace_back();
+      part.group = number;
+      part.position = this->TakePosition();
+      part.transaction.conditions = {
+        this->leadership, { this->GuardKey(part.position), this->guards[part.position] }
       };
-      parts.back().transaction.puts.push_back(
-        { this->GuardKey(position), std::to_string(this->groups), 0 });
+      part.transaction.puts.push_back({ this->GuardKey(part.position), std::to_string(number), 0 });
       entries = 0;
       bytes = 0;
     }
@@ -103,9 +136,7 @@
       parts.back().transaction.puts.push_back({ key, std::move(value), 0 });
     }
   }
-  this->isBusy = true;
-  this->busySince = this->loop.Now();
-  this->partsLeft = parts.size();
+  this->underWay[number] = { this->lastBegun, parts.size() };
   for (const Part& part : parts) {
     this->Send(part);
   }
@@ -158,7 +189,7 @@
       }
       if (!aItem) {
         this->SendLater(aPart);
-      } else if (*aItem && (*aItem)->value == std::to_string(this->groups)) {
+      } else if (*aItem && (*aItem)->value == std::to_string(aPart.group)) {
         this->OnPartStored(aPart, (*aItem)->revision);
       } else {
         this->hooks.onReplaced();
@@ -170,14 +201,16 @@
 {
   *aPart.isStored = true;
   this->guards[aPart.position] = aRevision;
-  if (--this->partsLeft > 0) {
+  this->freePositions.insert(aPart.position);
+  auto group = this->underWay.find(aPart.group);
+  if (--group->second.partsLeft > 0) {
     return;
   }
-  this->isBusy = false;
+  this->underWay.erase(group);
   std::shared_ptr<bool> alive = this->isAlive;
-  this->hooks.onStored();
-  if (*alive && this->isWanted && !this->isBusy) {
-    this->Begin();
+  this->hooks.onStored(aPart.group);
+  if (*alive) {
+    this->BeginIfDue();
   }
 }
 
--- a/packages/coordination/src/RecordStore.h
+++ b/packages/coordination/src/RecordStore.h
@@ -15,19 +15,21 @@
 std::string DefinitionPrefix(const std::string& aPrefix);
 std::string ProgressPrefix(const std::string& aPrefix);
 
-/// One group of writes is under way at a time, in transactions side by side; what changes meanwhile
-/// goes into the next. A transaction is repeated until it is stored or another instance leads. A
-/// transaction whose answer was lost may be carried out seconds later: a guard key that each one
-/// changes keeps it from overwriting newer records.
+/// Records are written in groups, each in transactions side by side. A group begins at once when
+/// none is under way, else a while after the one before, so that a slow store or a lost answer
+/// holds up few records; no key may be in two groups under way. A transaction is repeated until it
+/// is stored or another instance leads. A transaction whose answer was lost may be carried out
+/// seconds later: a guard key that each one changes keeps it from overwriting newer records.
 class RecordStore
 {
 public:
   struct Hooks
   {
     /// Records of a group, taken when it begins: key and value; an empty value removes the key.
-    std::function<std::map<std::string, std::string>()> takeGroup;
-    /// The group that was taken last is stored.
-    std::function<void()> onStored;
+    /// Groups are numbered from 1.
+    std::function<std::map<std::string, std::string>(std::uint64_t aGroup)> takeGroup;
+    /// A group is stored; not always in the order of their numbers.
+    std::function<void(std::uint64_t aGroup)> onStored;
     /// Another instance leads.
     std::function<void()> onReplaced;
   };
@@ -39,15 +41,16 @@
               Hooks aHooks);
   ~RecordStore();
 
-  /// Something has changed; begins a group when none is under way.
+  /// Something has changed, or has had to wait for a group under way: begins a group soon.
   void Flush();
-  /// Time since when a group has been waiting for the store; nothing when none is.
+  /// Time since when the oldest group has been waiting for the store; nothing when none is.
   std::optional<TimePoint> BusySince() const;
 
 private:
-  /// One transaction of the group, with the guard of its position.
+  /// One transaction of a group, with the guard of its position.
   struct Part
   {
+    std::uint64_t group = 0;
     std::size_t position = 0;
     KeyValueTransaction transaction;
     std::shared_ptr<bool> isStored = std::make_shared<bool>(false);
@@ -55,7 +58,16 @@
     std::shared_ptr<int> triesLeft = std::make_shared<int>(3);
   };
 
+  struct Group
+  {
+    TimePoint begunAt;
+    std::size_t partsLeft = 0;
+  };
+
+  void BeginIfDue();
   void Begin();
+  /// Position of a guard that no transaction under way uses.
+  std::size_t TakePosition();
   void Send(const Part& aPart);
   void SendLater(const Part& aPart);
   void OnAnswer(const Part& aPart, const Result<std::uint64_t>& aRevision);
@@ -71,11 +83,12 @@
   Hooks hooks;
   /// Revisions of the guard keys by position; 0 for one that does not exist yet.
   std::vector<std::uint64_t> guards;
+  std::set<std::size_t> freePositions;
   std::uint64_t groups = 0;
-  std::size_t partsLeft = 0;
-  bool isBusy = false;
+  std::map<std::uint64_t, Group> underWay;
+  TimePoint lastBegun;
   bool isWanted = false;
-  TimePoint busySince;
+  bool isTimerSet = false;
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
--- a/packages/coordination/src/WorkerLooks.cpp
+++ b/packages/coordination/src/WorkerLooks.cpp
@@ -137,7 +137,6 @@
   watch.hasAnswered = true;
   if (watch.incarnation != aReport->incarnation) {
     watch.incarnation = aReport->incarnation;
-    watch.taken = 0;
     watch.confirmed = 0;
   }
   this->dispatcher.OnReport(aWorker, *aReport, aSentAt, now);
@@ -154,24 +153,31 @@
   }
 }
 
-void WorkerLooks::MarkTaken()
+TakenEnds WorkerLooks::Taken() const
 {
-  for (auto& [id, watch] : this->watches) {
-    watch.taken = this->dispatcher.LastEnd(id);
+  TakenEnds ends;
+  for (const auto& [id, watch] : this->watches) {
+    std::uint64_t last = this->dispatcher.LastEnd(id);
+    if (last > watch.confirmed) {
+      ends.push_back({ id, watch.incarnation, last });
+    }
   }
+  return ends;
 }
 
-void WorkerLooks::ConfirmTaken()
+void WorkerLooks::Confirm(const TakenEnds& aEnds)
 {
-  std::vector<WorkerId> waiting;
-  for (auto& [id, watch] : this->watches) {
-    watch.confirmed = std::max(watch.confirmed, watch.taken);
-    if (watch.isWaitingForStore && this->dispatcher.LastEnd(id) == watch.confirmed) {
-      waiting.push_back(id);
+  for (const TakenEnd& end : aEnds) {
+    auto found = this->watches.find(end.worker);
+    // A worker that began anew counts its ends anew.
+    if (found == this->watches.end() || found->second.incarnation != end.incarnation) {
+      continue;
+    }
+    Watch& watch = found->second;
+    watch.confirmed = std::max(watch.confirmed, end.number);
+    if (watch.isWaitingForStore && this->dispatcher.LastEnd(end.worker) == watch.confirmed) {
+      this->Look(end.worker);
     }
-  }
-  for (const WorkerId& id : waiting) {
-    this->Look(id);
   }
 }
 
--- a/packages/coordination/src/WorkerLooks.h
+++ b/packages/coordination/src/WorkerLooks.h
@@ -1,6 +1,7 @@
 #pragma once
 // Keeps in touch with all workers: renews leases, takes in ends, confirms them once stored.
 
+#include "StoredEnds.h"
 #include "daisydrift/coordination/Instance.h"
 
 #include <map>
@@ -31,9 +32,10 @@
 
   /// Starts looking at workers that are new, and stops where none are needed.
   void Refresh();
-  /// The ends taken in up to the last MarkTaken are stored.
-  void MarkTaken();
-  void ConfirmTaken();
+  /// Ends that were taken in and not confirmed yet.
+  TakenEnds Taken() const;
+  /// Those ends are stored.
+  void Confirm(const TakenEnds& aEnds);
   /// While the store is away ends can't be confirmed, so looks don't wait for them.
   void SetStoreAway(bool aIsAway) { this->isStoreAway = aIsAway; }
 
@@ -44,7 +46,6 @@
     bool wasAsked = false;
     /// The last look was answered.
     bool hasAnswered = false;
-    std::uint64_t taken = 0;
     std::uint64_t confirmed = 0;
     /// Waits for its ends to be stored before the next look.
     bool isWaitingForStore = false;
--- a/packages/coordination/tests/RecordStoreTest.cpp
+++ b/packages/coordination/tests/RecordStoreTest.cpp
@@ -27,8 +27,8 @@
       this->store,
       this->leadership,
       "guards/",
-      RecordStore::Hooks{ [this] { return std::exchange(this->pending, {}); },
-                          [this] { ++this->stored; },
+      RecordStore::Hooks{ [this](std::uint64_t) { return std::exchange(this->pending, {}); },
+                          [this](std::uint64_t) { ++this->stored; },
                           [this] { this->isReplaced = true; } });
   }
 
@@ -89,6 +89,44 @@
   EXPECT_EQ(this->stored, 1);
 }
 
+// A store that takes 0.27 s to answer: a change waited for the group under way before its own.
+TEST_F(RecordStoreTest, AChangeDoesNotWaitForASlowGroupUnderWay)
+{
+  this->store.answerTime = milliseconds(270);
+  this->Write("first", "value");
+  this->loop.RunFor(milliseconds(50));
+  this->Write("second", "value");
+  this->loop.RunFor(milliseconds(275));
+  EXPECT_EQ(this->stored, 2);
+  EXPECT_EQ(this->store.Value("second"), "value");
+}
+
+TEST_F(RecordStoreTest, AChangeGoesOutAsSoonAsAQuickGroupIsStored)
+{
+  this->Write("first", "value");
+  this->loop.RunFor(milliseconds(1));
+  this->Write("second", "value");
+  this->loop.RunFor(milliseconds(9));
+  EXPECT_EQ(this->stored, 2);
+}
+
+TEST_F(RecordStoreTest, AGroupWithoutAnswerDoesNotHoldUpTheNext)
+{
+  this->store.commitFault = [](const KeyValueTransaction& aTransaction) {
+    return aTransaction.puts.back().key == "first" ? CommitFault::Refused : CommitFault::None;
+  };
+  this->Write("first", "value");
+  this->loop.RunFor(milliseconds(10));
+  this->Write("second", "value");
+  this->loop.RunFor(milliseconds(60));
+  EXPECT_EQ(this->store.Value("second"), "value");
+  EXPECT_EQ(this->store.Value("first"), "");
+  this->store.commitFault = nullptr;
+  this->loop.RunFor(seconds(1));
+  EXPECT_EQ(this->store.Value("first"), "value");
+  EXPECT_FALSE(this->isReplaced);
+}
+
 TEST_F(RecordStoreTest, NothingIsWrittenAfterAnotherInstanceLeads)
 {
   this->store.Put("leader", "other");
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -75,6 +75,8 @@
   bool CancelJob(const JobId& aJob, TimePoint aNow, WallTime aWall);
   void ForgetJob(const JobId& aJob);
 
+  /// Job of a start that was decided; null when it is no longer open.
+  const JobId* JobOf(AttemptKey aAttempt) const;
   /// Order of a start whose record is stored; nothing when it is no longer wanted.
   std::optional<StartOrder> TakeStart(AttemptKey aAttempt, TimePoint aNow);
   void OnStartAnswer(AttemptKey aAttempt, StartAnswer aAnswer, TimePoint aNow);
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -219,6 +219,12 @@
   this->impl->state.RemoveJob(aJob);
 }
 
+const JobId* Dispatcher::JobOf(AttemptKey aAttempt) const
+{
+  const Attempt* attempt = this->impl->state.FindAttempt(aAttempt);
+  return attempt == nullptr ? nullptr : &attempt->step->job->definition.id;
+}
+
 std::optional<StartOrder> Dispatcher::TakeStart(AttemptKey aAttempt, TimePoint aNow)
 {
   Attempt* attempt = this->impl->state.FindAttempt(aAttempt);
