A leader that may have been replaced checks before it answers from memory

Change: a leader whose last renewal is older than its lease asks up to four members who leads before it answers (class LeadershipCheck); it gives up its term when they name a later one. The event loop's clock is CLOCK_BOOTTIME, which goes on while a machine is suspended. Test: ALeaderThatWakesUpDoesNotShowAnOlderState, which fails when the lease always counts as sure. Ruled out: reading the store for each such answer, which would refuse callers during an outage for all.

--- a/packages/coordination/src/Caller.cpp
+++ b/packages/coordination/src/Caller.cpp
@@ -36,10 +36,12 @@
 
 Caller::Caller(const Leader::Environment& aEnvironment,
                Membership& aMembership,
-               std::function<Leader*()> aOwnLeader)
+               std::function<Leader*()> aOwnLeader,
+               std::function<void(std::function<void()>)> aCheckLeadership)
   : env(aEnvironment)
   , membership(aMembership)
   , ownLeader(std::move(aOwnLeader))
+  , checkLeadership(std::move(aCheckLeadership))
 {
 }
 
@@ -235,25 +237,38 @@
                    const std::function<void(const Result<DispatchState>&)>& aDone)
 {
   TimePoint until = this->env.loop.Now() + aTimeout;
+  Leader* own = this->ownLeader();
+  if (own != nullptr && !this->membership.IsLeaseSure()) {
+    // Another instance may lead, and know more of the job.
+    this->checkLeadership([this, aJob, until, aDone] { this->QueryLeader(aJob, until, aDone); });
+    return;
+  }
+  this->QueryLeader(aJob, until, aDone);
+}
+
+void Caller::QueryLeader(const JobId& aJob,
+                         TimePoint aUntil,
+                         const std::function<void(const Result<DispatchState>&)>& aDone)
+{
   if (Leader* own = this->ownLeader()) {
     std::optional<DispatchState> state = own->State(aJob);
     if (state) {
       aDone(*state);
     } else {
-      this->QueryStore(aJob, until, aDone);
+      this->QueryStore(aJob, aUntil, aDone);
     }
     return;
   }
   this->CallLeader("query",
                    { { "job", aJob } },
-                   until,
+                   aUntil,
                    kTriesBeforeStore,
-                   [this, aJob, until, aDone](const Result<json>& aAnswer) {
+                   [this, aJob, aUntil, aDone](const Result<json>& aAnswer) {
                      int state = aAnswer ? aAnswer->value("state", -1) : -1;
                      if (state >= 0) {
                        aDone(static_cast<DispatchState>(state));
                      } else {
-                       this->QueryStore(aJob, until, aDone);
+                       this->QueryStore(aJob, aUntil, aDone);
                      }
                    });
 }
--- a/packages/coordination/src/Caller.h
+++ b/packages/coordination/src/Caller.h
@@ -10,9 +10,11 @@
 class Caller
 {
 public:
+  /// aCheckLeadership asks other members whether this instance still leads.
   Caller(const Leader::Environment& aEnvironment,
          Membership& aMembership,
-         std::function<Leader*()> aOwnLeader);
+         std::function<Leader*()> aOwnLeader,
+         std::function<void(std::function<void()>)> aCheckLeadership);
 
   void Submit(const JobDefinition& aDefinition,
               Duration aTimeout,
@@ -48,6 +50,10 @@
                   TimePoint aUntil,
                   int aMaxTries,
                   const Reply& aReply);
+  /// Asks the leader, or the store when it has no answer.
+  void QueryLeader(const JobId& aJob,
+                   TimePoint aUntil,
+                   const std::function<void(const Result<DispatchState>&)>& aDone);
   void QueryStore(const JobId& aJob,
                   TimePoint aUntil,
                   const std::function<void(const Result<DispatchState>&)>& aDone);
@@ -58,6 +64,7 @@
   Leader::Environment env;
   Membership& membership;
   std::function<Leader*()> ownLeader;
+  std::function<void(std::function<void()>)> checkLeadership;
 };
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -2,6 +2,7 @@
 
 #include "Caller.h"
 #include "Handover.h"
+#include "LeadershipCheck.h"
 #include "RecordCodec.h"
 
 namespace daisydrift {
@@ -11,6 +12,7 @@
 using coordination::Handover;
 using coordination::Leader;
 using coordination::LeaderRecord;
+using coordination::LeadershipCheck;
 using coordination::MemberRecord;
 using coordination::Membership;
 using coordination::ToJson;
@@ -42,6 +44,9 @@
   void OnAnnounced(const json& aArguments);
   void FetchConfig(const SocketEndpoint& aPeer);
   void CheckLeader();
+  void AnswerQuery(const JobId& aJob, const std::function<void(const Result<json>&)>& aReply);
+  /// Gives up the own term when another instance leads a later one.
+  void LearnLeader(const LeaderRecord& aLeader);
   Leader* OwnLeader() const
   {
     return this->leader && this->leader->IsRecovered() ? this->leader.get() : nullptr;
@@ -58,6 +63,7 @@
   Handover handover;
   Leader::Environment environment;
   std::unique_ptr<Leader> leader;
+  LeadershipCheck check;
   Caller caller;
   bool isStopping = false;
   TimePoint leaderHeardAt;
@@ -99,7 +105,16 @@
   , handover(aLoop, aPeers, this->membership, this->settings)
   , environment{ aLoop,    aStore,         aWorkers,       aAdvice,          aPeers,
                  aMetrics, this->decoders, this->settings, this->membership, this->config }
-  , caller(this->environment, this->membership, [this] { return this->OwnLeader(); })
+  , check(aLoop,
+          aPeers,
+          this->membership,
+          this->settings,
+          [this](const LeaderRecord& aLeader) { this->LearnLeader(aLeader); })
+  , caller(
+      this->environment,
+      this->membership,
+      [this] { return this->OwnLeader(); },
+      [this](std::function<void()> aDone) { this->check.Ask(aDone); })
 {
 }
 
@@ -157,13 +172,7 @@
   if (!record) {
     return;
   }
-  if (this->leader && record->term > this->leader->Record().term) {
-    LogLine(LogLevel::Warning, "term_ends")
-      .Add("term", this->leader->Record().term)
-      .Add("reason", "replaced_by_announcement");
-    this->leader.reset();
-  }
-  this->membership.Learn(*record);
+  this->LearnLeader(*record);
   if (this->membership.Leader() && this->membership.Leader()->term == record->term) {
     this->leaderHeardAt = this->loop.Now();
   }
@@ -172,6 +181,36 @@
   }
 }
 
+void Instance::Impl::AnswerQuery(const JobId& aJob,
+                                 const std::function<void(const Result<json>&)>& aReply)
+{
+  auto answer = [this, aJob, aReply] {
+    Leader* own = this->OwnLeader();
+    if (own == nullptr) {
+      aReply(Errc::NotPermitted);
+      return;
+    }
+    std::optional<DispatchState> state = own->State(aJob);
+    aReply(json{ { "state", state ? static_cast<int>(*state) : -1 } });
+  };
+  if (this->membership.IsLeaseSure()) {
+    answer();
+  } else {
+    this->check.Ask(answer);
+  }
+}
+
+void Instance::Impl::LearnLeader(const LeaderRecord& aLeader)
+{
+  if (this->leader && aLeader.term > this->leader->Record().term) {
+    LogLine(LogLevel::Warning, "term_ends")
+      .Add("term", this->leader->Record().term)
+      .Add("reason", "replaced_by_announcement");
+    this->leader.reset();
+  }
+  this->membership.Learn(aLeader);
+}
+
 void Instance::Impl::FetchConfig(const SocketEndpoint& aPeer)
 {
   this->peers.Call(
@@ -299,6 +338,11 @@
     aReply(json::object());
     return;
   }
+  if (aMethod == "leader") {
+    const std::optional<LeaderRecord>& known = self.membership.Leader();
+    aReply(known ? json{ { "leader", ToJson(*known) } } : json::object());
+    return;
+  }
   if (aMethod == "succeed") {
     aReply(json{ { "stands", self.membership.Succeed(aArguments.value("incarnation", "")) } });
     return;
@@ -350,8 +394,7 @@
     }
     aReply(json::object());
   } else if (aMethod == "query") {
-    std::optional<DispatchState> state = leader->State(aArguments.value("job", ""));
-    aReply(json{ { "state", state ? static_cast<int>(*state) : -1 } });
+    self.AnswerQuery(aArguments.value("job", ""), aReply);
   } else if (aMethod == "cancel") {
     leader->Cancel(aArguments.value("job", ""), [aReply](std::error_code aError) {
       if (aError && aError != make_error_code(Errc::NotFound)) {
--- /dev/null
+++ b/packages/coordination/src/LeadershipCheck.cpp
@@ -0,0 +1,61 @@
+#include "LeadershipCheck.h"
+
+#include <nlohmann/json.hpp>
+
+namespace daisydrift::coordination {
+
+using nlohmann::json;
+
+namespace {
+/// Members that are asked; each follows the store by itself.
+constexpr std::size_t kAskedMembers = 4;
+/// Answer time of a member that is well; the caller waits for it.
+constexpr std::chrono::milliseconds kAnswerTime{ 200 };
+} // namespace
+
+LeadershipCheck::LeadershipCheck(EventLoop& aLoop,
+                                 PeerTransport& aPeers,
+                                 const Membership& aMembership,
+                                 const InstanceSettings& aSettings,
+                                 std::function<void(const LeaderRecord&)> aOnLeader)
+  : loop(aLoop)
+  , peers(aPeers)
+  , membership(aMembership)
+  , settings(aSettings)
+  , onLeader(std::move(aOnLeader))
+{
+}
+
+void LeadershipCheck::Ask(const std::function<void()>& aDone)
+{
+  std::vector<SocketEndpoint> asked;
+  for (const auto& [name, member] : this->membership.Members()) {
+    if (name != this->settings.name && asked.size() < kAskedMembers) {
+      asked.push_back(member.endpoint);
+    }
+  }
+  if (asked.empty()) {
+    this->loop.After(Duration(0), aDone);
+    return;
+  }
+  auto left = std::make_shared<std::size_t>(asked.size());
+  for (const SocketEndpoint& member : asked) {
+    this->peers.Call(member,
+                     "leader",
+                     json::object(),
+                     kAnswerTime,
+                     [this, left, aDone](const Result<json>& aAnswer) {
+                       std::optional<LeaderRecord> leader =
+                         aAnswer ? LeaderRecordFrom(aAnswer->value("leader", json()))
+                                 : std::nullopt;
+                       if (leader) {
+                         this->onLeader(*leader);
+                       }
+                       if (--*left == 0) {
+                         aDone();
+                       }
+                     });
+  }
+}
+
+} // namespace daisydrift::coordination
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -93,13 +93,14 @@
 void Membership::AcquireLease()
 {
   this->store.GrantLease(this->settings.membershipLease,
-                         [this](const Result<std::uint64_t>& aLease) {
+                         [this, sentAt = this->loop.Now()](const Result<std::uint64_t>& aLease) {
                            this->NoteStore(aLease.Error());
                            if (!aLease) {
                              this->loop.After(kStoreRetry, [this] { this->AcquireLease(); });
                              return;
                            }
                            this->lease = *aLease;
+                           this->renewedAt = sentAt;
                            this->Register();
                            this->StandForFormerSelf();
                          });
@@ -144,6 +145,9 @@
   }
   this->store.RenewLease(this->lease, [this, sentAt = this->loop.Now()](std::error_code aError) {
     this->NoteStore(aError);
+    if (!aError) {
+      this->renewedAt = std::max(this->renewedAt, sentAt);
+    }
     // A lost answer shows only after a timeout and is no refusal.
     if (!this->isStoreInReach && this->loop.Now() - sentAt < kRefusalTime) {
       this->hooks.onStoreRefused();
@@ -461,6 +465,11 @@
   }
 }
 
+bool Membership::IsLeaseSure() const
+{
+  return this->loop.Now() - this->renewedAt < this->settings.membershipLease;
+}
+
 bool Membership::Succeed(const std::string& aIncarnation)
 {
   bool isWilling = this->isStoreInReach && !this->isStopping && this->lease != 0 && this->leader &&
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -65,6 +65,8 @@
   void NoteStore(std::error_code aError);
   /// True when the last call to the store was answered.
   bool IsStoreInReach() const { return this->isStoreInReach; }
+  /// True when the lease can't have ended, as far as this instance's clock tells.
+  bool IsLeaseSure() const;
   /// Renews the lease now, to find out whether the store is in reach.
   void ProbeStore();
   /// The leader of that incarnation does not reach the store and offers leadership. True when this
@@ -105,6 +107,8 @@
   Hooks hooks;
   std::string prefix;
   std::uint64_t lease = 0;
+  /// When the last renewal that was answered was sent.
+  TimePoint renewedAt;
   /// Counts the loads; each begins a chain of watches and ends the one before.
   std::uint64_t loads = 0;
   bool isStopping = false;
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -39,10 +39,11 @@
                          Metrics& aMetrics,
                          const PlatformDecoders& aDecoders,
                          const InstanceSettings& aSettings)
-  : loop(aLoop, this->isAlive)
-  , store(aStore, this->loop, this->isAlive)
-  , workers(aFleet, this->isAlive)
-  , peers(aPeers, this->isAlive)
+  : state{ aLoop }
+  , loop(aLoop, this->state)
+  , store(aStore, this->loop, this->state)
+  , workers(aFleet, this->state)
+  , peers(aPeers, this->state)
   , instance(this->loop,
              this->store,
              this->workers,
@@ -109,7 +110,7 @@
 void Cluster::KillInstance(int aNumber)
 {
   this->peers.instances.erase(static_cast<unsigned short>(9000 + aNumber));
-  this->processes[aNumber]->isAlive = false;
+  this->processes[aNumber]->state.isAlive = false;
   this->killed.push_back(std::move(this->processes[aNumber]));
   this->processes.erase(aNumber);
   this->instances.erase(aNumber);
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -40,7 +40,7 @@
               const PlatformDecoders& aDecoders,
               const InstanceSettings& aSettings);
 
-  bool isAlive = true;
+  ProcessState state;
   LoopGate loop;
   StoreGate store;
   WorkerGate workers;
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -172,6 +172,24 @@
   this->ExpectAllDone(jobs, 0, seconds(8));
 }
 
+// A leader stands still until its lease has ended and another has completed the job; it used to
+// answer from what it knew before.
+TEST_F(ClusterTest, ALeaderThatWakesUpDoesNotShowAnOlderState)
+{
+  int leader = this->LeaderNumber();
+  int other = (leader + 1) % 3;
+  ASSERT_EQ(this->Submit(other, "job", 3), SubmitOutcome::Accepted);
+  this->loop.RunFor(milliseconds(50));
+  auto port = static_cast<unsigned short>(9000 + leader);
+  this->processes[leader]->state.isPaused = true;
+  this->peers.silent.insert(port);
+  this->loop.RunFor(seconds(4));
+  ASSERT_EQ(*this->State(other, "job"), DispatchState::Completed);
+  this->processes[leader]->state.isPaused = false;
+  this->peers.silent.erase(port);
+  EXPECT_EQ(*this->State(leader, "job"), DispatchState::Completed);
+}
+
 // An election whose answer is lost may be carried out seconds later, when the candidate has given
 // it up: the store then named a leader that did not know of it, and nobody led.
 TEST_F(ClusterTest, AnInstanceThatIsElectedLateLeads)
--- a/packages/coordination/tests/Gates.h
+++ b/packages/coordination/tests/Gates.h
@@ -1,6 +1,6 @@
 #pragma once
 // What stands between an instance and the rest of a test: once its process has ended, no call
-// leaves it and no answer reaches it.
+// leaves it and no answer reaches it; while it is paused, they wait.
 
 #include "VirtualLoop.h"
 #include "daisydrift/coordination.h"
@@ -9,51 +9,68 @@
 
 namespace daisydrift {
 
-/// Wraps a callback so that it runs only while aIsAlive.
+/// State of the process of an instance.
+struct ProcessState
+{
+  VirtualLoop& loop;
+  bool isAlive = true;
+  bool isPaused = false;
+};
+
+template<typename Callback, typename Arguments>
+void Deliver(const ProcessState& aProcess, const Callback& aDone, const Arguments& aArguments)
+{
+  if (aProcess.isAlive && aProcess.isPaused) {
+    aProcess.loop.After(std::chrono::milliseconds(1),
+                        [&aProcess, aDone, aArguments] { Deliver(aProcess, aDone, aArguments); });
+  } else if (aProcess.isAlive) {
+    std::apply(aDone, aArguments);
+  }
+}
+
+/// Wraps a callback so that it runs only while the process runs.
 template<typename Callback>
-auto WhileAlive(const bool& aIsAlive, Callback aDone)
+auto WhileAlive(const ProcessState& aProcess, Callback aDone)
 {
-  return [&aIsAlive, done = std::move(aDone)](auto&&... aArguments) {
-    if (aIsAlive) {
-      done(std::forward<decltype(aArguments)>(aArguments)...);
-    }
+  return [&aProcess, done = std::move(aDone)](const auto&... aArguments) {
+    Deliver(aProcess, done, std::make_tuple(aArguments...));
   };
 }
 
 class LoopGate : public EventLoop
 {
 public:
-  LoopGate(EventLoop& aLoop, const bool& aIsAlive)
+  LoopGate(EventLoop& aLoop, const ProcessState& aProcess)
     : loop(aLoop)
-    , isAlive(aIsAlive)
+    , process(aProcess)
   {
   }
   TimePoint Now() const override { return this->loop.Now(); }
   WallTime Wall() const override { return this->loop.Wall(); }
   void After(Duration aDelay, std::function<void()> aAction) override
   {
-    this->loop.After(aDelay, WhileAlive(this->isAlive, std::move(aAction)));
+    this->loop.After(aDelay, WhileAlive(this->process, std::move(aAction)));
   }
 
 private:
   EventLoop& loop;
-  const bool& isAlive;
+  const ProcessState& process;
 };
 
 class StoreGate : public KeyValueStore
 {
 public:
-  StoreGate(KeyValueStore& aStore, EventLoop& aLoop, const bool& aIsAlive)
+  StoreGate(KeyValueStore& aStore, EventLoop& aLoop, const ProcessState& aProcess)
     : store(aStore)
     , loop(aLoop)
-    , isAlive(aIsAlive)
+    , process(aProcess)
   {
   }
   void Read(const std::string& aKey,
             std::function<void(const Result<std::optional<KeyValueItem>>&)> aDone) override
   {
     if (this->Passes(aDone)) {
-      this->store.Read(aKey, WhileAlive(this->isAlive, std::move(aDone)));
+      this->store.Read(aKey, WhileAlive(this->process, std::move(aDone)));
     }
   }
   void ReadPage(const std::string& aPrefix,
@@ -61,7 +78,7 @@
                 std::function<void(const Result<KeyValuePage>&)> aDone) override
   {
     if (this->Passes(aDone)) {
-      this->store.ReadPage(aPrefix, aAfter, WhileAlive(this->isAlive, std::move(aDone)));
+      this->store.ReadPage(aPrefix, aAfter, WhileAlive(this->process, std::move(aDone)));
     }
   }
   void Watch(const std::string& aPrefix,
@@ -71,27 +88,27 @@
   {
     if (this->Passes(aDone)) {
       this->store.Watch(
-        aPrefix, aAfterRevision, aWait, WhileAlive(this->isAlive, std::move(aDone)));
+        aPrefix, aAfterRevision, aWait, WhileAlive(this->process, std::move(aDone)));
     }
   }
   void Commit(const KeyValueTransaction& aTransaction,
               std::function<void(const Result<std::uint64_t>&)> aDone) override
   {
     if (this->Passes(aDone)) {
-      this->store.Commit(aTransaction, WhileAlive(this->isAlive, std::move(aDone)));
+      this->store.Commit(aTransaction, WhileAlive(this->process, std::move(aDone)));
     }
   }
   void GrantLease(Duration aTimeToLive,
                   std::function<void(const Result<std::uint64_t>&)> aDone) override
   {
     if (this->Passes(aDone)) {
-      this->store.GrantLease(aTimeToLive, WhileAlive(this->isAlive, std::move(aDone)));
+      this->store.GrantLease(aTimeToLive, WhileAlive(this->process, std::move(aDone)));
     }
   }
   void RenewLease(std::uint64_t aLease, std::function<void(std::error_code)> aDone) override
   {
     if (this->Passes(aDone)) {
-      this->store.RenewLease(aLease, WhileAlive(this->isAlive, std::move(aDone)));
+      this->store.RenewLease(aLease, WhileAlive(this->process, std::move(aDone)));
     }
   }
 
@@ -103,24 +120,24 @@
   template<typename Callback>
   bool Passes(const Callback& aDone)
   {
-    if (this->isAlive && this->isTurnedAway) {
+    if (this->process.isAlive && this->isTurnedAway) {
       this->loop.After(std::chrono::milliseconds(1),
                        [aDone] { aDone(make_error_code(Errc::Overloaded)); });
     }
-    return this->isAlive && !this->isTurnedAway;
+    return this->process.isAlive && !this->isTurnedAway;
   }
 
   KeyValueStore& store;
   EventLoop& loop;
-  const bool& isAlive;
+  const ProcessState& process;
 };
 
 class WorkerGate : public WorkerGateway
 {
 public:
-  WorkerGate(WorkerGateway& aWorkers, const bool& aIsAlive)
+  WorkerGate(WorkerGateway& aWorkers, const ProcessState& aProcess)
     : workers(aWorkers)
-    , isAlive(aIsAlive)
+    , process(aProcess)
   {
   }
   void Start(const WorkerListing& aWorker,
@@ -129,9 +146,9 @@
              Epoch aFence,
              std::function<void(StartAnswer, bool)> aDone) override
   {
-    if (this->isAlive) {
+    if (this->process.isAlive) {
       this->workers.Start(
-        aWorker, aOrder, aLease, aFence, WhileAlive(this->isAlive, std::move(aDone)));
+        aWorker, aOrder, aLease, aFence, WhileAlive(this->process, std::move(aDone)));
     }
   }
   void Stop(const WorkerListing& aWorker,
@@ -139,8 +156,8 @@
             Epoch aFence,
             std::function<void(std::error_code)> aDone) override
   {
-    if (this->isAlive) {
-      this->workers.Stop(aWorker, aOrder, aFence, WhileAlive(this->isAlive, std::move(aDone)));
+    if (this->process.isAlive) {
+      this->workers.Stop(aWorker, aOrder, aFence, WhileAlive(this->process, std::move(aDone)));
     }
   }
   void Pace(const WorkerListing& aWorker,
@@ -148,8 +165,8 @@
             Epoch aFence,
             std::function<void(std::error_code)> aDone) override
   {
-    if (this->isAlive) {
-      this->workers.Pace(aWorker, aOrder, aFence, WhileAlive(this->isAlive, std::move(aDone)));
+    if (this->process.isAlive) {
+      this->workers.Pace(aWorker, aOrder, aFence, WhileAlive(this->process, std::move(aDone)));
     }
   }
   void Look(const WorkerListing& aWorker,
@@ -157,22 +174,22 @@
             Epoch aFence,
             std::function<void(const Result<WorkerReport>&)> aDone) override
   {
-    if (this->isAlive) {
-      this->workers.Look(aWorker, aRequest, aFence, WhileAlive(this->isAlive, std::move(aDone)));
+    if (this->process.isAlive) {
+      this->workers.Look(aWorker, aRequest, aFence, WhileAlive(this->process, std::move(aDone)));
     }
   }
 
 private:
   WorkerGateway& workers;
-  const bool& isAlive;
+  const ProcessState& process;
 };
 
 class PeerGate : public PeerTransport
 {
 public:
-  PeerGate(PeerTransport& aPeers, const bool& aIsAlive)
+  PeerGate(PeerTransport& aPeers, const ProcessState& aProcess)
     : peers(aPeers)
-    , isAlive(aIsAlive)
+    , process(aProcess)
   {
   }
   void Call(const SocketEndpoint& aPeer,
@@ -181,15 +198,15 @@
             Duration aTimeout,
             std::function<void(const Result<nlohmann::json>&)> aDone) override
   {
-    if (this->isAlive) {
+    if (this->process.isAlive) {
       this->peers.Call(
-        aPeer, aMethod, aArguments, aTimeout, WhileAlive(this->isAlive, std::move(aDone)));
+        aPeer, aMethod, aArguments, aTimeout, WhileAlive(this->process, std::move(aDone)));
     }
   }
 
 private:
   PeerTransport& peers;
-  const bool& isAlive;
+  const ProcessState& process;
 };
 
 } // namespace daisydrift
--- a/packages/http/src/EventLoop.cpp
+++ b/packages/http/src/EventLoop.cpp
@@ -49,7 +49,11 @@
 
 TimePoint AsioLoop::Now() const
 {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  // Unlike the steady clock, it goes on while the machine is suspended, and so do leases elsewhere.
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) +
+                                                        std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 WallTime AsioLoop::Wall() const
