Runs on a worker that began anew are fenced off before the next

Change: when a worker's incarnation changes, its confirmed runs of this term are stopped, and start elsewhere only when the stop is confirmed there or their lease is over. Test: ARunOnAWorkerThatBeganAnewIsFencedOffBeforeTheNext, which failed before (the task was settled at once). Ruled out: the id in the expected-instance header, which is the same in both lives.

--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -255,8 +255,18 @@
   WorkerTrust::Reset(aWorker);
   std::vector<Attempt*> lost;
   for (Attempt& attempt : aWorker.attempts) {
-    if (attempt.state == AttemptState::Running || attempt.state == AttemptState::Restored) {
-      lost.push_back(&attempt);
+    if (attempt.state == AttemptState::Restored) {
+      lost.push_back(&attempt); // An earlier leader's orders are refused there.
+    } else if (attempt.state == AttemptState::Running) {
+      // A second try of the start may be on its way still, and the worker has forgotten the run.
+      attempt.state = AttemptState::Sent;
+      attempt.confirmedAt = TimePoint::max();
+      attempt.isStopping = true;
+      attempt.stopSentAt = TimePoint();
+      attempt.stopConfirmedAt = TimePoint::max();
+      if (attempt.step->spec->isGang) {
+        this->StopGang(*attempt.step);
+      }
     }
   }
   for (Attempt* attempt : lost) {
--- a/packages/dispatch/tests/WorkerRulesTest.cpp
+++ b/packages/dispatch/tests/WorkerRulesTest.cpp
@@ -87,6 +87,28 @@
   EXPECT_TRUE(this->Round().empty());
 }
 
+// A start whose first answer was lost is sent again. The worker began anew in between, carried the
+// second try out, and its success was noted when the next run was on its way.
+TEST_F(WorkerRulesTest, ARunOnAWorkerThatBeganAnewIsFencedOffBeforeTheNext)
+{
+  this->AddWorker("w1", 1000);
+  this->Add(Job("job", 1));
+  std::vector<StartOrder> orders = this->RoundAccepted();
+  ASSERT_EQ(orders.size(), 1U);
+  this->Advance(milliseconds(300));
+  this->incarnation = 2;
+  this->Report("w1", {});
+  this->Advance(milliseconds(50));
+  EXPECT_TRUE(this->Round().empty());
+  ASSERT_EQ(this->round.stops.size(), 1U);
+  this->dispatcher.OnStopped(this->round.stops[0], this->now);
+  this->Advance(milliseconds(5));
+  this->Report("w1", {});
+  std::vector<StartOrder> next = this->Round();
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_GT(next[0].run, orders[0].run);
+}
+
 TEST_F(WorkerRulesTest, AGangStartsWholeOrNotAtAll)
 {
   this->AddWorker("w1", 2000);
