Waves of upkeep are carried out

Cause: the operators' requests for upkeep (op/wave/N) were ignored. Change: UpkeepPlan decides which machine is emptied and ordered when; UpkeepDriver reads the list of machines, orders and writes the state; the adapter gets PlatformMachines. Workers that are emptied get no starts and their services move as off a draining one. Two new settings (machines, order_pause_ms). Tests: UpkeepPlanTest with a random property over lost answers, refusals and lists that fail. Ruled out: a record of each order in the store, since an order for a machine that had its upkeep changes nothing.

--- a/packages/coordination/include/daisydrift/coordination.h
+++ b/packages/coordination/include/daisydrift/coordination.h
@@ -8,5 +8,6 @@
 #include "daisydrift/coordination/Instance.h"
 #include "daisydrift/coordination/JsonText.h"
 #include "daisydrift/coordination/KeyValueStore.h"
+#include "daisydrift/coordination/MachineGateway.h"
 #include "daisydrift/coordination/PeerTransport.h"
 #include "daisydrift/coordination/WorkerGateway.h"
--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -4,6 +4,7 @@
 #include "daisydrift/coordination/AdviceClient.h"
 #include "daisydrift/coordination/FleetConfig.h"
 #include "daisydrift/coordination/KeyValueStore.h"
+#include "daisydrift/coordination/MachineGateway.h"
 #include "daisydrift/coordination/PeerTransport.h"
 #include "daisydrift/coordination/WorkerGateway.h"
 #include "daisydrift/http.h"
@@ -43,6 +44,9 @@
   Duration lookWait = std::chrono::milliseconds(1000);
   /// Final states are shown at least this long.
   Duration retention = std::chrono::seconds(130);
+  /// Time for which a new leader gives no orders about machines, so that two leaders never take
+  /// turns at one. Source: the platform's bound on a lease.
+  Duration orderPause = std::chrono::milliseconds(3000);
   /// Time between announcements of the leader to the other instances.
   Duration announceInterval = std::chrono::milliseconds(700);
 };
@@ -60,6 +64,12 @@
   std::string configKey;
   /// Prefix of keys that take a failure domain out of service; the rest of the key is its name.
   std::string drainPrefix;
+  /// Prefix of keys that ask for a wave of upkeep, and what one asks for; nothing when unreadable.
+  std::string wavePrefix;
+  std::function<std::optional<UpkeepWave>(const std::string& aValue)> wave;
+  /// Prefix under which the state of a wave is written, by its number, and its text.
+  std::string waveStatusPrefix;
+  std::function<std::string(bool aIsCompleted)> waveStatus;
 };
 
 /// Answer to a submission.
@@ -79,6 +89,7 @@
   Instance(EventLoop& aLoop,
            KeyValueStore& aStore,
            WorkerGateway& aWorkers,
+           MachineGateway& aMachines,
            AdviceClient& aAdvice,
            PeerTransport& aPeers,
            Metrics& aMetrics,
--- a/packages/coordination/src/ConfigFollower.cpp
+++ b/packages/coordination/src/ConfigFollower.cpp
@@ -52,6 +52,10 @@
     }
     return;
   }
+  if (!this->decoders.wavePrefix.empty() && aKey.rfind(this->decoders.wavePrefix, 0) == 0) {
+    this->ApplyWave(aKey, aValue);
+    return;
+  }
   if (aKey.rfind(this->decoders.drainPrefix, 0) == 0) {
     FailureDomain domain = aKey.substr(this->decoders.drainPrefix.size());
     bool hasChanged =
@@ -63,6 +67,22 @@
   }
 }
 
+void ConfigFollower::ApplyWave(const std::string& aKey, const std::optional<std::string>& aValue)
+{
+  if (auto known = this->waveKeys.extract(aKey)) {
+    this->waves.erase(known.mapped());
+  }
+  std::optional<UpkeepWave> wave = aValue ? this->decoders.wave(*aValue) : std::nullopt;
+  if (aValue && !wave) {
+    LogLine(LogLevel::Error, "upkeep_wave_unreadable").Add("key", aKey);
+  }
+  if (wave) {
+    this->waveKeys[aKey] = wave->number;
+    this->waves[wave->number] = std::move(*wave);
+  }
+  this->onChange();
+}
+
 void ConfigFollower::Load()
 {
   this->store.ReadPage(
--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -53,6 +53,17 @@
     this->env.settings,
     aRecord.term,
     WorkerLooks::Hooks{ [this] { this->Kick(); }, [this] { this->Lose("fenced_by_worker"); } });
+  this->upkeep = std::make_unique<UpkeepDriver>(
+    this->env.loop,
+    this->env.store,
+    this->env.machines,
+    *this->dispatcher,
+    this->env.settings,
+    this->env.decoders,
+    KeyValueTransaction::Condition{ this->env.settings.storePrefix + "group/leader",
+                                    aRecord.revision },
+    aRecord.term,
+    UpkeepDriver::Hooks{ [this] { this->Kick(); }, [this] { this->Lose("fenced_by_platform"); } });
   this->lanes = std::make_unique<AdviceLanes>(
     this->env.loop,
     this->env.advice,
@@ -112,6 +123,7 @@
     this->dispatcher->SetPolicy(this->env.config.Config()->policy);
   }
   this->dispatcher->SetDrainedDomains(this->env.config.Drained());
+  this->upkeep->SetWaves(this->env.config.Waves());
   this->Kick();
 }
 
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -4,6 +4,7 @@
 #include "AdviceLanes.h"
 #include "ConfigFollower.h"
 #include "RecordStore.h"
+#include "UpkeepDriver.h"
 #include "WorkerLooks.h"
 
 #include <unordered_map>
@@ -28,6 +29,7 @@
     EventLoop& loop;
     KeyValueStore& store;
     WorkerGateway& workers;
+    MachineGateway& machines;
     AdviceClient& advice;
     PeerTransport& peers;
     Metrics& metrics;
@@ -109,6 +111,7 @@
   std::unique_ptr<RecordStore> records;
   std::unique_ptr<WorkerLooks> looks;
   std::unique_ptr<AdviceLanes> lanes;
+  std::unique_ptr<UpkeepDriver> upkeep;
   bool isRecovered = false;
   bool isLost = false;
   bool isKicked = false;
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -134,6 +134,7 @@
     .Add("jobs", this->dispatcher->Counts(this->env.loop.Now()).jobs)
     .Add("finished_jobs", this->finished.size())
     .Add("workers", this->dispatcher->Workers().size());
+  this->upkeep->SetWaves(this->env.config.Waves());
   this->FollowJobs();
   this->Tick();
 }
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -20,6 +20,25 @@
 };
 NoAdvice sNoAdvice;
 
+/// No machine needs upkeep in these tests.
+class NoMachines : public MachineGateway
+{
+public:
+  void List(std::function<void(const Result<std::vector<MachineListing>>&)> aDone) override
+  {
+    aDone(Errc::Unreachable);
+  }
+  void BeginUpkeep(const std::string&,
+                   std::uint64_t,
+                   const std::string&,
+                   Epoch,
+                   std::function<void(UpkeepAnswer)> aDone) override
+  {
+    aDone(UpkeepAnswer::Busy);
+  }
+};
+NoMachines sNoMachines;
+
 std::optional<FleetConfig> ConfigFrom(const std::string& aDocument, Findings&)
 {
   FleetConfig config;
@@ -47,6 +66,7 @@
   , instance(this->loop,
              this->store,
              this->workers,
+             sNoMachines,
              sNoAdvice,
              this->peers,
              aMetrics,
@@ -98,7 +118,9 @@
   settings.peerEndpoint = { "10.0.0.1", static_cast<unsigned short>(9000 + aNumber) };
   settings.operatorPrefix = "operators/";
   settings.workerPrefix = "workers/";
-  PlatformDecoders decoders{ ConfigFrom, FakeWorkerFrom, "operators/config", "operators/drain/" };
+  PlatformDecoders decoders{
+    ConfigFrom, FakeWorkerFrom, "operators/config", "operators/drain/", "", nullptr, "", nullptr
+  };
   auto process = std::make_unique<FakeProcess>(
     this->loop, this->store, this->fleet, this->peers, this->metrics, decoders, settings);
   this->peers.instances[settings.peerEndpoint.port] = &process->instance;
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -44,6 +44,11 @@
   /// Failure domains that get no starts.
   void SetDrainedDomains(const std::set<FailureDomain>& aDomains);
 
+  /// Workers that are to be emptied: they get no starts, and what can move moves away.
+  void SetReserved(const std::set<WorkerId>& aWorkers);
+  /// Runs that may be open on a worker.
+  std::size_t CountRuns(const WorkerId& aWorker) const;
+
   /// The worker is listed.
   void ListWorker(const WorkerListing& aListing);
   /// The worker is no longer listed; its runs stay counted until their lease is over.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -57,6 +57,19 @@
   this->impl->state.drained = aDomains;
 }
 
+void Dispatcher::SetReserved(const std::set<WorkerId>& aWorkers)
+{
+  for (auto& [id, worker] : this->impl->state.workers) {
+    worker->isReserved = aWorkers.count(id) != 0;
+  }
+}
+
+std::size_t Dispatcher::CountRuns(const WorkerId& aWorker) const
+{
+  const Worker* worker = this->impl->state.FindWorker(aWorker);
+  return worker == nullptr ? 0 : worker->attempts.size();
+}
+
 void Dispatcher::ListWorker(const WorkerListing& aListing)
 {
   Worker& worker = this->impl->state.EnsureWorker(aListing.id);
@@ -238,7 +251,7 @@
   bool hasTicket = ticket != nullptr && ticket->validUntil > aNow;
   // A probing worker holds this very attempt, so it is not asked again whether it is free.
   bool isWanted = !step.job->IsFinished() && !attempt->isStopping && worker.isListed &&
-                  !worker.isSilent && !worker.listing.isDraining &&
+                  !worker.isSilent && !worker.IsLeaving() &&
                   this->impl->state.drained.count(worker.listing.domain) == 0 &&
                   (hasTicket || !step.job->queue->advice);
   if (!isWanted) {
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -37,7 +37,7 @@
   void StopGang(dispatch::Step& aStep);
   void Sweep(TimePoint aNow, DispatchRound& aRound);
   void CheckProgress(dispatch::Attempt& aAttempt, TimePoint aNow);
-  void MoveOffDraining(dispatch::Attempt& aAttempt, TimePoint aNow);
+  void MoveOffLeaving(dispatch::Attempt& aAttempt, TimePoint aNow);
   bool MayTakeAway(const dispatch::Step& aStep) const;
   void PlaceStep(dispatch::Step& aStep, TimePoint aNow, DispatchRound& aRound);
   void PlaceGang(dispatch::Step& aStep, TimePoint aNow, DispatchRound& aRound);
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -202,6 +202,10 @@
   TimePoint pacedUntil;
   int pace = 100;
 
+  /// It is to be emptied.
+  bool isReserved = false;
+
+  bool IsLeaving() const { return this->listing.isDraining || this->isReserved; }
   Resources Free() const { return this->listing.capacity - this->committed; }
 };
 
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -161,7 +161,7 @@
   }
 }
 
-void Dispatcher::Impl::MoveOffDraining(Attempt& aAttempt, TimePoint aNow)
+void Dispatcher::Impl::MoveOffLeaving(Attempt& aAttempt, TimePoint aNow)
 {
   const StepSpec& spec = *aAttempt.step->spec;
   if (spec.isService) {
@@ -219,8 +219,8 @@
       }
       if (!attempt.isStopping && attempt.state == AttemptState::Running) {
         this->CheckProgress(attempt, aNow);
-        if (worker.listing.isDraining && !attempt.isStopping) {
-          this->MoveOffDraining(attempt, aNow);
+        if (worker.IsLeaving() && !attempt.isStopping) {
+          this->MoveOffLeaving(attempt, aNow);
         }
       }
       if (attempt.isStopping && attempt.state != AttemptState::Planned &&
--- a/packages/dispatch/src/WorkerTrust.cpp
+++ b/packages/dispatch/src/WorkerTrust.cpp
@@ -19,9 +19,9 @@
 
 bool WorkerTrust::AcceptsStarts(const Worker& aWorker, TimePoint aNow) const
 {
-  return aWorker.isListed && aWorker.hasReported && !aWorker.isSilent &&
-         !aWorker.listing.isDraining && aNow >= aWorker.quarantinedUntil &&
-         aNow >= aWorker.pausedUntil && aNow - aWorker.reportedAt < this->state.settings.silence &&
+  return aWorker.isListed && aWorker.hasReported && !aWorker.isSilent && !aWorker.IsLeaving() &&
+         aNow >= aWorker.quarantinedUntil && aNow >= aWorker.pausedUntil &&
+         aNow - aWorker.reportedAt < this->state.settings.silence &&
          !(aWorker.isProbing && !aWorker.attempts.empty()) &&
          this->state.drained.count(aWorker.listing.domain) == 0;
 }
