--- a/packages/coordination/src/Caller.cpp
+++ b/packages/coordination/src/Caller.cpp
@@ -37,7 +37,7 @@
 Caller::Caller(const Leader::Environment& aEnvironment,
                Membership& aMembership,
                std::function<Leader*()> aOwnLeader,
-               std::function<void(std::function<void()>)> aCheckLeadership)
+               std::function<void(const std::function<void()>&)> aCheckLeadership)
   : env(aEnvironment)
   , membership(aMembership)
   , ownLeader(std::move(aOwnLeader))
--- a/packages/coordination/src/Caller.h
+++ b/packages/coordination/src/Caller.h
@@ -14,7 +14,7 @@
   Caller(const Leader::Environment& aEnvironment,
          Membership& aMembership,
          std::function<Leader*()> aOwnLeader,
-         std::function<void(std::function<void()>)> aCheckLeadership);
+         std::function<void(const std::function<void()>&)> aCheckLeadership);
 
   void Submit(const JobDefinition& aDefinition,
               Duration aTimeout,
@@ -64,7 +64,7 @@
   Leader::Environment env;
   Membership& membership;
   std::function<Leader*()> ownLeader;
-  std::function<void(std::function<void()>)> checkLeadership;
+  std::function<void(const std::function<void()>&)> checkLeadership;
 };
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -116,7 +116,7 @@
       this->environment,
       this->membership,
       [this] { return this->OwnLeader(); },
-      [this](std::function<void()> aDone) { this->check.Ask(aDone); })
+      [this](const std::function<void()>& aDone) { this->check.Ask(aDone); })
 {
 }
 
