A leader waits for the configuration before it restores jobs

All instances lost power while the store was away; a leader elected on its return restored the jobs before it had read the configuration, and a queue without rules allows one attempt. Change: definitions are restored when the configuration is known. Test: ARestoredJobKeepsTheAttemptsOfItsQueue, which failed before. Ruled out: failures counted twice (ends are matched to open runs by their number). A queue that is removed while its jobs run has the same default after a change of leader; open.

--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -78,9 +78,12 @@
 
 void Leader::LoadDefinitions()
 {
-  if (this->env.config.Config() != nullptr) {
-    this->dispatcher->SetPolicy(this->env.config.Config()->policy);
+  if (this->env.config.Config() == nullptr) {
+    // Without its queue's rules a restored job would fail with the first failure of a task.
+    this->After(kStoreRetry, [this] { this->LoadDefinitions(); });
+    return;
   }
+  this->dispatcher->SetPolicy(this->env.config.Config()->policy);
   this->dispatcher->SetDrainedDomains(this->env.config.Drained());
   this->ReadAll(
     DefinitionPrefix(this->env.settings.storePrefix),
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -238,6 +238,27 @@
   EXPECT_GE(this->LeaderNumber(), 0);
 }
 
+// All instances were killed and the new leader restored its jobs before it had read the configuration:
+// with no rules of the queue a job failed with the first failure of a task.
+TEST_F(ClusterTest, ARestoredJobKeepsTheAttemptsOfItsQueue)
+{
+  this->fleet.outcome = RunOutcome::Failed;
+  ASSERT_EQ(this->Submit(0, "job", 1), SubmitOutcome::Accepted);
+  this->loop.RunFor(milliseconds(100));
+  for (int number = 0; number < 3; ++number) {
+    this->KillInstance(number);
+  }
+  this->fleet.outcome = RunOutcome::Succeeded;
+  this->loop.RunFor(milliseconds(900));
+  this->store.isPrefixAway = [](const std::string& aPrefix) { return aPrefix == "operators/"; };
+  for (int number = 0; number < 3; ++number) {
+    this->StartInstance(number);
+  }
+  this->loop.RunFor(seconds(2));
+  this->store.isPrefixAway = nullptr;
+  this->ExpectAllDone({ "job" }, 0, seconds(5));
+}
+
 TEST_F(ClusterTest, WithoutTheStoreJobsAreRefusedAndAcceptedOnesGoOnAfterwards)
 {
   ASSERT_EQ(this->Submit(0, "before", 4), SubmitOutcome::Accepted);
--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -102,8 +102,8 @@
   ++this->begun;
   std::uint64_t id = this->nextRunId++;
   worker.running[aOrder.task] = { aOrder.run, id };
-  this->loop.After(this->runTime, [this, aId, task = aOrder.task, id] {
-    this->End(aId, task, id, RunOutcome::Succeeded);
+  this->loop.After(this->runTime, [this, aId, task = aOrder.task, id, how = this->outcome] {
+    this->End(aId, task, id, how);
   });
 }
 
--- a/packages/coordination/tests/FakeFleet.h
+++ b/packages/coordination/tests/FakeFleet.h
@@ -50,6 +50,8 @@
   /// Run time of every task.
   Duration runTime = std::chrono::milliseconds(600);
   std::function<StartFault(const StartOrder&)> startFault;
+  /// How the runs end that begin now.
+  RunOutcome outcome = RunOutcome::Succeeded;
   /// True for a look that is carried out and whose answer is lost; empty for none.
   std::function<bool(const WorkerId&)> isLookLost;
   /// Starts that were carried out, and what broke a rule.
--- a/packages/coordination/tests/MemoryStore.cpp
+++ b/packages/coordination/tests/MemoryStore.cpp
@@ -29,7 +29,7 @@
                            std::function<void(const Result<KeyValuePage>&)> aDone)
 {
   this->loop.After(this->answerTime, [this, aPrefix, aAfter, aDone] {
-    if (this->isDown) {
+    if (this->isDown || (this->isPrefixAway && this->isPrefixAway(aPrefix))) {
       aDone(Errc::Unreachable);
       return;
     }
--- a/packages/coordination/tests/MemoryStore.h
+++ b/packages/coordination/tests/MemoryStore.h
@@ -50,6 +50,8 @@
 
   /// Decides about each transaction; empty for no faults.
   std::function<CommitFault(const KeyValueTransaction&)> commitFault;
+  /// True for a prefix that can't be read now; empty for none.
+  std::function<bool(const std::string&)> isPrefixAway;
   /// True for a renewal that is carried out and whose answer is lost; empty for none.
   std::function<bool()> isRenewalLost;
   /// While true all calls fail as Unreachable.
