--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -238,8 +238,8 @@
   EXPECT_GE(this->LeaderNumber(), 0);
 }
 
-// All instances were killed and the new leader restored its jobs before it had read the configuration:
-// with no rules of the queue a job failed with the first failure of a task.
+// All instances were killed and the new leader restored its jobs before it had read the
+// configuration: with no rules of the queue a job failed with the first failure of a task.
 TEST_F(ClusterTest, ARestoredJobKeepsTheAttemptsOfItsQueue)
 {
   this->fleet.outcome = RunOutcome::Failed;
