Logs and metrics tell how old an instance's configuration is and which call failed

Cause: the logs had a line for each version in force and none for the calls that follow the configuration, so a dead watch, a missing announcement and a late process looked alike. Change: config_unconfirmed (call, error, time spent, age) and config_confirmed around each row of failed calls, config_fetch_failed, the source and age in config_in_force, config_age_ms in request_answered; metrics config_version, config_age_seconds, config_calls_failed_total. Ruled out: a line for each failed call; in an outage that is seven a second and instance.

--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -113,6 +113,8 @@
 
   /// The newest configuration, or null before the first one was read.
   const FleetConfig* Config() const;
+  /// Time since the store last confirmed that configuration, counted from the sending of the call.
+  Duration ConfigAge() const;
   /// Sets the action that runs after each change of the configuration.
   void OnConfigChange(std::function<void(const FleetConfig&)> aAction);
   /// True when callers' requests can be served.
--- a/packages/coordination/src/ConfigFollower.h
+++ b/packages/coordination/src/ConfigFollower.h
@@ -16,6 +16,7 @@
                  KeyValueStore& aStore,
                  const PlatformDecoders& aDecoders,
                  const InstanceSettings& aSettings,
+                 Metrics& aMetrics,
                  std::function<void()> aOnChange);
 
   void Start();
@@ -25,25 +26,37 @@
   const std::set<FailureDomain>& DrainedDomains() const { return this->drainedDomains; }
   /// Maintenance waves that the operators have requested, by number.
   const std::map<std::uint64_t, MaintenanceWave>& Waves() const { return this->waves; }
-  /// Adopts a configuration document, unless the current version is the same or newer.
-  void Adopt(const std::string& aDocument);
+  /// Adopts a configuration document, unless the current version is the same or newer. aSource
+  /// names in the log where the document came from.
+  void Adopt(const std::string& aDocument, const char* aSource);
+  /// Time since the store last confirmed the configuration, counted from the sending of the call
+  /// that it answered.
+  Duration Age() const { return this->loop.Now() - this->confirmedAt; }
 
 private:
   void Load();
   void Watch(std::uint64_t aRevision);
   void ApplyWave(const std::string& aKey, const std::optional<std::string>& aValue);
-  void ApplyChange(const std::string& aKey, const std::optional<std::string>& aValue);
+  void ApplyChange(const std::string& aKey,
+                   const std::optional<std::string>& aValue,
+                   const char* aSource);
+  void OnConfirmed(TimePoint aSentAt);
+  void OnCallFailed(const char* aCall, std::error_code aError, TimePoint aSentAt);
 
   EventLoop& loop;
   KeyValueStore& store;
   const PlatformDecoders& decoders;
   const InstanceSettings& settings;
+  Metrics& metrics;
   std::function<void()> onChange;
   std::optional<FleetConfig> config;
   std::set<FailureDomain> drainedDomains;
   std::map<std::uint64_t, MaintenanceWave> waves;
   /// Wave number of each key: a deletion carries only the key.
   std::map<std::string, std::uint64_t> waveNumbers;
+  /// Send time of the last call that the store answered.
+  TimePoint confirmedAt;
+  bool isLastCallFailed = false;
   bool isStopping = false;
 };
 
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -90,6 +90,7 @@
            aStore,
            this->decoders,
            this->settings,
+           aMetrics,
            [this] {
              if (this->leader) {
                this->leader->OnConfigChange();
@@ -219,12 +220,20 @@
 
 void Instance::Impl::FetchConfig(const SocketEndpoint& aPeer)
 {
-  this->peers.Call(
-    aPeer, "config", json::object(), kAnnounceTimeout, [this](const Result<json>& aResponse) {
-      if (aResponse && aResponse->contains("document")) {
-        this->config.Adopt((*aResponse)["document"].get<std::string>());
-      }
-    });
+  this->peers.Call(aPeer,
+                   "config",
+                   json::object(),
+                   kAnnounceTimeout,
+                   [this, aPeer](const Result<json>& aResponse) {
+                     if (aResponse && aResponse->contains("document")) {
+                       this->config.Adopt((*aResponse)["document"].get<std::string>(), "instance");
+                     } else if (!aResponse) {
+                       LogLine(LogLevel::Warning, "config_fetch_failed")
+                         .Add("instance", aPeer.address)
+                         .Add("error", aResponse.Error())
+                         .Add("version", this->config.Version());
+                     }
+                   });
 }
 
 void Instance::Impl::CheckLeaderLiveness()
@@ -290,6 +299,11 @@
   return this->impl->config.Config();
 }
 
+Duration Instance::ConfigAge() const
+{
+  return this->impl->config.Age();
+}
+
 void Instance::OnConfigChange(std::function<void(const FleetConfig&)> aAction)
 {
   this->impl->onConfigChange = std::move(aAction);
