--- a/packages/coordination/tests/InMemoryStore.cpp
+++ b/packages/coordination/tests/InMemoryStore.cpp
@@ -6,6 +6,8 @@
 constexpr std::chrono::milliseconds kLostResponseTimeout{ 1000 };
 /// Time after which the platform adapter gives up a renewal.
 constexpr std::chrono::milliseconds kLostRenewalTimeout{ 500 };
+/// Time after its wait at which the platform adapter gives up a watch.
+constexpr std::chrono::milliseconds kLostWatchTimeout{ 900 };
 constexpr std::chrono::milliseconds kWatchStep{ 5 };
 } // namespace
 
@@ -15,7 +17,9 @@
   this->loop.After(this->responseTime, [this, aKey, aDone] {
     using ItemResult = Result<std::optional<KeyValueItem>>;
     auto found = this->items.find(aKey);
-    if (this->isDown) {
+    if (this->isSilent) {
+      this->LoseResponse(kLostResponseTimeout, aDone);
+    } else if (this->isDown) {
       aDone(ItemResult(Errc::Unreachable));
     } else {
       aDone(found == this->items.end() ? ItemResult(std::nullopt)
@@ -29,6 +33,10 @@
                              std::function<void(const Result<KeyValuePage>&)> aDone)
 {
   this->loop.After(this->responseTime, [this, aPrefix, aAfter, aDone] {
+    if (this->isSilent) {
+      this->LoseResponse(kLostResponseTimeout, aDone);
+      return;
+    }
     if (this->isDown || (this->isPrefixUnavailable && this->isPrefixUnavailable(aPrefix))) {
       aDone(Errc::Unreachable);
       return;
@@ -50,8 +58,12 @@
                           std::function<void(const Result<KeyValueChanges>&)> aDone)
 {
   this->loop.After(kWatchStep, [this, aPrefix, aAfterRevision, aWait, aDone] {
-    if (this->isDown) {
-      aDone(Errc::Unreachable);
+    if (this->isSilent || (this->isWatchResponseLost && this->isWatchResponseLost(aPrefix))) {
+      this->LoseResponse(aWait + kLostWatchTimeout, aDone);
+      return;
+    }
+    if (this->isDown || aAfterRevision < this->oldestRevision) {
+      aDone(this->isDown ? Errc::Unreachable : Errc::NotFound);
       return;
     }
     KeyValueChanges changes;
@@ -100,7 +112,9 @@
                            std::function<void(const Result<std::uint64_t>&)> aDone)
 {
   CommitFault fault = this->commitFault ? this->commitFault(aTransaction) : CommitFault::None;
-  if (this->isDown || fault == CommitFault::Refused) {
+  if (this->isSilent) {
+    this->LoseResponse(kLostResponseTimeout, aDone);
+  } else if (this->isDown || fault == CommitFault::Refused) {
     this->loop.After(this->responseTime, [aDone] { aDone(Errc::Unreachable); });
   } else if (fault == CommitFault::None) {
     this->loop.After(this->responseTime,
@@ -116,6 +130,10 @@
                                std::function<void(const Result<std::uint64_t>&)> aDone)
 {
   this->loop.After(this->responseTime, [this, aTimeToLive, aDone] {
+    if (this->isSilent) {
+      this->LoseResponse(kLostResponseTimeout, aDone);
+      return;
+    }
     if (this->isDown) {
       aDone(Errc::Unreachable);
       return;
@@ -154,7 +172,9 @@
 {
   this->loop.After(this->responseTime, [this, aLease, aDone] {
     auto lease = this->leases.find(aLease);
-    if (this->isDown) {
+    if (this->isSilent) {
+      this->LoseResponse(kLostRenewalTimeout, aDone);
+    } else if (this->isDown) {
       aDone(make_error_code(Errc::Unreachable));
     } else if (lease == this->leases.end()) {
       aDone(make_error_code(Errc::LeaseExpired));
--- a/packages/coordination/tests/InMemoryStore.h
+++ b/packages/coordination/tests/InMemoryStore.h
@@ -48,6 +48,8 @@
   void Put(const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aKey);
   std::string Value(const std::string& aKey) const;
+  /// Drops the history: watches from an earlier revision fail with NotFound.
+  void Compact() { this->oldestRevision = this->revision; }
 
   /// Selects the fault of each transaction; empty for none.
   std::function<CommitFault(const KeyValueTransaction&)> commitFault;
@@ -55,14 +57,25 @@
   std::function<bool(const std::string&)> isPrefixUnavailable;
   /// True for a renewal that is applied but whose response is lost; empty for none.
   std::function<bool()> isRenewalResponseLost;
+  /// True for a watch whose response is lost; empty for none.
+  std::function<bool(const std::string& aPrefix)> isWatchResponseLost;
   /// While true, all calls fail with Unreachable.
   bool isDown = false;
+  /// While true, no call is carried out or answered, and the waiting watches are lost: the callers
+  /// get OutcomeUnknown when the platform adapter's timeouts have passed.
+  bool isSilent = false;
   Duration lateDelay = std::chrono::seconds(2);
   Duration responseTime = std::chrono::milliseconds(4);
   /// Number of applied transactions.
   std::size_t commits = 0;
 
 private:
+  /// Calls aDone with the error of a call whose response is lost.
+  template<typename Callback>
+  void LoseResponse(Duration aTimeout, const Callback& aDone)
+  {
+    this->loop.After(aTimeout, [aDone] { aDone(make_error_code(Errc::OutcomeUnknown)); });
+  }
   Result<std::uint64_t> Apply(const KeyValueTransaction& aTransaction);
   void ExpireLease(std::uint64_t aLease);
 
@@ -71,6 +84,8 @@
   std::vector<KeyValueChange> history;
   std::map<std::uint64_t, std::pair<Duration, TimePoint>> leases;
   std::uint64_t revision = 100;
+  /// Watches must start at this revision or a later one.
+  std::uint64_t oldestRevision = 0;
   std::uint64_t nextLease = 1;
 };
 
