A configuration change is in force in time though a watch is never answered

Callers saw: 404 or 401 for a route or key that operators had confirmed over 2 s before, and routes served after their removal, on all instances at once, until some 4 s after the store had answered again. Cause: the follower of the operators' keys waited for one call at a time. A watch whose response can't come was noticed after its own limit of 3.9 s (3 s of wait and 0.9 s); the same change ends the watches of all instances, so they begin together and die together, and the leader has nothing to announce. Change: RangeFollower. A response that is 0.3 s late is not waited for: the keys are read again beside the open call, and the first response counts. A watch waits for 1 s. After a failed watch the keys are read, all pages of them, and keys that are gone are taken as deleted. Why it works: between two confirmations there is always a call less than 0.3 s old, or a watch less than 1.3 s old, so what one dead connection can hide is bounded by that, below the 2 s that operators expect. A late response never replaces a newer state, since the step that it belongs to has ended. The group's keys are followed in the old way still.

--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -37,9 +37,9 @@
   Duration campaignDelay{ 0 };
   /// Time between lease renewals; the lease survives two lost renewals.
   Duration renewInterval = std::chrono::milliseconds(300);
-  /// Longest time that a watch waits for a change; bounds how long a dead connection goes
-  /// unnoticed.
-  Duration maxWatchWait = std::chrono::seconds(3);
+  /// Longest time that a watch waits for a change. Well below the time in which operators expect a
+  /// change in force, since a dead connection is noticed only after it.
+  Duration maxWatchWait = std::chrono::seconds(1);
   /// Time between reads of the changes to the worker list and to the stored jobs.
   Duration listPollInterval = std::chrono::milliseconds(400);
   /// Longest time that a worker delays its response to a poll; each poll renews the worker's lease.
@@ -113,7 +113,7 @@
 
   /// The newest configuration, or null before the first one was read.
   const FleetConfig* Config() const;
-  /// Time since the store last confirmed that configuration, counted from the sending of the call.
+  /// Time since that configuration is known to have been the newest in the store.
   Duration ConfigAge() const;
   /// Sets the action that runs after each change of the configuration.
   void OnConfigChange(std::function<void(const FleetConfig&)> aAction);
--- a/packages/coordination/src/ConfigFollower.cpp
+++ b/packages/coordination/src/ConfigFollower.cpp
@@ -2,57 +2,28 @@
 
 namespace daisydrift::coordination {
 
-namespace {
-/// Delay before a failed store call is repeated.
-constexpr std::chrono::milliseconds kStoreRetryDelay{ 150 };
-} // namespace
-
 ConfigFollower::ConfigFollower(EventLoop& aLoop,
                                KeyValueStore& aStore,
                                const PlatformDecoders& aDecoders,
                                const InstanceSettings& aSettings,
                                Metrics& aMetrics,
                                std::function<void()> aOnChange)
-  : loop(aLoop)
-  , store(aStore)
-  , decoders(aDecoders)
-  , settings(aSettings)
+  : decoders(aDecoders)
   , metrics(aMetrics)
   , onChange(std::move(aOnChange))
-  , confirmedAt(aLoop.Now())
-{
-}
-
-void ConfigFollower::Start()
-{
-  this->Load();
-}
-
-void ConfigFollower::OnConfirmed(TimePoint aSentAt)
-{
-  this->metrics.Observe("config_age_seconds", this->Age());
-  if (this->isLastCallFailed) {
-    LogLine(LogLevel::Warning, "config_confirmed")
-      .Add("version", this->Version())
-      .Add("age_ms", this->Age());
-  }
-  this->isLastCallFailed = false;
-  this->confirmedAt = std::max(this->confirmedAt, aSentAt);
-}
-
-void ConfigFollower::OnCallFailed(const char* aCall, std::error_code aError, TimePoint aSentAt)
+  , range(aLoop,
+          aStore,
+          aMetrics,
+          aSettings.operatorPrefix,
+          aSettings.maxWatchWait,
+          RangeFollower::Hooks{
+            [this](const std::vector<KeyValueItem>& aItems) { this->ApplyRange(aItems); },
+            [this](const KeyValueChange& aChange) {
+              this->ApplyChange(aChange.key, aChange.value, "watch");
+            },
+            [] {},
+            [](std::error_code) {} })
 {
-  this->metrics.Count("config_calls_failed_total");
-  // One line for each row of failures: while the store is away, a call fails every 150 ms.
-  if (!this->isLastCallFailed) {
-    LogLine(LogLevel::Warning, "config_unconfirmed")
-      .Add("call", aCall)
-      .Add("error", aError)
-      .Add("spent_ms", this->loop.Now() - aSentAt)
-      .Add("version", this->Version())
-      .Add("age_ms", this->Age());
-  }
-  this->isLastCallFailed = true;
 }
 
 void ConfigFollower::Adopt(const std::string& aDocument, const char* aSource)
@@ -118,55 +89,26 @@
   this->onChange();
 }
 
-void ConfigFollower::Load()
-{
-  this->store.ReadPage(
-    this->settings.operatorPrefix,
-    "",
-    [this, sentAt = this->loop.Now()](const Result<KeyValuePage>& aPage) {
-      if (!aPage) {
-        this->OnCallFailed("read", aPage.Error(), sentAt);
-        this->loop.After(kStoreRetryDelay, [this] { this->Load(); });
-        return;
-      }
-      std::set<FailureDomain> noLongerDrained = this->drainedDomains;
-      for (const KeyValueItem& item : aPage->items) {
-        this->ApplyChange(item.key, item.value, "read");
-        if (item.key.rfind(this->decoders.drainPrefix, 0) == 0) {
-          noLongerDrained.erase(item.key.substr(this->decoders.drainPrefix.size()));
-        }
-      }
-      for (const FailureDomain& domain : noLongerDrained) {
-        this->ApplyChange(this->decoders.drainPrefix + domain, std::nullopt, "read");
-      }
-      this->OnConfirmed(sentAt);
-      this->Watch(aPage->revision);
-    });
-}
-
-void ConfigFollower::Watch(std::uint64_t aRevision)
+void ConfigFollower::ApplyRange(const std::vector<KeyValueItem>& aItems)
 {
-  if (this->isStopping) {
-    return;
+  std::set<std::string> keys;
+  for (const KeyValueItem& item : aItems) {
+    keys.insert(item.key);
+    this->ApplyChange(item.key, item.value, "read");
+  }
+  // Keys that were deleted without a change that a watch has reported.
+  std::vector<std::string> deleted;
+  for (const FailureDomain& domain : this->drainedDomains) {
+    deleted.push_back(this->decoders.drainPrefix + domain);
+  }
+  for (const auto& [key, number] : this->waveNumbers) {
+    deleted.push_back(key);
+  }
+  for (const std::string& key : deleted) {
+    if (keys.count(key) == 0) {
+      this->ApplyChange(key, std::nullopt, "read");
+    }
   }
-  this->store.Watch(
-    this->settings.operatorPrefix,
-    aRevision,
-    this->settings.maxWatchWait,
-    [this, aRevision, sentAt = this->loop.Now()](const Result<KeyValueChanges>& aChanges) {
-      if (aChanges) {
-        for (const KeyValueChange& change : aChanges->changes) {
-          this->ApplyChange(change.key, change.value, "watch");
-        }
-        this->OnConfirmed(sentAt);
-        this->Watch(aChanges->revision);
-      } else if (aChanges.Error() == make_error_code(Errc::NotFound)) {
-        this->Load();
-      } else {
-        this->OnCallFailed("watch", aChanges.Error(), sentAt);
-        this->loop.After(kStoreRetryDelay, [this, aRevision] { this->Watch(aRevision); });
-      }
-    });
 }
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/ConfigFollower.h
+++ b/packages/coordination/src/ConfigFollower.h
@@ -1,13 +1,14 @@
 #pragma once
 // Follows the configuration and the set of drained failure domains.
 
+#include "RangeFollower.h"
 #include "daisydrift/coordination/Instance.h"
 
 #include <set>
 
 namespace daisydrift::coordination {
 
-/// Watches the operators' keys in the store. The configuration version never decreases while the
+/// Follows the operators' keys in the store. The configuration version never decreases while the
 /// process runs.
 class ConfigFollower
 {
@@ -19,8 +20,7 @@
                  Metrics& aMetrics,
                  std::function<void()> aOnChange);
 
-  void Start();
-  void Stop() { this->isStopping = true; }
+  void Start() { this->range.Restart(); }
   const FleetConfig* Config() const { return this->config ? &*this->config : nullptr; }
   std::uint64_t Version() const { return this->config ? this->config->version : 0; }
   const std::set<FailureDomain>& DrainedDomains() const { return this->drainedDomains; }
@@ -29,24 +29,17 @@
   /// Adopts a configuration document, unless the current version is the same or newer. aSource
   /// names in the log where the document came from.
   void Adopt(const std::string& aDocument, const char* aSource);
-  /// Time since the store last confirmed the configuration, counted from the sending of the call
-  /// that it answered.
-  Duration Age() const { return this->loop.Now() - this->confirmedAt; }
+  /// Time since the configuration is known to have been the newest.
+  Duration Age() const { return this->range.Age(); }
 
 private:
-  void Load();
-  void Watch(std::uint64_t aRevision);
+  void ApplyRange(const std::vector<KeyValueItem>& aItems);
   void ApplyWave(const std::string& aKey, const std::optional<std::string>& aValue);
   void ApplyChange(const std::string& aKey,
                    const std::optional<std::string>& aValue,
                    const char* aSource);
-  void OnConfirmed(TimePoint aSentAt);
-  void OnCallFailed(const char* aCall, std::error_code aError, TimePoint aSentAt);
 
-  EventLoop& loop;
-  KeyValueStore& store;
   const PlatformDecoders& decoders;
-  const InstanceSettings& settings;
   Metrics& metrics;
   std::function<void()> onChange;
   std::optional<FleetConfig> config;
@@ -54,10 +47,7 @@
   std::map<std::uint64_t, MaintenanceWave> waves;
   /// Wave number of each key: a deletion carries only the key.
   std::map<std::string, std::uint64_t> waveNumbers;
-  /// Send time of the last call that the store answered.
-  TimePoint confirmedAt;
-  bool isLastCallFailed = false;
-  bool isStopping = false;
+  RangeFollower range;
 };
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/tests/ConfigFollowingTest.cpp
+++ b/packages/coordination/tests/ConfigFollowingTest.cpp
@@ -3,6 +3,8 @@
 
 #include "Cluster.h"
 
+#include <rapidcheck/gtest.h>
+
 namespace daisydrift {
 namespace {
 
@@ -69,5 +71,91 @@
   }
 }
 
+/// A fault between two changes of the configuration.
+enum class FollowingFault
+{
+  SilentStore,
+  StoreDown,
+  LostWatchResponses,
+  LostHistory,
+  KilledInstance,
+  RefusedInstance
+};
+
+/// Runs without the fixture's assertions, so that RapidCheck can repeat it.
+class FaultyCluster : public ConfigFollowingTest
+{
+public:
+  void TestBody() override {}
+
+  void Inject(FollowingFault aFault, int aInstance, Duration aLength)
+  {
+    this->store.isSilent = aFault == FollowingFault::SilentStore;
+    this->store.isDown = aFault == FollowingFault::StoreDown;
+    if (aFault == FollowingFault::LostWatchResponses) {
+      this->store.isWatchResponseLost = [](const std::string&) { return true; };
+    }
+    if (aFault == FollowingFault::RefusedInstance) {
+      this->processes[aInstance]->store.isRefusingCalls = true;
+    }
+    if (aFault == FollowingFault::KilledInstance) {
+      this->KillInstance(aInstance);
+      this->seenVersions.erase(aInstance);
+    }
+    this->RunFor(aLength);
+    this->store.isSilent = false;
+    this->store.isDown = false;
+    this->store.isWatchResponseLost = nullptr;
+    if (aFault == FollowingFault::RefusedInstance) {
+      this->processes[aInstance]->store.isRefusingCalls = false;
+    }
+    if (aFault == FollowingFault::KilledInstance) {
+      this->StartInstance(aInstance);
+    }
+    if (aFault == FollowingFault::LostHistory) {
+      this->store.Compact();
+    }
+  }
+
+  /// Advances the time; an instance's version must not decrease meanwhile.
+  void RunFor(Duration aTime)
+  {
+    constexpr milliseconds kStep{ 20 };
+    for (Duration passed{ 0 }; passed < aTime; passed += kStep) {
+      this->loop.RunFor(kStep);
+      for (const auto& [number, instance] : this->instances) {
+        std::uint64_t version = instance->Config() == nullptr ? 0 : instance->Config()->version;
+        RC_ASSERT(version >= this->seenVersions[number]);
+        this->seenVersions[number] = version;
+      }
+    }
+  }
+
+  using ConfigFollowingTest::instances;
+  using ConfigFollowingTest::published;
+  using ConfigFollowingTest::PublishNextVersion;
+  std::map<int, std::uint64_t> seenVersions;
+};
+
+RC_GTEST_PROP(ConfigFollowingPropertyTest, ChangeIsInForceInTimeAfterAnySeriesOfFaults, ())
+{
+  FaultyCluster cluster;
+  auto faults = *rc::gen::container<std::vector<FollowingFault>>(
+    6, rc::gen::map(rc::gen::inRange(0, 6), [](int aKind) {
+      return static_cast<FollowingFault>(aKind);
+    }));
+  for (FollowingFault fault : faults) {
+    cluster.PublishNextVersion();
+    cluster.RunFor(milliseconds(*rc::gen::inRange(0, 900)));
+    cluster.Inject(fault, *rc::gen::inRange(0, 3), milliseconds(*rc::gen::inRange(20, 5000)));
+    cluster.PublishNextVersion();
+    cluster.RunFor(kInForceWithin);
+    for (const auto& [number, instance] : cluster.instances) {
+      RC_ASSERT(instance->Config() != nullptr);
+      RC_ASSERT(instance->Config()->version == cluster.published);
+    }
+  }
+}
+
 } // namespace
 } // namespace daisydrift
