The group's members and leader are followed like the configuration

A leader whose lease has ended is replaced only when the dead watches of the others are noticed, and until then submitted work waits. Cause: Membership had its own copy of the read and watch, which waited for one call at a time, took the first page for the whole list, and kept the members that were deleted in a lost history. Change: Membership uses RangeFollower. Ruled out: leaving it to the announcements and probes; they tell of a new leader or of an ended process, not of a leader that is cut off while its lease ends.

--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -103,6 +103,7 @@
                aStore,
                aPeers,
                this->settings,
+               aMetrics,
                this->settings.name + "@" +
                  std::to_string(aLoop.WallClockNow().time_since_epoch().count()),
                Membership::Hooks{ [this](const LeaderRecord& aRecord) { this->OnElected(aRecord); },
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -60,6 +60,7 @@
                        KeyValueStore& aStore,
                        PeerTransport& aPeers,
                        const InstanceSettings& aSettings,
+                       Metrics& aMetrics,
                        std::string aIncarnation,
                        Hooks aHooks)
   : loop(aLoop)
@@ -69,13 +70,25 @@
   , incarnation(std::move(aIncarnation))
   , hooks(std::move(aHooks))
   , prefix(aSettings.storePrefix + "group/")
+  , range(aLoop,
+          aStore,
+          aMetrics,
+          this->prefix,
+          aSettings.maxWatchWait,
+          RangeFollower::Hooks{
+            [this](const std::vector<KeyValueItem>& aItems) { this->ApplyRange(aItems); },
+            [this](const KeyValueChange& aChange) {
+              this->ApplyChange(aChange.key, aChange.value, aChange.revision);
+            },
+            [] {},
+            [this](std::error_code aError) { this->OnStoreResult(aError); } })
 {
 }
 
 void Membership::Start()
 {
   this->AcquireLease();
-  this->Load();
+  this->range.Restart();
   this->loop.After(this->settings.renewInterval, [this] { this->Renew(); });
 }
 
@@ -161,63 +174,20 @@
   });
 }
 
-void Membership::Load()
+void Membership::ApplyRange(const std::vector<KeyValueItem>& aItems)
 {
-  std::uint64_t loadNumber = ++this->loadCount;
-  this->store.ReadPage(this->prefix, "", [this, loadNumber](const Result<KeyValuePage>& aPage) {
-    this->OnStoreResult(aPage.Error());
-    if (loadNumber != this->loadCount) {
-      return;
-    }
-    if (!aPage) {
-      this->loop.After(kStoreRetryDelay, [this, loadNumber] {
-        if (loadNumber == this->loadCount) {
-          this->Load();
-        }
-      });
-      return;
-    }
-    this->members.clear();
-    std::string leaderKey = this->prefix + kLeaderKey;
-    bool hasLeader = false;
-    for (const KeyValueItem& item : aPage->items) {
-      hasLeader = hasLeader || item.key == leaderKey;
-      this->ApplyChange(item.key, item.value, item.revision);
-    }
-    this->isLoaded = true;
-    if (!hasLeader) {
-      this->ApplyChange(leaderKey, std::nullopt, aPage->revision);
-    }
-    this->ReclaimLeadership();
-    this->Watch(aPage->revision, loadNumber);
-  });
-}
-
-void Membership::Watch(std::uint64_t aRevision, std::uint64_t aLoadNumber)
-{
-  if (this->isStopping || aLoadNumber != this->loadCount) {
-    return;
+  this->members.clear();
+  std::string leaderKey = this->prefix + kLeaderKey;
+  bool hasLeader = false;
+  for (const KeyValueItem& item : aItems) {
+    hasLeader = hasLeader || item.key == leaderKey;
+    this->ApplyChange(item.key, item.value, item.revision);
+  }
+  this->isLoaded = true;
+  if (!hasLeader) {
+    this->ApplyChange(leaderKey, std::nullopt, 0);
   }
-  this->store.Watch(this->prefix,
-                    aRevision,
-                    this->settings.maxWatchWait,
-                    [this, aRevision, aLoadNumber](const Result<KeyValueChanges>& aChanges) {
-                      if (aLoadNumber != this->loadCount) {
-                        return;
-                      }
-                      if (aChanges) {
-                        for (const KeyValueChange& change : aChanges->changes) {
-                          this->ApplyChange(change.key, change.value, change.revision);
-                        }
-                        this->Watch(aChanges->revision, aLoadNumber);
-                      } else if (aChanges.Error() == make_error_code(Errc::NotFound)) {
-                        this->Load();
-                      } else {
-                        this->loop.After(kStoreRetryDelay, [this, aRevision, aLoadNumber] {
-                          this->Watch(aRevision, aLoadNumber);
-                        });
-                      }
-                    });
+  this->ReclaimLeadership();
 }
 
 void Membership::ApplyChange(const std::string& aKey,
@@ -490,7 +460,7 @@
   this->lastLostTerm = this->lastHeldTerm;
   if (this->leader && this->leader->incarnation == this->incarnation) {
     this->leader.reset();
-    this->Load();
+    this->range.Restart();
   }
 }
 
@@ -498,6 +468,7 @@
                         const std::function<void()>& aDone)
 {
   this->isStopping = true;
+  this->range.Stop();
   if (!aOwnRecord) {
     aDone();
     return;
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -1,6 +1,7 @@
 #pragma once
 // Group membership and leader election.
 
+#include "RangeFollower.h"
 #include "daisydrift/coordination/Instance.h"
 
 #include <map>
@@ -48,6 +49,7 @@
              KeyValueStore& aStore,
              PeerTransport& aPeers,
              const InstanceSettings& aSettings,
+             Metrics& aMetrics,
              std::string aIncarnation,
              Hooks aHooks);
 
@@ -80,8 +82,7 @@
   void AcquireLease();
   void Register();
   void Renew();
-  void Load();
-  void Watch(std::uint64_t aRevision, std::uint64_t aLoadNumber);
+  void ApplyRange(const std::vector<KeyValueItem>& aItems);
   void ApplyChange(const std::string& aKey,
                    const std::optional<std::string>& aValue,
                    std::uint64_t aRevision);
@@ -109,8 +110,6 @@
   std::uint64_t lease = 0;
   /// Send time of the last renewal that was answered.
   TimePoint renewedAt;
-  /// Number of reloads; each starts a new chain of watches and ends the previous one.
-  std::uint64_t loadCount = 0;
   bool isStopping = false;
   bool isLoaded = false;
   bool isCampaigning = false;
@@ -126,6 +125,7 @@
   Epoch lastHeldTerm = 0;
   Epoch lastLostTerm = 0;
   std::map<std::string, MemberRecord> members;
+  RangeFollower range;
 };
 
 /// JSON of a leader record, for the leader key and for announcements.
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -82,6 +82,17 @@
 
 // Guards against a partial outage in which the store refuses only the leader's calls: there was no
 // leader until the lease had expired.
+// Guards against a group that learns of its leader's end only when a watch has timed out.
+TEST_F(ClusterTest, ExpiredLeaderIsReplacedInTimeWhileWatchResponsesAreLost)
+{
+  this->store.isWatchResponseLost = [](const std::string&) { return true; };
+  this->peers.unresponsive.insert(static_cast<unsigned short>(9000 + this->LeaderNumber()));
+  this->loop.RunFor(milliseconds(100));
+  this->store.Remove("daisydrift/group/leader");
+  this->loop.RunFor(milliseconds(1600));
+  EXPECT_EQ(this->metrics.CounterValue("terms_total"), 2U);
+}
+
 TEST_F(ClusterTest, LeaderRefusedByTheStoreHandsOverLeadership)
 {
   int leader = this->LeaderNumber();
