An instance that the store refuses gets configuration changes from the others

Callers saw: on an instance whose calls the store turns away, keys and routes as of the time 1 s after the refusals began, until they ended; submissions refused when the leader had changed meanwhile. Cause: the configuration and the leader reach such an instance only by the leader's announcements, and these go to the members; the store refuses the lease renewals too, so the instance's member record ends after 1 s. docs/platform-design.md promised otherwise. Change: ConfigExchange. An instance whose configuration is older than half the operators' bound asks the leader and the other members in turn, each 0.4 s; the answer has the document if it is newer, its age there, and the leader. Ruled out: announcements to members whose lease has ended; a leader elected meanwhile never knew them.

--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -40,6 +40,8 @@
   /// Longest time that a watch waits for a change. Well below the time in which operators expect a
   /// change in force, since a dead connection is noticed only after it.
   Duration maxWatchWait = std::chrono::seconds(1);
+  /// Time in which operators expect a change of the configuration in force.
+  Duration maxConfigAge = std::chrono::seconds(2);
   /// Time between reads of the changes to the worker list and to the stored jobs.
   Duration listPollInterval = std::chrono::milliseconds(400);
   /// Longest time that a worker delays its response to a poll; each poll renews the worker's lease.
--- /dev/null
+++ b/packages/coordination/src/ConfigExchange.h
@@ -0,0 +1,52 @@
+#pragma once
+// Exchange of the configuration between the instances.
+
+#include "ConfigFollower.h"
+#include "Membership.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace daisydrift::coordination {
+
+/// Gets the configuration from other instances while the store does not confirm it here. An
+/// instance whose calls the store refuses loses its lease and with it the leader's announcements,
+/// so it asks by itself.
+class ConfigExchange
+{
+public:
+  /// @param aOnLeader Called with the leader that another instance knows.
+  ConfigExchange(EventLoop& aLoop,
+                 PeerTransport& aPeers,
+                 const Membership& aMembership,
+                 ConfigFollower& aConfig,
+                 const InstanceSettings& aSettings,
+                 std::function<void(const LeaderRecord&)> aOnLeader);
+
+  void Start();
+  /// Asks an instance for its configuration, if that is newer, for its age there, and for the
+  /// leader.
+  void Fetch(const SocketEndpoint& aPeer);
+  /// True when the configuration should be confirmed by another instance.
+  bool IsDue() const { return this->config.Age() > this->settings.maxConfigAge / 2; }
+  /// Response to such a call of another instance.
+  nlohmann::json Answer(const nlohmann::json& aArguments) const;
+
+private:
+  void FetchWhenDue();
+  void OnAnswer(const nlohmann::json& aAnswer, TimePoint aSentAt);
+  /// The instances to ask, in turn: the leader, then a member, then the leader again.
+  std::optional<SocketEndpoint> NextPeer();
+
+  EventLoop& loop;
+  PeerTransport& peers;
+  const Membership& membership;
+  ConfigFollower& config;
+  const InstanceSettings& settings;
+  std::function<void(const LeaderRecord&)> onLeader;
+  std::size_t openFetches = 0;
+  bool isLeaderNext = true;
+  /// The member that was asked last.
+  std::string lastMember;
+};
+
+} // namespace daisydrift::coordination
--- a/packages/coordination/src/ConfigFollower.cpp
+++ b/packages/coordination/src/ConfigFollower.cpp
@@ -8,7 +8,8 @@
                                const InstanceSettings& aSettings,
                                Metrics& aMetrics,
                                std::function<void()> aOnChange)
-  : decoders(aDecoders)
+  : loop(aLoop)
+  , decoders(aDecoders)
   , metrics(aMetrics)
   , onChange(std::move(aOnChange))
   , range(aLoop,
@@ -89,6 +90,13 @@
   this->onChange();
 }
 
+void ConfigFollower::OnPeerConfirmed(std::uint64_t aVersion, TimePoint aTime)
+{
+  if (this->config && aVersion == this->config->version) {
+    this->peerConfirmedAt = std::max(this->peerConfirmedAt, aTime);
+  }
+}
+
 void ConfigFollower::ApplyRange(const std::vector<KeyValueItem>& aItems)
 {
   std::set<std::string> keys;
--- a/packages/coordination/src/ConfigFollower.h
+++ b/packages/coordination/src/ConfigFollower.h
@@ -30,7 +30,12 @@
   /// names in the log where the document came from.
   void Adopt(const std::string& aDocument, const char* aSource);
   /// Time since the configuration is known to have been the newest.
-  Duration Age() const { return this->range.Age(); }
+  Duration Age() const
+  {
+    return this->loop.Now() - std::max(this->range.ConfirmedAt(), this->peerConfirmedAt);
+  }
+  /// Another instance knew at aTime that the version was the newest.
+  void OnPeerConfirmed(std::uint64_t aVersion, TimePoint aTime);
 
 private:
   void ApplyRange(const std::vector<KeyValueItem>& aItems);
@@ -39,6 +44,7 @@
                    const std::optional<std::string>& aValue,
                    const char* aSource);
 
+  EventLoop& loop;
   const PlatformDecoders& decoders;
   Metrics& metrics;
   std::function<void()> onChange;
@@ -47,6 +53,7 @@
   std::map<std::uint64_t, MaintenanceWave> waves;
   /// Wave number of each key: a deletion carries only the key.
   std::map<std::string, std::uint64_t> waveNumbers;
+  TimePoint peerConfirmedAt;
   RangeFollower range;
 };
 
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -1,5 +1,6 @@
 #include "daisydrift/coordination/Instance.h"
 
+#include "ConfigExchange.h"
 #include "JobRequestHandler.h"
 #include "LeadershipCheck.h"
 #include "LeadershipHandover.h"
@@ -7,6 +8,7 @@
 
 namespace daisydrift {
 
+using coordination::ConfigExchange;
 using coordination::ConfigFollower;
 using coordination::JobRequestHandler;
 using coordination::Leader;
@@ -19,8 +21,7 @@
 using nlohmann::json;
 
 namespace {
-/// Response time limit of announcements and configuration fetches; a later announcement repeats
-/// them.
+/// Response time limit of announcements; a later announcement repeats them.
 constexpr std::chrono::milliseconds kAnnounceTimeout{ 400 };
 /// A follower without an announcement for this long probes the leader's process.
 constexpr std::chrono::milliseconds kMaxTimeWithoutLeaderContact{ 1000 };
@@ -44,7 +45,6 @@
   void OnLeadershipLost();
   void Announce();
   void OnAnnouncement(const json& aArguments);
-  void FetchConfig(const SocketEndpoint& aPeer);
   void CheckLeaderLiveness();
   void AnswerQuery(const JobId& aJob, const std::function<void(const Result<json>&)>& aReply);
   /// Ends this instance's term if another instance leads with a later one.
@@ -63,6 +63,7 @@
   std::function<void(const FleetConfig&)> onConfigChange;
   ConfigFollower config;
   Membership membership;
+  ConfigExchange configExchange;
   LeadershipHandover handover;
   Leader::Environment environment;
   std::unique_ptr<Leader> leader;
@@ -109,6 +110,12 @@
                Membership::Hooks{ [this](const LeaderRecord& aRecord) { this->OnElected(aRecord); },
                                   [this] { this->lastLeaderContact = this->loop.Now(); },
                                   [this] { this->handover.OnStoreRefused(); } })
+  , configExchange(aLoop,
+                   aPeers,
+                   this->membership,
+                   this->config,
+                   this->settings,
+                   [this](const LeaderRecord& aLeader) { this->UpdateLeader(aLeader); })
   , handover(aLoop, aPeers, this->membership, this->settings)
   , environment{ aLoop,    aStore,         aWorkers,       aMachines,        aAdvice,     aPeers,
                  aMetrics, this->decoders, this->settings, this->membership, this->config }
@@ -162,7 +169,7 @@
                      [this, endpoint = member.endpoint](const Result<json>& aResponse) {
                        if (aResponse &&
                            aResponse->value("config", std::uint64_t(0)) > this->config.Version()) {
-                         this->FetchConfig(endpoint);
+                         this->configExchange.Fetch(endpoint);
                        }
                      });
   }
@@ -184,8 +191,9 @@
   if (this->membership.Leader() && this->membership.Leader()->term == record->term) {
     this->lastLeaderContact = this->loop.Now();
   }
-  if (aArguments.value("config", std::uint64_t(0)) > this->config.Version()) {
-    this->FetchConfig(record->endpoint);
+  bool isNewer = aArguments.value("config", std::uint64_t(0)) > this->config.Version();
+  if (isNewer || this->configExchange.IsDue()) {
+    this->configExchange.Fetch(record->endpoint);
   }
 }
 
@@ -219,24 +227,6 @@
   this->membership.UpdateLeader(aLeader);
 }
 
-void Instance::Impl::FetchConfig(const SocketEndpoint& aPeer)
-{
-  this->peers.Call(aPeer,
-                   "config",
-                   json::object(),
-                   kAnnounceTimeout,
-                   [this, aPeer](const Result<json>& aResponse) {
-                     if (aResponse && aResponse->contains("document")) {
-                       this->config.Adopt((*aResponse)["document"].get<std::string>(), "instance");
-                     } else if (!aResponse) {
-                       LogLine(LogLevel::Warning, "config_fetch_failed")
-                         .Add("instance", aPeer.address)
-                         .Add("error", aResponse.Error())
-                         .Add("version", this->config.Version());
-                     }
-                   });
-}
-
 void Instance::Impl::CheckLeaderLiveness()
 {
   if (this->isStopping) {
@@ -275,6 +265,7 @@
 {
   this->impl->config.Start();
   this->impl->membership.Start();
+  this->impl->configExchange.Start();
   this->impl->lastLeaderContact = this->impl->loop.Now();
   this->impl->CheckLeaderLiveness();
 }
@@ -377,8 +368,7 @@
     return;
   }
   if (aMethod == "config") {
-    const FleetConfig* config = self.config.Config();
-    aReply(config == nullptr ? json::object() : json{ { "document", config->document } });
+    aReply(self.configExchange.Answer(aArguments));
     return;
   }
   if (aMethod == "advise") {
--- a/packages/coordination/tests/ConfigFollowingTest.cpp
+++ b/packages/coordination/tests/ConfigFollowingTest.cpp
@@ -71,6 +71,34 @@
   }
 }
 
+// The store refuses the lease renewals too, so the instance is no member for the leader that makes
+// the announcements.
+TEST_F(ConfigFollowingTest, RefusedInstanceGetsChangesAfterItsLeaseHasEnded)
+{
+  int refused = (this->LeaderNumber() + 1) % 3;
+  this->processes[refused]->store.isRefusingCalls = true;
+  this->loop.RunFor(seconds(4));
+  for (int change = 0; change < 5; ++change) {
+    this->PublishNextVersion();
+    this->loop.RunFor(kInForceWithin);
+    this->ExpectInForceEverywhere();
+  }
+}
+
+TEST_F(ConfigFollowingTest, RefusedInstanceLearnsOfANewLeader)
+{
+  int former = this->LeaderNumber();
+  int refused = (former + 1) % 3;
+  int other = (former + 2) % 3;
+  this->processes[refused]->store.isRefusingCalls = true;
+  this->loop.RunFor(seconds(4));
+  this->KillInstance(former);
+  this->loop.RunFor(seconds(3));
+  ASSERT_EQ(this->LeaderNumber(), other);
+  EXPECT_EQ(this->Submit(refused, "job", 1), SubmitOutcome::Accepted);
+  EXPECT_TRUE(this->State(refused, "job").HasValue());
+}
+
 /// A fault between two changes of the configuration.
 enum class FollowingFault
 {
