A caller is refused for good only by a configuration known to be the newest

Callers saw: 404 or 401, which they don't retry, for a route or key that operators had confirmed, from an instance that had not heard from the store for seconds. Cause: a refusal for want of a queue or key was given by whatever version the instance had, at any age. A late watch is one way to an old version; a slow process, a refused instance or a restart are others, and bounding each of them would leave the next. Why it works: the age counts from a state that the store has shown, so a version confirmed longer ago than the bound is in what decides, whatever delayed the instance. Ruled out: a precondition on the configuration in the transaction that stores a job; status calls write nothing, and the conflict of a used id would have to be told from it. Refusing what an old configuration allows as well; in an outage a status is worth more than the risk.

--- a/packages/coordination/src/ConfigFollower.cpp
+++ b/packages/coordination/src/ConfigFollower.cpp
@@ -10,6 +10,7 @@
                                std::function<void()> aOnChange)
   : loop(aLoop)
   , decoders(aDecoders)
+  , settings(aSettings)
   , metrics(aMetrics)
   , onChange(std::move(aOnChange))
   , range(aLoop,
@@ -22,7 +23,7 @@
             [this](const KeyValueChange& aChange) {
               this->ApplyChange(aChange.key, aChange.value, "watch");
             },
-            [] {},
+            [this] { this->OnConfirmed(); },
             [](std::error_code) {} })
 {
 }
@@ -94,6 +95,33 @@
 {
   if (this->config && aVersion == this->config->version) {
     this->peerConfirmedAt = std::max(this->peerConfirmedAt, aTime);
+    this->OnConfirmed();
+  }
+}
+
+void ConfigFollower::Confirm(Duration aTimeout, std::function<void(bool)> aDone)
+{
+  std::uint64_t number = this->nextConfirmation++;
+  this->confirmations.emplace(number, std::move(aDone));
+  this->range.Refresh();
+  this->loop.After(aTimeout, [this, number] {
+    if (auto open = this->confirmations.extract(number)) {
+      open.mapped()(false);
+    }
+  });
+}
+
+void ConfigFollower::OnConfirmed()
+{
+  if (this->Age() <= this->settings.maxConfigAge) {
+    this->EndConfirmations(true);
+  }
+}
+
+void ConfigFollower::EndConfirmations(bool aIsConfirmed)
+{
+  for (auto& [number, done] : std::exchange(this->confirmations, {})) {
+    done(aIsConfirmed);
   }
 }
 
--- a/packages/coordination/src/ConfigFollower.h
+++ b/packages/coordination/src/ConfigFollower.h
@@ -36,6 +36,11 @@
   }
   /// Another instance knew at aTime that the version was the newest.
   void OnPeerConfirmed(std::uint64_t aVersion, TimePoint aTime);
+  /// Reads the configuration and calls aDone with true once its age is at most
+  /// InstanceSettings::maxConfigAge, or with false after aTimeout.
+  void Confirm(Duration aTimeout, std::function<void(bool)> aDone);
+  /// Calls the callbacks of all open confirmations with false.
+  void AbandonConfirmations() { this->EndConfirmations(false); }
 
 private:
   void ApplyRange(const std::vector<KeyValueItem>& aItems);
@@ -43,9 +48,12 @@
   void ApplyChange(const std::string& aKey,
                    const std::optional<std::string>& aValue,
                    const char* aSource);
+  void OnConfirmed();
+  void EndConfirmations(bool aIsConfirmed);
 
   EventLoop& loop;
   const PlatformDecoders& decoders;
+  const InstanceSettings& settings;
   Metrics& metrics;
   std::function<void()> onChange;
   std::optional<FleetConfig> config;
@@ -54,6 +62,9 @@
   /// Wave number of each key: a deletion carries only the key.
   std::map<std::string, std::uint64_t> waveNumbers;
   TimePoint peerConfirmedAt;
+  /// Callbacks of the open calls of Confirm, by number.
+  std::map<std::uint64_t, std::function<void(bool)>> confirmations;
+  std::uint64_t nextConfirmation = 0;
   RangeFollower range;
 };
 
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -296,6 +296,11 @@
   return this->impl->config.Age();
 }
 
+void Instance::ConfirmConfig(Duration aTimeout, std::function<void(bool)> aDone)
+{
+  this->impl->configExchange.Confirm(aTimeout, std::move(aDone));
+}
+
 void Instance::OnConfigChange(std::function<void(const FleetConfig&)> aAction)
 {
   this->impl->onConfigChange = std::move(aAction);
--- a/packages/coordination/tests/ConfigFollowingTest.cpp
+++ b/packages/coordination/tests/ConfigFollowingTest.cpp
@@ -38,6 +38,24 @@
     }
   }
 
+  /// The result of Instance::ConfirmConfig, and the time it took.
+  struct Confirmation
+  {
+    bool isConfirmed = false;
+    Duration spent{ 0 };
+  };
+  Confirmation Confirm(int aInstance)
+  {
+    TimePoint begin = this->loop.Now();
+    std::optional<bool> result;
+    this->instances[aInstance]->ConfirmConfig(
+      seconds(2), [&result](bool aIsConfirmed) { result = aIsConfirmed; });
+    while (!result) {
+      this->loop.RunFor(milliseconds(1));
+    }
+    return { *result, this->loop.Now() - begin };
+  }
+
   std::uint64_t published = 1;
 };
 
@@ -99,6 +117,52 @@
   EXPECT_TRUE(this->State(refused, "job").HasValue());
 }
 
+// Callers were refused for good by a configuration whose age nobody knew.
+TEST_F(ConfigFollowingTest, ConfigurationOfASilentStoreIsNotConfirmed)
+{
+  EXPECT_TRUE(this->Confirm(0).isConfirmed);
+  this->store.isSilent = true;
+  this->loop.RunFor(seconds(4));
+  for (int number = 0; number < 3; ++number) {
+    Confirmation confirmation = this->Confirm(number);
+    EXPECT_FALSE(confirmation.isConfirmed) << number;
+    EXPECT_LE(confirmation.spent, milliseconds(300)) << number;
+  }
+}
+
+TEST_F(ConfigFollowingTest, ConfirmationFindsTheChangeThatWasMadeMeanwhile)
+{
+  this->store.isPrefixUnavailable = [](const std::string& aPrefix) {
+    return aPrefix == "operators/";
+  };
+  this->store.isWatchResponseLost = this->store.isPrefixUnavailable;
+  this->loop.RunFor(seconds(4));
+  this->PublishNextVersion();
+  std::optional<std::uint64_t> confirmedVersion;
+  this->instances[0]->ConfirmConfig(seconds(2), [this, &confirmedVersion](bool aIsConfirmed) {
+    confirmedVersion = aIsConfirmed ? this->instances[0]->Config()->version : 0;
+  });
+  this->store.isPrefixUnavailable = nullptr;
+  this->loop.RunFor(milliseconds(300));
+  EXPECT_EQ(confirmedVersion, this->published);
+}
+
+TEST_F(ConfigFollowingTest, OtherInstancesConfirmForOneThatTheStoreRefuses)
+{
+  int refused = (this->LeaderNumber() + 1) % 3;
+  this->processes[refused]->store.isRefusingCalls = true;
+  this->loop.RunFor(seconds(4));
+  for (int round = 0; round < 10; ++round) {
+    this->loop.RunFor(milliseconds(130));
+    EXPECT_TRUE(this->Confirm(refused).isConfirmed);
+  }
+  for (int number = 0; number < 3; ++number) {
+    this->peers.unresponsive.insert(static_cast<unsigned short>(9000 + number));
+  }
+  this->loop.RunFor(seconds(4));
+  EXPECT_FALSE(this->Confirm(refused).isConfirmed);
+}
+
 /// A fault between two changes of the configuration.
 enum class FollowingFault
 {
