After a suspension all requests are decided by the newest configuration

Callers saw: from an instance that had been frozen for 3.8 s, a request for an added route served by the new version, and one sent later for a removed route served by the old one. Requests that wait in the sockets of a frozen process are decided as it wakes, by the version from before. Those that this version refuses waited for a confirmation and got the new one; those that it allows did not. Change: an instance confirms a configuration older than the operators' bound before it decides any request, not only before a refusal, for 0.3 s at most, and not at all while the store is known to be unavailable; the other instances are asked by ConfigExchange alone. Ruled out: taking the confirmation of refusals back; the false refusals would return. Conclusion: what an instance allows is as new as what it refuses, except while the store is away.

--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -40,9 +40,8 @@
   /// Longest time that a watch waits for a change. Well below the time in which operators expect a
   /// change in force, since a dead connection is noticed only after it.
   Duration maxWatchWait = std::chrono::seconds(1);
-  /// A request for an unknown queue or with an unknown key is refused for good only by a
-  /// configuration that was the newest within this time: the time in which operators expect a
-  /// change in force.
+  /// Time in which operators expect a change of the configuration in force. A request is decided by
+  /// an older one only when the newest can't be had, and is then not refused for good.
   Duration maxConfigAge = std::chrono::seconds(2);
   /// Time between reads of the changes to the worker list and to the stored jobs.
   Duration listPollInterval = std::chrono::milliseconds(400);
@@ -119,9 +118,9 @@
   const FleetConfig* Config() const;
   /// Time since that configuration is known to have been the newest in the store.
   Duration ConfigAge() const;
-  /// Makes sure that the configuration was the newest within InstanceSettings::maxConfigAge. Calls
-  /// aDone with true, at once when it is known, or with false when neither the store nor the leader
-  /// confirms it within aTimeout or some 0.3 s. The configuration may have changed by then.
+  /// Makes sure that the configuration was the newest within InstanceSettings::maxConfigAge, if
+  /// need be by a read of the store. Calls aDone with true, at once when it is known, or with
+  /// false: at once while the store is unavailable, otherwise after aTimeout or some 0.3 s.
   void ConfirmConfig(Duration aTimeout, std::function<void(bool)> aDone);
   /// Sets the action that runs after each change of the configuration.
   void OnConfigChange(std::function<void(const FleetConfig&)> aAction);
--- a/packages/coordination/src/ConfigExchange.cpp
+++ b/packages/coordination/src/ConfigExchange.cpp
@@ -11,8 +11,6 @@
 constexpr std::chrono::milliseconds kFetchTimeout{ 400 };
 /// Time between fetches while the store does not confirm the configuration.
 constexpr std::chrono::milliseconds kFetchInterval{ 400 };
-/// Longest time for which a caller's refusal waits for the configuration to be confirmed.
-constexpr std::chrono::milliseconds kMaxConfirmTime{ 300 };
 } // namespace
 
 ConfigExchange::ConfigExchange(EventLoop& aLoop,
@@ -83,9 +81,6 @@
                          .Add("version", this->config.Version())
                          .Add("age_ms", this->config.Age());
                      }
-                     if (!this->membership.IsStoreAvailable()) {
-                       this->config.AbandonConfirmations();
-                     }
                    });
 }
 
@@ -118,21 +113,4 @@
   return answer;
 }
 
-void ConfigExchange::Confirm(Duration aTimeout, std::function<void(bool)> aDone)
-{
-  if (this->config.Age() <= this->settings.maxConfigAge) {
-    aDone(true);
-    return;
-  }
-  std::optional<SocketEndpoint> peer = this->NextPeer();
-  if (!peer && !this->membership.IsStoreAvailable()) {
-    aDone(false);
-    return;
-  }
-  this->config.Confirm(std::min<Duration>(aTimeout, kMaxConfirmTime), std::move(aDone));
-  if (peer && this->openFetches == 0) {
-    this->Fetch(*peer);
-  }
-}
-
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/ConfigExchange.h
+++ b/packages/coordination/src/ConfigExchange.h
@@ -30,8 +30,6 @@
   bool IsDue() const { return this->config.Age() > this->settings.maxConfigAge / 2; }
   /// Response to such a call of another instance.
   nlohmann::json Answer(const nlohmann::json& aArguments) const;
-  /// See Instance::ConfirmConfig.
-  void Confirm(Duration aTimeout, std::function<void(bool)> aDone);
 
 private:
   void FetchWhenDue();
--- a/packages/coordination/src/ConfigFollower.cpp
+++ b/packages/coordination/src/ConfigFollower.cpp
@@ -113,15 +113,11 @@
 
 void ConfigFollower::OnConfirmed()
 {
-  if (this->Age() <= this->settings.maxConfigAge) {
-    this->EndConfirmations(true);
+  if (this->Age() > this->settings.maxConfigAge) {
+    return;
   }
-}
-
-void ConfigFollower::EndConfirmations(bool aIsConfirmed)
-{
   for (auto& [number, done] : std::exchange(this->confirmations, {})) {
-    done(aIsConfirmed);
+    done(true);
   }
 }
 
--- a/packages/coordination/src/ConfigFollower.h
+++ b/packages/coordination/src/ConfigFollower.h
@@ -39,8 +39,6 @@
   /// Reads the configuration and calls aDone with true once its age is at most
   /// InstanceSettings::maxConfigAge, or with false after aTimeout.
   void Confirm(Duration aTimeout, std::function<void(bool)> aDone);
-  /// Calls the callbacks of all open confirmations with false.
-  void AbandonConfirmations() { this->EndConfirmations(false); }
 
 private:
   void ApplyRange(const std::vector<KeyValueItem>& aItems);
@@ -49,7 +47,6 @@
                    const std::optional<std::string>& aValue,
                    const char* aSource);
   void OnConfirmed();
-  void EndConfirmations(bool aIsConfirmed);
 
   EventLoop& loop;
   const PlatformDecoders& decoders;
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -23,6 +23,8 @@
 namespace {
 /// Response time limit of announcements; a later announcement repeats them.
 constexpr std::chrono::milliseconds kAnnounceTimeout{ 400 };
+/// Longest time for which a caller's request waits for the configuration to be confirmed.
+constexpr std::chrono::milliseconds kMaxConfirmTime{ 300 };
 /// A follower without an announcement for this long probes the leader's process.
 constexpr std::chrono::milliseconds kMaxTimeWithoutLeaderContact{ 1000 };
 constexpr std::chrono::milliseconds kLivenessCheckInterval{ 500 };
@@ -298,7 +300,14 @@
 
 void Instance::ConfirmConfig(Duration aTimeout, std::function<void(bool)> aDone)
 {
-  this->impl->configExchange.Confirm(aTimeout, std::move(aDone));
+  ConfigFollower& config = this->impl->config;
+  if (config.Age() <= this->impl->settings.maxConfigAge) {
+    aDone(true);
+  } else if (!this->impl->membership.IsStoreAvailable()) {
+    aDone(false);
+  } else {
+    config.Confirm(std::min<Duration>(aTimeout, kMaxConfirmTime), std::move(aDone));
+  }
 }
 
 void Instance::OnConfigChange(std::function<void(const FleetConfig&)> aAction)
