The daemon's leader gets configuration versions in their order

A team's ceiling or a drained failure domain of an older version could stay in force at the leader until the next edit. Cause: ConfigHolder publishes a version under its lock and calls the listener after it. The thread that follows the store and the threads of the heartbeats adopt versions at the same time, so the listener could get version 2 and then 1; the leader takes what comes last. Change: one adoption at a time, from the check of the version to the end of the listener. Ruled out: a check of the version at the leader; the router's limits, set by the same listener, would need another. Evidence: by reading; no run of a fleet has shown it. Measured: ConfigHolderTest.ListenerGetsVersionsInTheirOrder failed before (2, 1) and passes; FleetTest passes. Conclusion: the daemon's configuration goes forward only, at the leader too.

--- a/packages/daemon/src/ConfigHolder.cpp
+++ b/packages/daemon/src/ConfigHolder.cpp
@@ -81,6 +81,8 @@
 void ConfigHolder::Adopt(ConfigDocument aDocument)
 {
   auto adopted = MakeRef<const ConfigView>(std::move(aDocument));
+  // One adoption at a time, so that the listener gets the versions in their order.
+  std::lock_guard adoption(this->adoptionMutex);
   {
     std::lock_guard lock(this->mutex);
     if (adopted->Document().version < this->view->Document().version) {
--- a/packages/daemon/src/ConfigHolder.h
+++ b/packages/daemon/src/ConfigHolder.h
@@ -14,7 +14,8 @@
 class ConfigHolder
 {
 public:
-  /// Called with each newly adopted configuration, without a lock held.
+  /// Called with each newly adopted configuration, in the order of their versions. Must not pass a
+  /// document to this object.
   using Listener = std::function<void(const ConfigView& aView)>;
 
   explicit ConfigHolder(const Clock& aClock);
@@ -49,6 +50,8 @@
 
   const Clock& clock;
   Listener listener;
+  /// Held while a document is adopted and passed to the listener; locked before `mutex`.
+  std::mutex adoptionMutex;
   mutable std::mutex mutex;
   ConfigFreshness freshness;
   Ref<const ConfigView> view;
