The daemon notices a dead watch of the configuration within half a second

After each watch whose response was lost, the leader of the stand-alone daemon could start no task for a moment, since its configuration was older than 4 s. Cause: a watch of 1 s was given up 2 s after its wait. With the watch before it, the retry delay and the read, the age reached 4.05 s and more, while the comment of kConfigWatchWait asked to stay well below 4 s. Change: kWatchTimeoutMargin is 0.5 s, public, and the sum is checked at compile time. A watch that fails is followed by a read with a limit of its own, so a slow store still confirms the configuration. Ruled out: RangeFollower for the daemon; its calls block threads, its edits count as in force only when all live seats have reported them, and its refusals stop at an age of 8 s, so the incident's refusals do not follow there.

--- a/packages/daemon/src/ConfigFollower.cpp
+++ b/packages/daemon/src/ConfigFollower.cpp
@@ -1,5 +1,7 @@
 #include "ConfigFollower.h"
 
+#include "RegionLeader.h"
+
 #include <unistd.h>
 
 namespace daisydrift {
@@ -10,6 +12,12 @@
 constexpr std::chrono::milliseconds kInitialRetryDelay{ 50 };
 constexpr std::chrono::milliseconds kMaxRetryDelay{ 1000 };
 
+// Just before a watch that is never answered is given up, the configuration was confirmed at the
+// sending of the watch before it; a read follows.
+static_assert(2 * kConfigWatchWait + kWatchTimeoutMargin + kInitialRetryDelay + kReadTimeout <
+                kMaxConfigAgeForStarts,
+              "a dead connection must not stop the leader's starts");
+
 } // namespace
 
 ConfigFollower::ConfigFollower(Store& aStore,
--- a/packages/external/include/daisydrift/external/HttpStore.h
+++ b/packages/external/include/daisydrift/external/HttpStore.h
@@ -10,6 +10,9 @@
 
 class HttpConnections;
 
+/// Time beyond its wait that a watch may take before its connection is considered unresponsive.
+constexpr std::chrono::milliseconds kWatchTimeoutMargin{ 500 };
+
 /// HTTP client of the store. Thread-safe. Connections are kept open between calls; a connection on
 /// which a call failed is closed.
 class HttpStore : public Store
--- a/packages/external/src/HttpStore.cpp
+++ b/packages/external/src/HttpStore.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Time beyond its wait that a watch may take before its connection is considered unresponsive.
-constexpr std::chrono::milliseconds kWatchTimeoutMargin{ 2000 };
-
 std::string PercentEncode(const std::string& aText)
 {
   return httplib::detail::encode_query_param(aText);
