--- a/packages/coordination/src/ConfigExchange.cpp
+++ b/packages/coordination/src/ConfigExchange.cpp
@@ -47,8 +47,9 @@
 {
   const std::optional<LeaderRecord>& leader = this->membership.Leader();
   bool canAskLeader = leader && leader->incarnation != this->membership.Incarnation();
-  this->isLeaderNext = !this->isLeaderNext;
-  if (canAskLeader && !this->isLeaderNext) {
+  bool isLeaderDue = !this->wasLeaderAskedLast;
+  this->wasLeaderAskedLast = isLeaderDue;
+  if (canAskLeader && isLeaderDue) {
     return leader->endpoint;
   }
   const std::map<std::string, MemberRecord>& members = this->membership.Members();
--- a/packages/coordination/src/ConfigExchange.h
+++ b/packages/coordination/src/ConfigExchange.h
@@ -23,8 +23,8 @@
                  std::function<void(const LeaderRecord&)> aOnLeader);
 
   void Start();
-  /// Asks an instance for its configuration, if that is newer, for its age there, and for the
-  /// leader.
+  /// Asks an instance for its configuration if the version differs, for the age of it, and for the
+  /// leader. A failed call is logged, not repeated.
   void Fetch(const SocketEndpoint& aPeer);
   /// True when the configuration should be confirmed by another instance.
   bool IsDue() const { return this->config.Age() > this->settings.maxConfigAge / 2; }
@@ -34,7 +34,7 @@
 private:
   void FetchWhenDue();
   void OnAnswer(const nlohmann::json& aAnswer, TimePoint aSentAt);
-  /// The instances to ask, in turn: the leader, then a member, then the leader again.
+  /// The instance to ask next: the leader and one of the other members by turns.
   std::optional<SocketEndpoint> NextPeer();
 
   EventLoop& loop;
@@ -44,7 +44,7 @@
   const InstanceSettings& settings;
   std::function<void(const LeaderRecord&)> onLeader;
   std::size_t openFetches = 0;
-  bool isLeaderNext = true;
+  bool wasLeaderAskedLast = false;
   /// The member that was asked last.
   std::string lastMember;
 };
--- a/packages/coordination/src/ConfigFollower.h
+++ b/packages/coordination/src/ConfigFollower.h
@@ -58,6 +58,7 @@
   std::map<std::uint64_t, MaintenanceWave> waves;
   /// Wave number of each key: a deletion carries only the key.
   std::map<std::string, std::uint64_t> waveNumbers;
+  /// Latest time at which another instance knew that the version was the newest.
   TimePoint peerConfirmedAt;
   /// Callbacks of the open calls of Confirm, by number.
   std::map<std::uint64_t, std::function<void(bool)>> confirmations;
--- a/packages/coordination/src/RangeFollower.h
+++ b/packages/coordination/src/RangeFollower.h
@@ -8,8 +8,9 @@
 namespace daisydrift::coordination {
 
 /// Reads all keys with a prefix, then watches them. A call whose response is late is not waited
-/// for: the keys are read again beside it, and the first response counts. So one dead connection
-/// delays a change by aMaxWatchWait and some 0.3 s at most, and the end of an outage by 0.3 s.
+/// for: the keys are read again beside it, and the first response counts. So a dead connection
+/// delays a change by aMaxWatchWait and some 0.3 s at most, and the end of an outage is noticed
+/// within some 0.3 s.
 class RangeFollower
 {
 public:
