A restarted worker is sent no acknowledgement of its former numbers

Callers saw: a task that had succeeded started again (soak, TWICE), after its worker had restarted. Cause: WorkerPoller repeated the acknowledged number after a failed poll. A restarted worker keeps its id and numbers its completions from 1, so it dropped those up to that number: a start that was retried had reached it, its run had succeeded, and the leader had not seen it. Change: after a failed poll nothing is acknowledged until the worker has answered. A worker that did not restart returns only what it has not dropped yet. Ruled out: the incarnation of the list of workers; it is read every 0.4 s and may lag behind the restart. Open: a restart between two polls that succeed.

--- a/packages/coordination/src/WorkerPoller.cpp
+++ b/packages/coordination/src/WorkerPoller.cpp
@@ -94,7 +94,9 @@
   ++poll.generation;
   TimePoint now = this->loop.Now();
   PollRequest request;
-  request.lastCompletion = poll.acknowledged;
+  // After a failed poll the worker may have restarted, and its completions are numbered from 1
+  // again.
+  request.lastCompletion = poll.hasAnswered ? poll.acknowledged : 0;
   request.lease = this->dispatcher.ExtendWorkerLease(aWorker, now);
   // The first poll must not wait: it raises the fencing token.
   request.wait = request.lease && !this->isStoreUnavailable ? this->MaxPollWait(now) : Duration(0);
--- /dev/null
+++ b/packages/coordination/tests/WorkerPollerTest.cpp
@@ -0,0 +1,127 @@
+// Completions are acknowledged only to the incarnation of the worker that reported them.
+
+#include "WorkerPoller.h"
+
+#include "VirtualLoop.h"
+
+#include <gtest/gtest.h>
+
+namespace daisydrift::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kWorker = "w1";
+
+/// Keeps the polls until the test responds to them.
+class ManualGateway : public WorkerGateway
+{
+public:
+  void Start(const WorkerListing&,
+             const StartCommand&,
+             milliseconds,
+             Epoch,
+             std::function<void(StartResult, bool)>) override
+  {
+  }
+  void Stop(const WorkerListing&,
+            const StopCommand&,
+            Epoch,
+            std::function<void(std::error_code)>) override
+  {
+  }
+  void Throttle(const WorkerListing&,
+                const ThrottleCommand&,
+                Epoch,
+                std::function<void(std::error_code)>) override
+  {
+  }
+  void Poll(const WorkerListing&,
+            const PollRequest& aRequest,
+            Epoch,
+            std::function<void(const Result<WorkerReport>&)> aDone) override
+  {
+    this->acknowledged.push_back(aRequest.lastCompletion);
+    this->respond = std::move(aDone);
+  }
+
+  /// The acknowledged number of each poll.
+  std::vector<std::uint64_t> acknowledged;
+  std::function<void(const Result<WorkerReport>&)> respond;
+};
+
+class WorkerPollerTest : public ::testing::Test
+{
+protected:
+  WorkerPollerTest()
+    : dispatcher(this->settings.dispatch, this->loop.Now())
+    , poller(this->loop,
+             this->gateway,
+             this->dispatcher,
+             this->settings,
+             1,
+             WorkerPoller::Hooks{ [] {}, [] {} })
+  {
+    WorkerListing listing;
+    listing.id = kWorker;
+    listing.service = "desk";
+    listing.endpoint = { "10.0.0.2", 8000 };
+    listing.domain = "north";
+    listing.capacity = { 8000, 64000, 0 };
+    listing.incarnation = 1;
+    this->dispatcher.ListWorker(listing);
+    this->poller.Refresh();
+  }
+
+  /// Responds to the open poll and runs until the next one.
+  void Respond(const Result<WorkerReport>& aReport)
+  {
+    auto respond = std::move(this->gateway.respond);
+    respond(aReport);
+    this->loop.RunFor(milliseconds(10));
+  }
+
+  static WorkerReport ReportOf(std::int64_t aIncarnation, std::uint64_t aCompletions)
+  {
+    WorkerReport report;
+    report.incarnation = aIncarnation;
+    for (std::uint64_t number = 1; number <= aCompletions; ++number) {
+      report.completions.push_back(
+        { number, { "job", 0, 0, 0 }, number, RunOutcome::Succeeded, "" });
+    }
+    return report;
+  }
+
+  VirtualLoop loop;
+  InstanceSettings settings;
+  ManualGateway gateway;
+  Dispatcher dispatcher;
+  WorkerPoller poller;
+};
+
+// Guards against a success that a restarted worker forgets before the leader has seen it: the run
+// of a start that was retried ended before the first poll, which acknowledged the earlier numbers.
+TEST_F(WorkerPollerTest, RestartedWorkerIsSentNoAcknowledgementOfItsFormerNumbers)
+{
+  this->Respond(ReportOf(1, 3));
+  this->poller.Acknowledge({ { kWorker, 1, 3 } });
+  ASSERT_EQ(this->gateway.acknowledged.back(), 3U);
+  this->Respond(make_error_code(Errc::OutcomeUnknown));
+  EXPECT_EQ(this->gateway.acknowledged.back(), 0U);
+  this->Respond(ReportOf(2, 1));
+  this->poller.Acknowledge({ { kWorker, 1, 3 } });
+  this->poller.Acknowledge({ { kWorker, 2, 1 } });
+  EXPECT_EQ(this->gateway.acknowledged.back(), 1U);
+}
+
+TEST_F(WorkerPollerTest, AcknowledgementIsRepeatedAfterALostResponse)
+{
+  this->Respond(ReportOf(1, 3));
+  this->poller.Acknowledge({ { kWorker, 1, 3 } });
+  this->Respond(make_error_code(Errc::OutcomeUnknown));
+  this->Respond(ReportOf(1, 0));
+  EXPECT_EQ(this->gateway.acknowledged.back(), 3U);
+}
+
+} // namespace
+} // namespace daisydrift::coordination
