--- a/packages/coordination/tests/ConfigFollowingTest.cpp
+++ b/packages/coordination/tests/ConfigFollowingTest.cpp
@@ -117,7 +117,7 @@
   EXPECT_TRUE(this->State(refused, "job").HasValue());
 }
 
-// Callers were refused for good by a configuration whose age nobody knew.
+// Guards against final refusals by a configuration of unknown age.
 TEST_F(ConfigFollowingTest, ConfigurationOfASilentStoreIsNotConfirmed)
 {
   EXPECT_TRUE(this->Confirm(0).isConfirmed);
