Logs tell when and how the leader learnt of a job, and what its lists and services wait for

Metrics job_known_seconds, notices_failed_total, notices_given_up_total, list_polls_failed_total. Ruled out: a line for each failed notice; at the worst moment of a burst that is several lines a job.

--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -418,7 +418,7 @@
   if (aMethod == "notice") {
     std::optional<JobDefinition> job = coordination::JobDefinitionFromJson(aArguments);
     if (job) {
-      leader->AddJob(*job);
+      leader->AddJob(*job, "notice");
     }
     aReply(json::object());
   } else if (aMethod == "query") {
--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -182,12 +182,19 @@
 void JobRequestHandler::NotifyLeader(const JobDefinition& aDefinition, int aAttemptsLeft)
 {
   if (Leader* localLeader = this->ownLeader()) {
-    localLeader->AddJob(aDefinition);
+    localLeader->AddJob(aDefinition, "own");
     return;
   }
   const std::optional<LeaderRecord>& leader = this->membership.Leader();
   if (!leader || aAttemptsLeft == 0) {
-    return; // Found by the next leader on recovery, or by this one in the job changes.
+    // Found by the next leader on recovery, or by this one in the job changes.
+    this->env.metrics.Count("notices_given_up_total");
+    LogLine(LogLevel::Warning, "notice_given_up")
+      .Add("job", aDefinition.id)
+      .Add("leader", leader ? leader->name : "")
+      .Add("term", leader ? leader->term : 0)
+      .Add("attempts", kNotifyAttempts - aAttemptsLeft);
+    return;
   }
   this->env.peers.Call(leader->endpoint,
                        "notice",
@@ -195,6 +202,8 @@
                        kLeaderTimeout,
                        [this, aDefinition, aAttemptsLeft](const Result<json>& aResponse) {
                          if (!aResponse) {
+                           this->env.metrics.Count("notices_failed_total{error=\"" +
+                                                   aResponse.Error().message() + "\"}");
                            this->membership.SuspectLeader();
                            this->env.loop.After(kRetryDelay, [this, aDefinition, aAttemptsLeft] {
                              this->NotifyLeader(aDefinition, aAttemptsLeft - 1);
--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -132,17 +132,23 @@
   this->ScheduleRound();
 }
 
-void Leader::AddJob(const JobDefinition& aDefinition)
+void Leader::AddJob(const JobDefinition& aDefinition, const char* aSource)
 {
   if (this->isRecovered && this->finished.count(aDefinition.id) == 0 &&
       this->dispatcher->AddJob(aDefinition, this->env.loop.Now(), this->env.loop.WallClockNow())) {
     this->env.metrics.Count("jobs_added_total");
+    // The clocks of two instances may differ, so a negative delay counts as zero.
+    Duration delay =
+      std::max<Duration>(this->env.loop.WallClockNow() - aDefinition.acceptedAt, Duration(0));
+    this->env.metrics.Observe("job_known_seconds", delay);
     LogLine(LogLevel::Info, "job_added")
       .Add("job", aDefinition.id)
       .Add("queue", aDefinition.queue)
       .Add("team", aDefinition.team)
       .Add("steps", aDefinition.steps.size())
-      .Add("config_version", this->env.config.Version());
+      .Add("config_version", this->env.config.Version())
+      .Add("source", aSource)
+      .Add("known_after_ms", delay);
     this->ScheduleRound();
   }
 }
@@ -224,6 +230,12 @@
     .Add("committed_mcores", counts.committed.milliCores)
     .Add("questions", counts.openAdviceRequests)
     .Add("lanes", this->adviceSlots->MaxOpenRequests())
+    .Add("steps_passed_over", counts.stepsPassedOver)
+    .Add("waiting_service_tasks", counts.waitingServiceTasks)
+    .Add("longest_service_wait_ms", counts.longestServiceWait)
+    .Add("longest_waiting_service", counts.longestWaitingService)
+    .Add("jobs_age_ms", aNow - this->jobsKnownAt)
+    .Add("workers_age_ms", aNow - this->workersKnownAt)
     .Add("rounds", this->roundCount)
     .Add("longest_round_ms", this->maxRoundDuration)
     .Add("longest_lag_ms", this->maxRoundDelay);
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -51,8 +51,9 @@
   bool IsRecovered() const { return this->isRecovered; }
 
   void OnConfigChange();
-  /// Adds a job that is stored already.
-  void AddJob(const JobDefinition& aDefinition);
+  /// Adds a job that is stored already. aSource names the path by which it became known, for the
+  /// log.
+  void AddJob(const JobDefinition& aDefinition, const char* aSource);
   /// Stored state of a job; nothing when it is unknown.
   std::optional<DispatchState> State(const JobId& aJob) const;
   /// Cancels a job; aDone runs once that is stored. Error NotFound: the job is not known to the
@@ -83,7 +84,12 @@
   void PollJobChanges();
   /// Adds jobs that were stored during a gap in the watch history.
   void ReloadDefinitions();
-  void AddStoredJob(const std::string& aRecord);
+  void AddStoredJob(const std::string& aRecord, const char* aSource);
+  /// Logs a failed poll of a list, with the age of what is known of it.
+  void OnListPollFailed(const char* aList,
+                        std::error_code aError,
+                        TimePoint aSentAt,
+                        TimePoint aKnownAt);
   void PollWorkerChanges();
   void ApplyWorker(const std::string& aKey, const std::optional<std::string>& aValue);
   /// Schedules a round soon, so that events which arrive together share one round.
@@ -125,6 +131,9 @@
   std::set<WorkerId> listedWorkers;
   std::uint64_t jobsRevision = 0;
   std::uint64_t workersRevision = 0;
+  /// Times at which the reads of jobsRevision and workersRevision were sent.
+  TimePoint jobsKnownAt;
+  TimePoint workersKnownAt;
   TimePoint nextPurge;
   TimePoint nextSummary;
   TimePoint roundScheduledAt;
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -95,8 +95,9 @@
           *job, this->progress[job->id], this->env.loop.Now(), this->env.loop.WallClockNow());
       }
     },
-    [this](std::uint64_t aRevision) {
+    [this, sentAt = this->env.loop.Now()](std::uint64_t aRevision) {
       this->jobsRevision = aRevision;
+      this->jobsKnownAt = sentAt;
       this->progress.clear();
       this->LoadWorkers();
     });
@@ -116,8 +117,9 @@
       this->listedWorkers.insert(this->WorkerIdOfKey(aItem.key));
       this->ApplyWorker(aItem.key, aItem.value);
     },
-    [this](std::uint64_t aRevision) {
+    [this, sentAt = this->env.loop.Now()](std::uint64_t aRevision) {
       this->workersRevision = aRevision;
+      this->workersKnownAt = sentAt;
       for (const WorkerId& id : this->dispatcher->Workers()) {
         if (this->listedWorkers.count(id) == 0) {
           this->dispatcher->UnlistWorker(id);
@@ -151,21 +153,25 @@
     prefix,
     this->jobsRevision,
     Duration(0),
-    [this, alive = this->isAlive, prefix](const Result<KeyValueChanges>& aChanges) {
+    [this, alive = this->isAlive, prefix, sentAt = this->env.loop.Now()](
+      const Result<KeyValueChanges>& aChanges) {
       if (!*alive || this->hasEnded) {
         return;
       }
       if (aChanges) {
         for (const KeyValueChange& change : aChanges->changes) {
           if (change.value && !this->State(change.key.substr(prefix.size()))) {
-            this->AddStoredJob(*change.value);
+            this->AddStoredJob(*change.value, "changes");
           }
         }
         this->jobsRevision = aChanges->revision;
+        this->jobsKnownAt = sentAt;
       } else if (aChanges.Error() == make_error_code(Errc::NotFound)) {
         LogLine(LogLevel::Warning, "job_history_lost");
         this->ReloadDefinitions();
         return;
+      } else {
+        this->OnListPollFailed("jobs", aChanges.Error(), sentAt, this->jobsKnownAt);
       }
       this->After(this->env.settings.listPollInterval, [this] { this->PollJobChanges(); });
     });
@@ -175,43 +181,62 @@
 {
   this->ReadPrefix(
     DefinitionPrefix(this->env.settings.storePrefix),
-    [this](const KeyValueItem& aItem) { this->AddStoredJob(aItem.value); },
-    [this](std::uint64_t aRevision) {
+    [this](const KeyValueItem& aItem) { this->AddStoredJob(aItem.value, "reload"); },
+    [this, sentAt = this->env.loop.Now()](std::uint64_t aRevision) {
       this->jobsRevision = aRevision;
+      this->jobsKnownAt = sentAt;
       this->After(this->env.settings.listPollInterval, [this] { this->PollJobChanges(); });
     });
 }
 
-void Leader::AddStoredJob(const std::string& aRecord)
+void Leader::AddStoredJob(const std::string& aRecord, const char* aSource)
 {
   if (std::optional<JobDefinition> job = ParseOpenDefinition(aRecord)) {
-    this->AddJob(*job);
+    this->AddJob(*job, aSource);
   }
 }
 
+void Leader::OnListPollFailed(const char* aList,
+                              std::error_code aError,
+                              TimePoint aSentAt,
+                              TimePoint aKnownAt)
+{
+  TimePoint now = this->env.loop.Now();
+  this->env.metrics.Count(std::string("list_polls_failed_total{list=\"") + aList + "\"}");
+  LogLine(LogLevel::Warning, "list_poll_failed")
+    .Add("list", aList)
+    .Add("error", aError)
+    .Add("spent_ms", now - aSentAt)
+    .Add("age_ms", now - aKnownAt);
+}
+
 void Leader::PollWorkerChanges()
 {
-  this->env.store.Watch(this->env.settings.workerPrefix,
-                        this->workersRevision,
-                        Duration(0),
-                        [this, alive = this->isAlive](const Result<KeyValueChanges>& aChanges) {
-                          if (!*alive || this->hasEnded) {
-                            return;
-                          }
-                          if (aChanges) {
-                            for (const KeyValueChange& change : aChanges->changes) {
-                              this->ApplyWorker(change.key, change.value);
-                            }
-                            this->workersRevision = aChanges->revision;
-                            this->workerPoller->Refresh();
-                          } else if (aChanges.Error() == make_error_code(Errc::NotFound)) {
-                            LogLine(LogLevel::Warning, "worker_history_lost");
-                            this->LoadWorkers();
-                            return;
-                          }
-                          this->After(this->env.settings.listPollInterval,
-                                      [this] { this->PollWorkerChanges(); });
-                        });
+  this->env.store.Watch(
+    this->env.settings.workerPrefix,
+    this->workersRevision,
+    Duration(0),
+    [this, alive = this->isAlive, sentAt = this->env.loop.Now()](
+      const Result<KeyValueChanges>& aChanges) {
+      if (!*alive || this->hasEnded) {
+        return;
+      }
+      if (aChanges) {
+        for (const KeyValueChange& change : aChanges->changes) {
+          this->ApplyWorker(change.key, change.value);
+        }
+        this->workersRevision = aChanges->revision;
+        this->workersKnownAt = sentAt;
+        this->workerPoller->Refresh();
+      } else if (aChanges.Error() == make_error_code(Errc::NotFound)) {
+        LogLine(LogLevel::Warning, "worker_history_lost");
+        this->LoadWorkers();
+        return;
+      } else {
+        this->OnListPollFailed("workers", aChanges.Error(), sentAt, this->workersKnownAt);
+      }
+      this->After(this->env.settings.listPollInterval, [this] { this->PollWorkerChanges(); });
+    });
 }
 
 } // namespace daisydrift::coordination
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -27,6 +27,14 @@
   std::size_t tasksAtCeiling = 0;
   /// Waiting tasks of queues with the highest priority.
   std::size_t waitingHighestPriority = 0;
+  /// Waiting tasks of services, the longest time for which a service has had waiting tasks, and the
+  /// job of that service.
+  std::size_t waitingServiceTasks = 0;
+  Duration longestServiceWait{ 0 };
+  JobId longestWaitingService;
+  /// Steps for which the last round neither requested advice nor looked for candidates, since its
+  /// scans or request slots were used up.
+  std::size_t stepsPassedOver = 0;
   /// Sum over all workers.
   Resources capacity;
   /// Part of the capacity that is used by runs which may be active.
--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -36,6 +36,7 @@
 
 void AdvicePlanner::BeginRound()
 {
+  this->stepsPassedOver = 0;
   this->scansLeft =
     std::max(kMinScansPerRound,
              kWorkerChecksPerRound / std::max<std::size_t>(this->state.workers.size(), 1));
@@ -117,9 +118,12 @@
 {
   StepAdvice& advice = aStep.advice;
   const std::optional<AdvicePolicy>& policy = aStep.job->queue->advice;
-  if (!policy || advice.isRequestOpen || aNow < advice.notBefore ||
-      this->openRequests >= aRequestSlots ||
+  if (!policy || advice.isRequestOpen || aNow < advice.notBefore) {
+    return;
+  }
+  if (this->openRequests >= aRequestSlots ||
       this->openRequests >= this->RequestSlotsFor(policy->baseTime, aRequestSlots)) {
+    ++this->stepsPassedOver;
     return;
   }
   const Team* team = aStep.job->team;
@@ -127,6 +131,7 @@
     return; // The tickets would expire before the team may start more tasks.
   }
   if (this->scansLeft == 0) {
+    ++this->stepsPassedOver;
     return;
   }
   --this->scansLeft;
--- a/packages/dispatch/src/AdvicePlanner.h
+++ b/packages/dispatch/src/AdvicePlanner.h
@@ -30,6 +30,8 @@
   void OnFailure(const AdviceRequest& aRequest, TimePoint aNow);
   /// Number of requests without a response so far.
   std::size_t OpenRequestCount() const { return this->openRequests; }
+  /// Steps that the last round did not consider, since its scans or request slots were used up.
+  std::size_t StepsPassedOver() const { return this->stepsPassedOver; }
   /// True when the steps that this one depends on are expected to be done by the time a response
   /// arrives. False for a step without dependencies and for a queue that does not use advice.
   bool WillBeReadySoon(const Step& aStep, TimePoint aNow) const;
@@ -65,6 +67,7 @@
   std::size_t openRequests = 0;
   /// Steps that may still be considered in this round.
   std::size_t scansLeft = 0;
+  std::size_t stepsPassedOver = 0;
   /// Moving average of the fraction of requested workers that were granted, by queue.
   std::map<QueueName, double> grantRates;
 };
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -402,6 +402,7 @@
 {
   DispatchCounts counts;
   counts.openAdviceRequests = this->impl->advicePlanner.OpenRequestCount();
+  counts.stepsPassedOver = this->impl->advicePlanner.StepsPassedOver();
   counts.jobs = this->impl->state.openJobs.size();
   for (const Job* job : this->impl->state.openJobs) {
     for (const auto& step : job->steps) {
@@ -410,6 +411,13 @@
         continue;
       }
       counts.waitingTasks += step->Waiting();
+      if (step->spec->isService && step->waitingSince <= aNow) {
+        counts.waitingServiceTasks += step->Waiting();
+        if (aNow - step->waitingSince >= counts.longestServiceWait) {
+          counts.longestServiceWait = aNow - step->waitingSince;
+          counts.longestWaitingService = job->definition.id;
+        }
+      }
       counts.waitingHighestPriority += job->queue->priority == 0 ? step->Waiting() : 0;
       bool isAtCeiling =
         job->team != nullptr && !FleetState::FitsCeiling(*job->team, step->spec->size);
@@ -440,6 +448,8 @@
       continue;
     }
     for (const auto& step : job->steps) {
+      bool isWaiting = step->isReady && step->Waiting() > 0;
+      step->waitingSince = isWaiting ? std::min(step->waitingSince, aNow) : TimePoint::max();
       if (step->Waiting() > 0 &&
           (step->isReady || this->impl->advicePlanner.WillBeReadySoon(*step, aNow))) {
         waiting.emplace_back(dispatch::RankOf(*step, this->impl->settings.order, aNow), step.get());
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -124,6 +124,8 @@
   bool isReady = false;
   /// Checkpoint of a gang, shared by all its members.
   std::string gangCheckpoint;
+  /// Time since which the step is ready and has waiting tasks; max when it has none.
+  TimePoint waitingSince = TimePoint::max();
 
   bool IsDone() const { return this->succeeded == this->tasks.size(); }
   std::size_t Waiting() const { return this->tasks.size() - this->succeeded - this->active; }
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -194,7 +194,10 @@
       .Add("job", attempt->step->job->definition.id)
       .Add("task", attempt->index)
       .Add("run", attempt->run)
-      .Add("worker", aWorker.listing.id);
+      .Add("worker", aWorker.listing.id)
+      .Add("restored", attempt->state == AttemptState::Restored)
+      .Add("has_reported", aWorker.hasReported)
+      .Add("term_age_ms", aNow - this->termStart);
     if (attempt->step->spec->isGang) {
       this->StopGang(*attempt->step);
     }
