Tests show that a stored job can stay unknown to the leader

Cause: after the store has taken a job, its notice is given up after five tries, and the leader's poll of the job list is repeated from the same revision, with all that has changed since. Once that is more than arrives within the call's limit, no poll succeeds again until the history is lost. The same holds for the list of workers. Change: four tests of it on virtual time; the in-memory store can limit the bytes of a response, the peers can lose a kind of call.

--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -81,7 +81,8 @@
                          Duration aTimeout,
                          std::function<void(const Result<json>&)> aDone)
 {
-  if (this->unresponsive.count(aPeer.port) != 0) {
+  bool isLost = this->isCallLost && this->isCallLost(aMethod);
+  if (isLost || this->unresponsive.count(aPeer.port) != 0) {
     this->loop.After(aTimeout, [aDone] { aDone(Errc::OutcomeUnknown); });
     return;
   }
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -27,6 +27,8 @@
   /// By port; a missing instance refuses connections, an unresponsive one never responds.
   std::map<unsigned short, Instance*> instances;
   std::set<unsigned short> unresponsive;
+  /// True for a call that is lost on the way; empty for none.
+  std::function<bool(const std::string& aMethod)> isCallLost;
 };
 
 /// One instance behind proxies that cut off its process when it is killed.
--- a/packages/coordination/tests/InMemoryStore.cpp
+++ b/packages/coordination/tests/InMemoryStore.cpp
@@ -43,10 +43,17 @@
     }
     KeyValuePage page;
     page.revision = this->revision;
+    std::size_t bytes = 0;
     for (const auto& [key, item] : this->items) {
-      if (key.rfind(aPrefix, 0) == 0 && key > aAfter) {
-        page.items.push_back(item);
+      if (key.rfind(aPrefix, 0) != 0 || key <= aAfter) {
+        continue;
       }
+      bytes += key.size() + item.value.size();
+      if (this->maxResponseBytes > 0 && bytes > this->maxResponseBytes) {
+        page.hasMore = true;
+        break;
+      }
+      page.items.push_back(item);
     }
     aDone(page);
   });
@@ -68,11 +75,17 @@
     }
     KeyValueChanges changes;
     changes.revision = this->revision;
+    std::size_t bytes = 0;
     for (const KeyValueChange& change : this->history) {
       if (change.revision > aAfterRevision && change.key.rfind(aPrefix, 0) == 0) {
         changes.changes.push_back(change);
+        bytes += change.key.size() + (change.value ? change.value->size() : 0);
       }
     }
+    if (this->maxResponseBytes > 0 && bytes > this->maxResponseBytes) {
+      this->LoseResponse(kLostWatchTimeout, aDone);
+      return;
+    }
     if (changes.changes.empty() && aWait > kWatchStep) {
       this->Watch(aPrefix, aAfterRevision, aWait - kWatchStep, aDone);
     } else {
--- a/packages/coordination/tests/InMemoryStore.h
+++ b/packages/coordination/tests/InMemoryStore.h
@@ -59,6 +59,10 @@
   std::function<bool()> isRenewalResponseLost;
   /// True for a watch whose response is lost; empty for none.
   std::function<bool(const std::string& aPrefix)> isWatchResponseLost;
+  /// Most bytes of keys and values that arrive within the time limit of a call; 0 for no limit. A
+  /// page of a read ends before it. The response to a watch has no pages, so a longer one counts as
+  /// lost.
+  std::size_t maxResponseBytes = 0;
   /// While true, all calls fail with Unreachable.
   bool isDown = false;
   /// While true, no call is carried out or answered, and the waiting watches are lost: the callers
--- /dev/null
+++ b/packages/coordination/tests/StoredJobsTest.cpp
@@ -0,0 +1,133 @@
+// Every stored job becomes known to the leader within a bounded time after a fault, although its
+// notice was lost and the job list has changed much in the meantime.
+
+#include "Cluster.h"
+
+namespace daisydrift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time in which a leader that is reachable must know an accepted job (the platform's bound).
+constexpr milliseconds kMaxTimeUntilKnown{ 3000 };
+/// Run time of a task, with the start.
+constexpr milliseconds kRunTime{ 800 };
+constexpr int kFollowers = 2;
+
+class StoredJobsTest : public Cluster
+{
+protected:
+  StoredJobsTest()
+  {
+    for (int number = 0; number <= kFollowers; ++number) {
+      this->StartInstance(number);
+    }
+    this->loop.RunFor(seconds(2));
+    this->leader = this->LeaderNumber();
+    this->follower = (this->leader + 1) % (kFollowers + 1);
+    this->peers.isCallLost = [this](const std::string& aMethod) {
+      return this->areNoticesLost && aMethod.rfind("notice", 0) == 0;
+    };
+  }
+
+  /// Submits aCount small jobs through a follower.
+  void SubmitMany(int aCount)
+  {
+    for (int number = 0; number < aCount; ++number) {
+      JobId id = "job" + std::to_string(this->submitted++);
+      ASSERT_EQ(this->Submit(this->follower, id, 1), SubmitOutcome::Accepted);
+    }
+  }
+
+  std::size_t CountCompleted()
+  {
+    std::size_t completed = 0;
+    for (int number = 0; number < this->submitted; ++number) {
+      Result<DispatchState> state = this->State(this->leader, "job" + std::to_string(number));
+      completed += state && *state == DispatchState::Completed ? 1 : 0;
+    }
+    return completed;
+  }
+
+  int leader = -1;
+  int follower = -1;
+  int submitted = 0;
+  bool areNoticesLost = false;
+};
+
+TEST_F(StoredJobsTest, JobsAreFoundAfterMoreChangesThanOnePollCanReceive)
+{
+  this->areNoticesLost = true;
+  // The poll of the job list fails until the changes since the last one are too many for it.
+  bool isWatchLost = true;
+  this->store.isWatchResponseLost = [&isWatchLost](const std::string& aPrefix) {
+    return isWatchLost && aPrefix == "daisydrift/jobs/";
+  };
+  this->store.maxResponseBytes = 4096;
+  this->SubmitMany(40);
+  this->loop.RunFor(seconds(4));
+  isWatchLost = false;
+  // 40 tasks on 16 cores.
+  this->loop.RunFor(kMaxTimeUntilKnown + 3 * kRunTime);
+  EXPECT_EQ(this->CountCompleted(), 40U);
+}
+
+TEST_F(StoredJobsTest, WorkersAreFoundAfterMoreChangesThanOnePollCanReceive)
+{
+  bool isWatchLost = true;
+  this->store.isWatchResponseLost = [&isWatchLost](const std::string& aPrefix) {
+    return isWatchLost && aPrefix == "workers/";
+  };
+  this->store.maxResponseBytes = 512;
+  for (int number = 0; number < 4; ++number) {
+    this->fleet.Kill("w" + std::to_string(number));
+    this->store.Remove("workers/w" + std::to_string(number));
+  }
+  for (int number = 0; number < 100; ++number) {
+    this->fleet.AddWorker(this->store, "new" + std::to_string(number));
+  }
+  this->loop.RunFor(seconds(2));
+  isWatchLost = false;
+  this->SubmitMany(1);
+  this->loop.RunFor(kMaxTimeUntilKnown + kRunTime);
+  EXPECT_EQ(this->CountCompleted(), 1U);
+}
+
+TEST_F(StoredJobsTest, NoticeIsRepeatedUntilTheLeaderHasTakenIt)
+{
+  this->areNoticesLost = true;
+  this->store.isWatchResponseLost = [](const std::string& aPrefix) {
+    return aPrefix == "daisydrift/jobs/";
+  };
+  this->store.isPrefixUnavailable = [](const std::string& aPrefix) {
+    return aPrefix == "daisydrift/jobs/";
+  };
+  this->SubmitMany(5);
+  this->loop.RunFor(seconds(6));
+  this->areNoticesLost = false;
+  this->loop.RunFor(kMaxTimeUntilKnown + kRunTime);
+  EXPECT_EQ(this->CountCompleted(), 5U);
+}
+
+TEST_F(StoredJobsTest, JobOfAKilledInstanceIsCancelledThoughTheLeaderDoesNotKnowIt)
+{
+  this->areNoticesLost = true;
+  this->store.isWatchResponseLost = [](const std::string& aPrefix) {
+    return aPrefix == "daisydrift/jobs/";
+  };
+  this->store.isPrefixUnavailable = [](const std::string& aPrefix) {
+    return aPrefix == "daisydrift/jobs/";
+  };
+  this->SubmitMany(1);
+  this->KillInstance(this->follower);
+  this->areNoticesLost = false;
+  int other = 3 - this->leader - this->follower;
+  EXPECT_FALSE(this->Cancel(other, "job0"));
+  Result<DispatchState> state = this->State(other, "job0");
+  ASSERT_TRUE(state.HasValue());
+  EXPECT_EQ(*state, DispatchState::Cancelled);
+}
+
+} // namespace
+} // namespace daisydrift
