An accepted job stays with its instance until a leader has taken it

Callers saw: accepted jobs that stayed queued for many seconds beside free capacity, and cancellations of them that were answered 504 until their deadline. Cause: after the store had taken a job its instance told the leader five times and then gave up without a line; the fallback, the leader's poll of the job list, was repeated from the same revision with everything that had changed since, so that once a response was too long for the limit of 0.9 s no later poll could succeed. The list of workers had the same fault. Change: StoredJobNotifier keeps a stored job until a leader has taken it, one call at a time with up to 64 jobs, so that a late leader gets few calls; a query or cancellation that finds a job the leader does not know hands it over as well. A list whose poll got no response is read in pages, whose size the store bounds. Why it works: each side keeps the job until the next one has it, and no step's work grows with the delay. Ruled out: more tries or a longer limit, which only move the point where it fails; a marker key a job, which the leader would have to delete again. Conclusion: the hand-over has an owner at each moment; how fast a leader reads under load is a matter of its own.

--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -416,11 +416,24 @@
     return;
   }
   if (aMethod == "notice") {
+    // Sent by instances of an earlier version.
     std::optional<JobDefinition> job = coordination::JobDefinitionFromJson(aArguments);
     if (job) {
       leader->AddJob(*job, "notice");
     }
     aReply(json::object());
+  } else if (aMethod == "notices") {
+    auto jobs = aArguments.find("jobs");
+    if (jobs == aArguments.end() || !jobs->is_array()) {
+      aReply(Errc::InvalidArgument);
+      return;
+    }
+    for (const json& record : *jobs) {
+      if (std::optional<JobDefinition> job = coordination::JobDefinitionFromJson(record)) {
+        leader->AddJob(*job, "notice");
+      }
+    }
+    aReply(json::object());
   } else if (aMethod == "query") {
     self.AnswerQuery(aArguments.value("job", ""), aReply);
   } else if (aMethod == "cancel") {
--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -15,7 +15,6 @@
 constexpr int kAttemptsBeforeStoreRead = 3;
 /// For calls that are repeated until their deadline.
 constexpr int kMaxAttempts = 1000;
-constexpr int kNotifyAttempts = 5;
 /// A write without a response after this time is sent again in parallel. The store normally
 /// responds within 4 ms.
 constexpr std::chrono::milliseconds kHedgeDelay{ 150 };
@@ -45,6 +44,7 @@
   , membership(aMembership)
   , ownLeader(std::move(aOwnLeader))
   , checkLeadership(std::move(aCheckLeadership))
+  , notifier(aEnvironment, aMembership, this->ownLeader)
 {
 }
 
@@ -118,7 +118,7 @@
   // Conflict: an earlier attempt or a repeated request has stored the job already.
   if (aRevision || aRevision.Error() == make_error_code(Errc::Conflict)) {
     this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
-    this->NotifyLeader(aSubmission->definition, kNotifyAttempts);
+    this->notifier.Add(aSubmission->definition);
     return;
   }
   aSubmission->mayBeStored = aSubmission->mayBeStored || isOutcomeUnknown;
@@ -179,37 +179,11 @@
   }
 }
 
-void JobRequestHandler::NotifyLeader(const JobDefinition& aDefinition, int aAttemptsLeft)
+void JobRequestHandler::NotifyLeader(const std::string& aRecord)
 {
-  if (Leader* localLeader = this->ownLeader()) {
-    localLeader->AddJob(aDefinition, "own");
-    return;
+  if (std::optional<JobDefinition> job = OpenDefinitionFromText(aRecord)) {
+    this->notifier.Add(*job);
   }
-  const std::optional<LeaderRecord>& leader = this->membership.Leader();
-  if (!leader || aAttemptsLeft == 0) {
-    // Found by the next leader on recovery, or by this one in the job changes.
-    this->env.metrics.Count("notices_given_up_total");
-    LogLine(LogLevel::Warning, "notice_given_up")
-      .Add("job", aDefinition.id)
-      .Add("leader", leader ? leader->name : "")
-      .Add("term", leader ? leader->term : 0)
-      .Add("attempts", kNotifyAttempts - aAttemptsLeft);
-    return;
-  }
-  this->env.peers.Call(leader->endpoint,
-                       "notice",
-                       ToJson(aDefinition),
-                       kLeaderTimeout,
-                       [this, aDefinition, aAttemptsLeft](const Result<json>& aResponse) {
-                         if (!aResponse) {
-                           this->env.metrics.Count("notices_failed_total{error=\"" +
-                                                   aResponse.Error().message() + "\"}");
-                           this->membership.SuspectLeader();
-                           this->env.loop.After(kRetryDelay, [this, aDefinition, aAttemptsLeft] {
-                             this->NotifyLeader(aDefinition, aAttemptsLeft - 1);
-                           });
-                         }
-                       });
 }
 
 void JobRequestHandler::CallLeader(const std::string& aMethod,
@@ -271,7 +245,7 @@
     if (state) {
       aDone(*state);
     } else {
-      this->QueryStore(aJob, aDeadline, aDone);
+      this->QueryStore(aJob, aDeadline, true, aDone);
     }
     return;
   }
@@ -284,27 +258,30 @@
                      if (state >= 0) {
                        aDone(static_cast<DispatchState>(state));
                      } else {
-                       this->QueryStore(aJob, aDeadline, aDone);
+                       this->QueryStore(aJob, aDeadline, aResponse.HasValue(), aDone);
                      }
                    });
 }
 
 void JobRequestHandler::QueryStore(const JobId& aJob,
                                    TimePoint aDeadline,
+                                   bool aIsUnknownToLeader,
                                    const std::function<void(const Result<DispatchState>&)>& aDone)
 {
-  auto retry = [this, aJob, aDeadline, aDone](std::error_code aError) {
+  auto retry = [this, aJob, aDeadline, aIsUnknownToLeader, aDone](std::error_code aError) {
     if (this->env.loop.Now() + kRetryDelay >= aDeadline) {
       aDone(aError);
       return;
     }
-    this->env.loop.After(
-      kRetryDelay, [this, aJob, aDeadline, aDone] { this->QueryStore(aJob, aDeadline, aDone); });
+    this->env.loop.After(kRetryDelay, [this, aJob, aDeadline, aIsUnknownToLeader, aDone] {
+      this->QueryStore(aJob, aDeadline, aIsUnknownToLeader, aDone);
+    });
   };
   const std::string& prefix = this->env.settings.storePrefix;
   this->env.store.Read(
     ProgressKey(prefix, aJob),
-    [this, aJob, aDone, retry, prefix](const Result<std::optional<KeyValueItem>>& aItem) {
+    [this, aJob, aIsUnknownToLeader, aDone, retry, prefix](
+      const Result<std::optional<KeyValueItem>>& aItem) {
       if (!aItem) {
         retry(aItem.Error());
         return;
@@ -320,14 +297,20 @@
         return;
       }
       this->env.store.Read(DefinitionKey(prefix, aJob),
-                           [aDone, retry](const Result<std::optional<KeyValueItem>>& aDefinition) {
+                           [this, aIsUnknownToLeader, aDone, retry](
+                             const Result<std::optional<KeyValueItem>>& aDefinition) {
                              if (!aDefinition) {
                                retry(aDefinition.Error());
-                             } else if (*aDefinition) {
-                               aDone(DispatchState::Queued);
-                             } else {
+                               return;
+                             }
+                             if (!*aDefinition) {
                                aDone(Errc::NotFound);
+                               return;
                              }
+                             if (aIsUnknownToLeader) {
+                               this->NotifyLeader((*aDefinition)->value);
+                             }
+                             aDone(DispatchState::Queued);
                            });
     });
 }
@@ -349,10 +332,14 @@
       [this, aJob, aDeadline, aDone](const Result<std::optional<KeyValueItem>>& aItem) {
         if (aItem && !*aItem) {
           aDone(make_error_code(Errc::NotFound));
-        } else if (this->env.loop.Now() + kRetryDelay >= aDeadline) {
+          return;
+        }
+        if (aItem) {
+          this->NotifyLeader((*aItem)->value);
+        }
+        if (this->env.loop.Now() + kRetryDelay >= aDeadline) {
           aDone(make_error_code(Errc::OutcomeUnknown));
         } else {
-          // Stored, but the leader has not read it yet.
           this->env.loop.After(kRetryDelay, [this, aJob, aDeadline, aDone] {
             this->CancelWithRetries(aJob, aDeadline, aDone);
           });
--- a/packages/coordination/src/JobRequestHandler.h
+++ b/packages/coordination/src/JobRequestHandler.h
@@ -1,7 +1,7 @@
 #pragma once
 // Serves callers' requests through the current leader.
 
-#include "Leader.h"
+#include "StoredJobNotifier.h"
 
 namespace daisydrift::coordination {
 
@@ -44,9 +44,8 @@
   void RefuseAsync(const std::shared_ptr<Submission>& aSubmission);
   void SubmitToLeader(const std::shared_ptr<Submission>& aSubmission);
   void FinishSubmission(const std::shared_ptr<Submission>& aSubmission, SubmitOutcome aOutcome);
-  /// Tells the leader about a stored job; without this call it finds the job when it next reads the
-  /// job changes.
-  void NotifyLeader(const JobDefinition& aDefinition, int aAttemptsLeft);
+  /// Tells the leader about the job of a stored definition, unless it is a tombstone.
+  void NotifyLeader(const std::string& aRecord);
   /// Calls the leader until it answers, aDeadline has passed or aMaxAttempts attempts have failed.
   /// aReply gets the answer, or Unreachable.
   void CallLeader(const std::string& aMethod,
@@ -58,8 +57,10 @@
   void QueryLeader(const JobId& aJob,
                    TimePoint aDeadline,
                    const std::function<void(const Result<DispatchState>&)>& aDone);
+  /// aIsUnknownToLeader: the leader has answered that it does not know the job.
   void QueryStore(const JobId& aJob,
                   TimePoint aDeadline,
+                  bool aIsUnknownToLeader,
                   const std::function<void(const Result<DispatchState>&)>& aDone);
   void CancelWithRetries(const JobId& aJob,
                          TimePoint aDeadline,
@@ -69,6 +70,7 @@
   Membership& membership;
   std::function<Leader*()> ownLeader;
   std::function<void(const std::function<void()>&)> checkLeadership;
+  StoredJobNotifier notifier;
 };
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -11,9 +11,6 @@
 
 namespace daisydrift::coordination {
 
-/// Tombstone that replaces the definition of a job in a final state.
-inline constexpr const char* kDefinitionTombstone = "closed";
-
 inline bool IsFinal(DispatchState aState)
 {
   return aState != DispatchState::Queued && aState != DispatchState::Running;
@@ -82,7 +79,7 @@
   void LoadWorkers();
   void OnRecovered();
   void PollJobChanges();
-  /// Adds jobs that were stored during a gap in the watch history.
+  /// Adds jobs that were stored during a gap in the changes.
   void ReloadDefinitions();
   void AddStoredJob(const std::string& aRecord, const char* aSource);
   /// Logs a failed poll of a list, with the age of what is known of it.
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -11,14 +11,14 @@
 /// Delay before a failed store call is repeated.
 constexpr std::chrono::milliseconds kStoreRetryDelay{ 100 };
 
-/// Parses a job definition; nothing for a tombstone or a malformed record.
-std::optional<JobDefinition> ParseOpenDefinition(const std::string& aText)
+/// True when the store answered at once that it does not carry out the call. After any other error
+/// the response may have been too long for the time limit. The changes since a revision only become
+/// more, so the list is then read in pages, whose size is bounded.
+bool WasRefused(std::error_code aError)
 {
-  if (aText == kDefinitionTombstone) {
-    return std::nullopt;
-  }
-  std::optional<nlohmann::json> parsed = ParseJson(aText);
-  return parsed ? JobDefinitionFromJson(*parsed) : std::nullopt;
+  return aError == make_error_code(Errc::Unreachable) ||
+         aError == make_error_code(Errc::Overloaded) ||
+         aError == make_error_code(Errc::DeadlineExceeded);
 }
 } // namespace
 
@@ -90,7 +90,7 @@
   this->ReadPrefix(
     DefinitionPrefix(this->env.settings.storePrefix),
     [this](const KeyValueItem& aItem) {
-      if (std::optional<JobDefinition> job = ParseOpenDefinition(aItem.value)) {
+      if (std::optional<JobDefinition> job = OpenDefinitionFromText(aItem.value)) {
         this->dispatcher->RestoreJob(
           *job, this->progress[job->id], this->env.loop.Now(), this->env.loop.WallClockNow());
       }
@@ -172,6 +172,10 @@
         return;
       } else {
         this->OnListPollFailed("jobs", aChanges.Error(), sentAt, this->jobsKnownAt);
+        if (!WasRefused(aChanges.Error())) {
+          this->ReloadDefinitions();
+          return;
+        }
       }
       this->After(this->env.settings.listPollInterval, [this] { this->PollJobChanges(); });
     });
@@ -179,9 +183,14 @@
 
 void Leader::ReloadDefinitions()
 {
+  std::string prefix = DefinitionPrefix(this->env.settings.storePrefix);
   this->ReadPrefix(
-    DefinitionPrefix(this->env.settings.storePrefix),
-    [this](const KeyValueItem& aItem) { this->AddStoredJob(aItem.value, "reload"); },
+    prefix,
+    [this, prefix](const KeyValueItem& aItem) {
+      if (!this->State(aItem.key.substr(prefix.size()))) {
+        this->AddStoredJob(aItem.value, "reload");
+      }
+    },
     [this, sentAt = this->env.loop.Now()](std::uint64_t aRevision) {
       this->jobsRevision = aRevision;
       this->jobsKnownAt = sentAt;
@@ -191,7 +200,7 @@
 
 void Leader::AddStoredJob(const std::string& aRecord, const char* aSource)
 {
-  if (std::optional<JobDefinition> job = ParseOpenDefinition(aRecord)) {
+  if (std::optional<JobDefinition> job = OpenDefinitionFromText(aRecord)) {
     this->AddJob(*job, aSource);
   }
 }
@@ -234,6 +243,10 @@
         return;
       } else {
         this->OnListPollFailed("workers", aChanges.Error(), sentAt, this->workersKnownAt);
+        if (!WasRefused(aChanges.Error())) {
+          this->LoadWorkers();
+          return;
+        }
       }
       this->After(this->env.settings.listPollInterval, [this] { this->PollWorkerChanges(); });
     });
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -167,6 +167,15 @@
   });
 }
 
+std::optional<JobDefinition> OpenDefinitionFromText(const std::string& aText)
+{
+  if (aText == kDefinitionTombstone) {
+    return std::nullopt;
+  }
+  std::optional<json> parsed = ParseJson(aText);
+  return parsed ? JobDefinitionFromJson(*parsed) : std::nullopt;
+}
+
 json ToJson(const JobProgress& aProgress)
 {
   json record{ { "state", static_cast<int>(aProgress.state) } };
--- /dev/null
+++ b/packages/coordination/src/StoredJobNotifier.h
@@ -0,0 +1,55 @@
+#pragma once
+// Hands stored jobs over from the instance that accepted them to the leader.
+
+#include "Leader.h"
+
+#include <deque>
+#include <unordered_set>
+
+namespace daisydrift::coordination {
+
+/// Tells the leader about stored jobs, and repeats it until a leader has taken them. One call is
+/// open at a time, with many jobs, so that a late leader gets few calls. A job that is given up, or
+/// whose instance ends, is found by the leader in the job list.
+class StoredJobNotifier
+{
+public:
+  /// aOwnLeader returns this instance's Leader; null unless it leads and has loaded the stored
+  /// jobs.
+  StoredJobNotifier(const Leader::Environment& aEnvironment,
+                    Membership& aMembership,
+                    std::function<Leader*()> aOwnLeader);
+  ~StoredJobNotifier();
+
+  /// Adds a job that is in the store. Jobs that are waiting already are ignored.
+  void Add(const JobDefinition& aJob);
+
+private:
+  struct WaitingJob
+  {
+    JobDefinition definition;
+    TimePoint addedAt;
+  };
+
+  void SendNext();
+  void SendTo(const LeaderRecord& aLeader);
+  void OnResponse(const LeaderRecord& aLeader, std::size_t aCount, std::error_code aError);
+  void RetryLater();
+  /// Removes the aCount oldest jobs.
+  void RemoveOldest(std::size_t aCount);
+
+  Leader::Environment env;
+  Membership& membership;
+  std::function<Leader*()> ownLeader;
+  /// Oldest first; the jobs of an open call are at the front.
+  std::deque<WaitingJob> waiting;
+  std::unordered_set<JobId> waitingIds;
+  /// A call is open, or a retry is scheduled.
+  bool isBusy = false;
+  /// The last call failed.
+  bool isUnanswered = false;
+  Duration retryDelay;
+  std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace daisydrift::coordination
