A long message is read as fast as it arrives, not one piece a turn of the event loop

Callers saw: the leader did not learn of accepted jobs and changed workers for many seconds during and after a burst, though the store answered at once. Cause: both sides of the HTTP stack read 4 KB a turn of the event loop. A turn takes 30 to 100 ms on a leader with much to do, so a response of 1 MB takes 10 s, over any limit of a call, and the work of reading it is repeated. Change: a connection reads all that has arrived, at most 1 MB a turn, the client through one shared buffer of 64 KB. Ruled out: a larger buffer for each connection; a leader has some 2,000 of them in 160 MB. Conclusion: the time limit of a call bounds the peer again, not the length of its message.

--- a/packages/http/include/daisydrift/http/HttpClient.h
+++ b/packages/http/include/daisydrift/http/HttpClient.h
@@ -5,9 +5,11 @@
 #include "daisydrift/http/EventLoop.h"
 #include "daisydrift/http/HttpMessages.h"
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 
 namespace daisydrift {
 
@@ -44,8 +46,12 @@
   void StartPendingRequests(Pool& aPool);
   void OnConnectionReleased(Pool& aPool, const Ref<Connection>& aConnection, bool aIsReusable);
 
+  /// Size of the buffer for long responses, which all connections share.
+  static constexpr std::size_t kArrivedBufferBytes = 64 * 1024;
+
   AsioLoop& loop;
   std::size_t maxConnections;
+  std::unique_ptr<std::array<char, kArrivedBufferBytes>> arrivedBuffer;
   std::map<SocketEndpoint, std::unique_ptr<Pool>> pools;
 };
 
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -132,6 +132,13 @@
       });
   }
 
+  /// Returns false when the bytes are malformed or exceed the response.
+  bool Consume(const char* aData, std::size_t aSize)
+  {
+    std::size_t consumed = this->parser.Consume(aData, aSize);
+    return this->parser.Error() == http::ParseError::None && consumed == aSize;
+  }
+
   void OnRead(std::error_code aError, std::size_t aSize)
   {
     if (!this->currentRequest) {
@@ -150,9 +157,18 @@
       }
       return;
     }
-    std::size_t consumed = this->parser.Consume(this->input.data(), aSize);
-    if (this->parser.Error() != http::ParseError::None ||
-        (this->parser.IsComplete() && consumed < aSize)) {
+    bool isValid = this->Consume(this->input.data(), aSize);
+    std::array<char, kArrivedBufferBytes>& arrived = *this->pool->client.arrivedBuffer;
+    for (std::size_t total = aSize;
+         isValid && !this->parser.IsComplete() && total < http::kMaxBytesPerTurn;) {
+      std::size_t size = http::ReadArrived(this->socket, arrived.data(), arrived.size());
+      if (size == 0) {
+        break;
+      }
+      isValid = this->Consume(arrived.data(), size);
+      total += size;
+    }
+    if (!isValid) {
       this->Fail();
       return;
     }
@@ -225,6 +241,7 @@
 HttpClient::HttpClient(AsioLoop& aLoop, std::size_t aMaxConnections)
   : loop(aLoop)
   , maxConnections(aMaxConnections)
+  , arrivedBuffer(std::make_unique<std::array<char, kArrivedBufferBytes>>())
 {
 }
 
--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -162,6 +162,24 @@
   }
 
   void Parse()
+  {
+    for (std::size_t total = this->inputSize;; total += this->inputSize) {
+      if (!this->ParseInput()) {
+        return;
+      }
+      this->inputPosition = 0;
+      this->inputSize = total < http::kMaxBytesPerTurn
+                          ? http::ReadArrived(this->socket, this->input.data(), this->input.size())
+                          : 0;
+      if (this->inputSize == 0) {
+        this->Read();
+        return;
+      }
+    }
+  }
+
+  /// Parses the bytes read last. Returns true when the request needs more.
+  bool ParseInput()
   {
     bool hadStarted = this->parser.HasStarted();
     this->inputPosition += this->parser.Consume(this->input.data() + this->inputPosition,
@@ -171,7 +189,7 @@
       this->mustClose = true;
       ++this->state->openExchanges;
       this->Write({ HttpStatusFor(this->parser.Error()), {}, "" });
-      return;
+      return false;
     }
     if (this->parser.IsComplete()) {
       this->isHandlingRequest = true;
@@ -179,12 +197,12 @@
       this->mustClose = !this->parser.ShouldKeepAlive();
       Ref<HttpExchange> exchange(new Exchange(Ref<Connection>(this)));
       this->state->handler(exchange);
-      return;
+      return false;
     }
     if (!hadStarted && this->parser.HasStarted()) {
       this->StartTimeout(this->state->limits.requestTimeout);
     }
-    this->Read();
+    return true;
   }
 
   void Write(HttpResponse aResponse)
--- a/packages/http/tests/HttpTest.cpp
+++ b/packages/http/tests/HttpTest.cpp
@@ -83,6 +83,25 @@
   SocketEndpoint endpoint;
 };
 
+// In a loop with much to do a message would otherwise take seconds, with one small piece a turn.
+TEST_F(HttpTest, LargeMessagesAreReadInFewTurnsOfTheLoop)
+{
+  constexpr std::size_t kMessageBytes = 2 * 1024 * 1024;
+  HttpServerLimits limits = Limits();
+  limits.maxBodyBytes = kMessageBytes;
+  this->listener.SetLimits(limits);
+  std::size_t turns = 0;
+  std::function<void()> countTurn = [&] {
+    ++turns;
+    this->loop.After(Duration(0), countTurn);
+  };
+  this->loop.After(Duration(0), countTurn);
+  Result<HttpResponse> response = this->Call({ "POST", "/", {}, std::string(kMessageBytes, 'x') });
+  ASSERT_TRUE(response.HasValue());
+  EXPECT_GT(response->body.size(), kMessageBytes);
+  EXPECT_LT(turns, 200U);
+}
+
 TEST_F(HttpTest, ReturnsCompleteResponses)
 {
   for (int number = 0; number < 20; ++number) {
