A small leader hands leadership to a larger instance once the store serves that again

Cause: while the store refuses most instances, the large ones among them, one of the small machines is elected. Change: a leader offers leadership to a member whose campaign delay is shorter by 0.1 s or more, with the call that a refused leader uses. Both must have been so for 2 s. Why it works: a member holds a lease, so the store serves it; the offer is a new election on the leader key, so at most one leads. Ruled out: no candidacy for small instances, which leaves a fleet of small machines without a leader; handing over among equals. Measured: LeadershipHandoverTest.SmallLeaderHandsOverToALargeInstance (before: 0 leads to the end). Conclusion: an outage of a part no longer decides who leads after it.

--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -268,6 +268,7 @@
   this->impl->config.Start();
   this->impl->membership.Start();
   this->impl->configExchange.Start();
+  this->impl->handover.Start();
   this->impl->lastLeaderContact = this->impl->loop.Now();
   this->impl->CheckLeaderLiveness();
 }
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -38,6 +38,10 @@
                                return;
                              }
                              if (!aPage) {
+                               LogLine(LogLevel::Warning, "list_page_failed")
+                                 .Add("range", aRead.prefix)
+                                 .Add("after", aRead.after)
+                                 .Add("error", aPage.Error());
                                this->After(kStoreRetryDelay,
                                            [this, aRead] { this->ReadNextPage(aRead); });
                                return;
--- a/packages/coordination/src/LeadershipHandover.cpp
+++ b/packages/coordination/src/LeadershipHandover.cpp
@@ -16,6 +16,13 @@
 constexpr std::chrono::milliseconds kOfferTimeout{ 250 };
 /// Most members that are asked; after that many the lease is about to expire anyway.
 constexpr std::size_t kMaxOffers = 5;
+/// Interval of the checks for a larger member.
+constexpr std::chrono::milliseconds kCheckInterval{ 1000 };
+/// Least time for which a leader leads, and for which its successor has been a member, so that
+/// leadership does not alternate with an instance that the store refuses again and again.
+constexpr std::chrono::milliseconds kMinStableTime{ 2000 };
+/// Least difference of the campaign delays; some 40 thousandths of a core on the users' platform.
+constexpr std::chrono::milliseconds kMinDelayDifference{ 100 };
 } // namespace
 
 LeadershipHandover::LeadershipHandover(EventLoop& aLoop,
@@ -40,11 +47,12 @@
   return leader && leader->incarnation == this->membership.Incarnation();
 }
 
-std::vector<SocketEndpoint> LeadershipHandover::Candidates() const
+std::vector<SocketEndpoint> LeadershipHandover::Candidates(
+  const std::function<bool(const MemberRecord&)>& aIsCandidate) const
 {
   std::vector<const MemberRecord*> members;
   for (const auto& [name, member] : this->membership.Members()) {
-    if (name != this->settings.name) {
+    if (name != this->settings.name && aIsCandidate(member)) {
       members.push_back(&member);
     }
   }
@@ -69,15 +77,45 @@
   this->membership.ProbeStore();
   this->loop.After(kConfirmationDelay, [this, alive = this->isAlive] {
     if (*alive) {
-      this->OfferLeadership(this->Candidates(), 0);
+      this->OfferLeadership(this->Candidates([](const MemberRecord&) { return true; }), 0, [this] {
+        return !this->membership.IsStoreAvailable();
+      });
+    }
+  });
+}
+
+void LeadershipHandover::Start()
+{
+  this->loop.After(kCheckInterval, [this, alive = this->isAlive] {
+    if (*alive) {
+      this->CheckForLargerMember();
+      this->Start();
     }
   });
 }
 
+void LeadershipHandover::CheckForLargerMember()
+{
+  TimePoint stableSince = this->loop.Now() - kMinStableTime;
+  if (this->isOffering || !this->IsLeading() || this->membership.LeaderSince() > stableSince) {
+    return;
+  }
+  std::vector<SocketEndpoint> larger =
+    this->Candidates([this, stableSince](const MemberRecord& aMember) {
+      return aMember.since <= stableSince &&
+             aMember.campaignDelay + kMinDelayDifference <= this->settings.campaignDelay;
+    });
+  if (!larger.empty()) {
+    this->isOffering = true;
+    this->OfferLeadership(larger, 0, [] { return true; });
+  }
+}
+
 void LeadershipHandover::OfferLeadership(const std::vector<SocketEndpoint>& aCandidates,
-                                         std::size_t aNext)
+                                         std::size_t aNext,
+                                         const std::function<bool()>& aIsWanted)
 {
-  if (aNext >= aCandidates.size() || !this->IsLeading() || this->membership.IsStoreAvailable()) {
+  if (aNext >= aCandidates.size() || !this->IsLeading() || !aIsWanted()) {
     this->isOffering = false;
     return;
   }
@@ -86,7 +124,7 @@
     "succeed",
     { { "incarnation", this->membership.Incarnation() } },
     kOfferTimeout,
-    [this, alive = this->isAlive, aCandidates, aNext](const Result<json>& aResponse) {
+    [this, alive = this->isAlive, aCandidates, aNext, aIsWanted](const Result<json>& aResponse) {
       if (!*alive) {
         return;
       }
@@ -94,15 +132,16 @@
       LogLine(LogLevel::Warning, "leadership_offered")
         .Add("to", aCandidates[aNext].address)
         .Add("taken", isAccepted)
+        .Add("store_available", this->membership.IsStoreAvailable())
         .Add("error", aResponse ? std::error_code() : aResponse.Error());
       if (!isAccepted) {
-        this->OfferLeadership(aCandidates, aNext + 1);
+        this->OfferLeadership(aCandidates, aNext + 1, aIsWanted);
         return;
       }
       // The member may lose the election or fail too.
-      this->loop.After(kOfferTimeout, [this, alive, aCandidates, aNext] {
+      this->loop.After(kOfferTimeout, [this, alive, aCandidates, aNext, aIsWanted] {
         if (*alive) {
-          this->OfferLeadership(aCandidates, aNext + 1);
+          this->OfferLeadership(aCandidates, aNext + 1, aIsWanted);
         }
       });
     });
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -176,13 +176,19 @@
 
 void Membership::ApplyRange(const std::vector<KeyValueItem>& aItems)
 {
-  this->members.clear();
+  std::map<std::string, MemberRecord> former = std::exchange(this->members, {});
   std::string leaderKey = this->prefix + kLeaderKey;
   bool hasLeader = false;
   for (const KeyValueItem& item : aItems) {
     hasLeader = hasLeader || item.key == leaderKey;
     this->ApplyChange(item.key, item.value, item.revision);
   }
+  for (auto& [name, member] : this->members) {
+    auto known = former.find(name);
+    if (known != former.end()) {
+      member.since = known->second.since;
+    }
+  }
   this->isLoaded = true;
   if (!hasLeader) {
     this->ApplyChange(leaderKey, std::nullopt, 0);
@@ -236,6 +242,8 @@
     member.name = name;
     member.domain = record->value("domain", "");
     member.campaignDelay = Duration(record->value("stand_delay_us", Duration::rep(0)));
+    auto known = this->members.find(name);
+    member.since = known == this->members.end() ? this->loop.Now() : known->second.since;
     this->members[name] = std::move(member);
   } else {
     this->members.erase(name);
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -28,6 +28,8 @@
   FailureDomain domain;
   /// Delay before this member campaigns; the shortest on the machines with the most cores.
   Duration campaignDelay{ 0 };
+  /// Time since which this instance has known the member without a gap.
+  TimePoint since;
 };
 
 /// Keeps the lease and the member record of this instance, and campaigns when there is no leader. A
@@ -60,6 +62,8 @@
   void OnLeadershipLost();
 
   const std::optional<LeaderRecord>& Leader() const { return this->leader; }
+  /// Time of the last change of Leader().
+  TimePoint LeaderSince() const { return this->leaderSince; }
   const std::map<std::string, MemberRecord>& Members() const { return this->members; }
   const std::string& Incarnation() const { return this->incarnation; }
   /// Tracks from the result of a store call whether the store is available.
@@ -70,8 +74,7 @@
   bool IsLeaseValid() const;
   /// Renews the lease now, to detect whether the store is available.
   void ProbeStore();
-  /// Handles a leader's offer of leadership because it cannot reach the store. True when this
-  /// instance accepts and campaigns.
+  /// Handles a leader's offer of leadership. True when this instance accepts and campaigns.
   bool AcceptHandover(const std::string& aIncarnation);
   /// Call when a call to the leader has failed: probes whether its process still runs.
   void SuspectLeader();
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -111,9 +111,10 @@
 
 Cluster::~Cluster() = default;
 
-void Cluster::StartInstance(int aNumber)
+void Cluster::StartInstance(int aNumber, Duration aCampaignDelay)
 {
   InstanceSettings settings;
+  settings.campaignDelay = aCampaignDelay;
   settings.name = "i" + std::to_string(aNumber);
   settings.domain = "north";
   settings.peerEndpoint = { "10.0.0.1", static_cast<unsigned short>(9000 + aNumber) };
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -56,7 +56,8 @@
   Cluster();
   ~Cluster() override;
 
-  void StartInstance(int aNumber);
+  /// aCampaignDelay is longer for an instance with fewer cores.
+  void StartInstance(int aNumber, Duration aCampaignDelay = Duration(0));
   /// Ends the process; connections to it are refused.
   void KillInstance(int aNumber);
   /// Number of the instance that considers itself the leader, or -1.
--- /dev/null
+++ b/packages/coordination/tests/LeadershipHandoverTest.cpp
@@ -0,0 +1,51 @@
+// Leadership leaves an instance that is too small for it, without a gap for the jobs.
+
+#include "Cluster.h"
+
+namespace daisydrift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Campaign delay of an instance with half the cores of the largest ones.
+constexpr milliseconds kSmallInstanceDelay{ 325 };
+
+class LeadershipHandoverTest : public Cluster
+{};
+
+// A small instance that was elected while the store refused the large ones would otherwise lead for
+// good, and be overloaded by a large fleet.
+TEST_F(LeadershipHandoverTest, SmallLeaderHandsOverToALargeInstance)
+{
+  this->StartInstance(0, kSmallInstanceDelay);
+  this->loop.RunFor(seconds(2));
+  ASSERT_EQ(this->LeaderNumber(), 0);
+  ASSERT_EQ(this->Submit(0, "job", 16), SubmitOutcome::Accepted);
+  this->StartInstance(1);
+  this->StartInstance(2, kSmallInstanceDelay);
+  for (int round = 0; round < 20; ++round) {
+    this->loop.RunFor(milliseconds(200));
+    ASSERT_EQ(this->Submit(2, "during" + std::to_string(round), 1), SubmitOutcome::Accepted);
+  }
+  this->loop.RunFor(seconds(3));
+  EXPECT_EQ(this->LeaderNumber(), 1);
+  for (int round = 0; round < 20; ++round) {
+    Result<DispatchState> state = this->State(2, "during" + std::to_string(round));
+    EXPECT_TRUE(state && *state == DispatchState::Completed) << round;
+  }
+  EXPECT_TRUE(this->fleet.violations.empty()) << this->fleet.violations[0];
+}
+
+TEST_F(LeadershipHandoverTest, LeadershipStaysAmongInstancesOfOneSize)
+{
+  this->StartInstance(0, kSmallInstanceDelay);
+  this->loop.RunFor(seconds(2));
+  this->StartInstance(1, kSmallInstanceDelay);
+  this->StartInstance(2, kSmallInstanceDelay + milliseconds(300));
+  this->loop.RunFor(seconds(10));
+  EXPECT_EQ(this->LeaderNumber(), 0);
+}
+
+} // namespace
+} // namespace daisydrift
