A request that waits for a connection ends at its timeout, as not sent

Callers saw: cancellations answered 504 as "may have been cancelled", and jobs handed over late, though nothing had been sent. Cause: a request in the queue of an endpoint had no timer. It waited until a connection was free, was then written with no time left and reported as OutcomeUnknown, against the class comment. Change: a queued request has a timer and ends with DeadlineExceeded; it is never written. Measured: HttpTest.RequestWithoutAFreeConnectionEndsAtItsTimeoutAsNotSent; before: the first result was OutcomeUnknown of another request.

--- a/packages/http/include/daisydrift/http/HttpClient.h
+++ b/packages/http/include/daisydrift/http/HttpClient.h
@@ -53,6 +53,7 @@
   std::size_t maxConnections;
   std::unique_ptr<std::array<char, kArrivedBufferBytes>> arrivedBuffer;
   std::map<SocketEndpoint, std::unique_ptr<Pool>> pools;
+  std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
 } // namespace daisydrift
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -6,6 +6,8 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
+
 namespace daisydrift {
 
 using http::MessageParser;
@@ -21,6 +23,7 @@
   HttpRequest request;
   TimePoint deadline;
   HttpCallback done;
+  bool isQueued = true;
 };
 
 struct HttpClient::Pool
@@ -247,6 +250,7 @@
 
 HttpClient::~HttpClient()
 {
+  *this->isAlive = false;
   for (auto& [endpoint, pool] : this->pools) {
     for (const Ref<Connection>& connection : pool->idleConnections) {
       connection->Detach();
@@ -266,9 +270,20 @@
     found = this->pools.emplace(aEndpoint, std::move(pool)).first;
   }
   Pool& pool = *found->second;
-  pool.pendingRequests.push_back(std::make_shared<PendingRequest>(
-    PendingRequest{ std::move(aRequest), this->loop.Now() + aTimeout, std::move(aDone) }));
+  auto pending = std::make_shared<PendingRequest>(
+    PendingRequest{ std::move(aRequest), this->loop.Now() + aTimeout, std::move(aDone) });
+  pool.pendingRequests.push_back(pending);
   this->StartPendingRequests(pool);
+  if (pending->isQueued) {
+    this->loop.After(aTimeout, [alive = this->isAlive, &pool, pending] {
+      if (*alive && pending->isQueued) {
+        auto& queue = pool.pendingRequests;
+        queue.erase(std::find(queue.begin(), queue.end(), pending));
+        pending->isQueued = false;
+        pending->done(Errc::DeadlineExceeded);
+      }
+    });
+  }
 }
 
 void HttpClient::StartPendingRequests(Pool& aPool)
@@ -290,6 +305,7 @@
     }
     std::shared_ptr<PendingRequest> next = std::move(aPool.pendingRequests.front());
     aPool.pendingRequests.pop_front();
+    next->isQueued = false;
     Duration timeLeft = std::max(next->deadline - this->loop.Now(), Duration(0));
     connection->StartExchange(std::move(next), timeLeft);
   }
--- a/packages/http/tests/HttpTest.cpp
+++ b/packages/http/tests/HttpTest.cpp
@@ -102,6 +102,32 @@
   EXPECT_LT(turns, 200U);
 }
 
+// The callers of a queued request would otherwise wait for the requests before it, and then not
+// know whether it was carried out.
+TEST_F(HttpTest, RequestWithoutAFreeConnectionEndsAtItsTimeoutAsNotSent)
+{
+  std::vector<Ref<HttpExchange>> unanswered;
+  this->handler = [&](const Ref<HttpExchange>& aExchange) { unanswered.push_back(aExchange); };
+  std::vector<std::error_code> results;
+  auto send = [&](Duration aTimeout) {
+    this->client.Send(
+      this->endpoint, { "GET", "/", {}, "" }, aTimeout, [&](const Result<HttpResponse>& aResponse) {
+        results.push_back(aResponse.Error());
+        if (results.size() == 3) {
+          this->loop.Stop();
+        }
+      });
+  };
+  send(seconds(1));
+  send(seconds(1));
+  send(milliseconds(200));
+  this->loop.Run();
+  this->loop.Context().restart();
+  EXPECT_EQ(results[0], make_error_code(Errc::DeadlineExceeded));
+  EXPECT_EQ(results[1], make_error_code(Errc::OutcomeUnknown));
+  EXPECT_EQ(unanswered.size(), 2U);
+}
+
 TEST_F(HttpTest, ReturnsCompleteResponses)
 {
   for (int number = 0; number < 20; ++number) {
