Cancellations and hand-overs to the leader do not wait behind callers' queries

Cause: an instance had eight connections to the leader for calls of all kinds, first in, first out. When the leader is late, the queries of callers hold them for their 0.6 s and are repeated, and everything else waits behind them. Change: queries, changes of jobs and calls of the group have connections of their own. Ruled out: a priority in the queue of one pool; the calls that hold its connections would still have to time out first.

--- a/packages/coordination/include/daisydrift/coordination/HttpPeerTransport.h
+++ b/packages/coordination/include/daisydrift/coordination/HttpPeerTransport.h
@@ -5,7 +5,8 @@
 
 namespace daisydrift {
 
-/// Sends each call as `POST /METHOD` with a JSON body.
+/// Sends each call as `POST /METHOD` with a JSON body. Callers' queries, callers' changes of jobs and
+/// the calls of the group have connections of their own, so that many of one kind delay no other.
 class HttpPeerTransport : public PeerTransport
 {
 public:
@@ -18,7 +19,11 @@
             std::function<void(const Result<nlohmann::json>&)> aDone) override;
 
 private:
-  HttpClient client;
+  HttpClient& ClientFor(const std::string& aMethod);
+
+  HttpClient queries;
+  HttpClient changes;
+  HttpClient group;
 };
 
 /// Handles an HTTP request that carries a call from another instance.
--- a/packages/coordination/src/HttpPeerTransport.cpp
+++ b/packages/coordination/src/HttpPeerTransport.cpp
@@ -7,19 +7,31 @@
 using nlohmann::json;
 
 namespace {
-/// Connections per instance, so that a call which takes half a second does not delay the short
-/// ones.
-constexpr std::size_t kConnectionsPerPeer = 8;
+/// Connections per instance and kind of call, so that a call which takes half a second does not
+/// delay the short ones.
+constexpr std::size_t kQueryConnections = 8;
+constexpr std::size_t kChangeConnections = 8;
+constexpr std::size_t kGroupConnections = 4;
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusConflict = 409;
 } // namespace
 
 HttpPeerTransport::HttpPeerTransport(AsioLoop& aLoop)
-  : client(aLoop, kConnectionsPerPeer)
+  : queries(aLoop, kQueryConnections)
+  , changes(aLoop, kChangeConnections)
+  , group(aLoop, kGroupConnections)
 {
 }
 
+HttpClient& HttpPeerTransport::ClientFor(const std::string& aMethod)
+{
+  if (aMethod == "query" || aMethod == "pending") {
+    return this->queries;
+  }
+  return aMethod == "cancel" || aMethod == "submit" ? this->changes : this->group;
+}
+
 void HttpPeerTransport::Call(const SocketEndpoint& aPeer,
                              const std::string& aMethod,
                              const json& aArguments,
@@ -27,26 +39,26 @@
                              std::function<void(const Result<json>&)> aDone)
 {
   HttpRequest request{ "POST", "/" + aMethod, {}, aArguments.dump() };
-  this->client.Send(aPeer,
-                    std::move(request),
-                    aTimeout,
-                    [done = std::move(aDone)](const Result<HttpResponse>& aResponse) {
-                      if (!aResponse) {
-                        done(aResponse.Error());
-                        return;
-                      }
-                      if (aResponse->status != kStatusOk) {
-                        done(aResponse->status == kStatusConflict ? Errc::NotPermitted
-                                                                  : Errc::InvalidArgument);
-                        return;
-                      }
-                      std::optional<json> result = ParseJson(aResponse->body);
-                      if (result && result->is_object()) {
-                        done(*result);
-                      } else {
-                        done(Errc::Corrupt);
-                      }
-                    });
+  this->ClientFor(aMethod).Send(
+    aPeer,
+    std::move(request),
+    aTimeout,
+    [done = std::move(aDone)](const Result<HttpResponse>& aResponse) {
+      if (!aResponse) {
+        done(aResponse.Error());
+        return;
+      }
+      if (aResponse->status != kStatusOk) {
+        done(aResponse->status == kStatusConflict ? Errc::NotPermitted : Errc::InvalidArgument);
+        return;
+      }
+      std::optional<json> result = ParseJson(aResponse->body);
+      if (result && result->is_object()) {
+        done(*result);
+      } else {
+        done(Errc::Corrupt);
+      }
+    });
 }
 
 void HandlePeerCall(Instance& aInstance, const Ref<HttpExchange>& aExchange)
