A round does not search the workers for steps whose tickets have all expired

Cause: for each waiting step that had ever been given a ticket a round compared all workers with its tickets, though on a full fleet these have mostly expired. With 2,400 waiting steps and 350 workers a round took up to 39 ms, more than half of the leader's time (changes-through-burst on: 14 to 30 rounds a second of up to 30 to 39 ms). Change: a step knows until when its newest ticket is valid; without a valid one no worker is looked at. Decisions are the same. Ruled out: deleting expired tickets; they tell the next request which workers were granted. Measured: tests of dispatch and coordination green. Conclusion: a round's work follows the steps that can start, not all that wait."

--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -196,6 +196,7 @@
   for (const AdviceGrant& grant : aGrants) {
     if (const Worker* worker = this->state.FindWorker(grant.worker)) {
       step->advice.granted[worker->number] = { grant.ticket, aValidUntil };
+      step->advice.validUntil = std::max(step->advice.validUntil, aValidUntil);
       granted.insert(grant.worker);
     }
   }
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -94,6 +94,8 @@
   bool isRequestOpen = false;
   /// No advice is requested before this time.
   TimePoint notBefore;
+  /// Time until which the newest ticket is valid.
+  TimePoint validUntil;
 
   bool IsDenied(std::uint32_t aWorker) const
   {
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -106,7 +106,8 @@
 {
   std::vector<Worker*> candidates;
   bool needsTicket = aStep.job->queue->advice.has_value();
-  if (needsTicket && aStep.advice.granted.empty()) {
+  // On a full fleet most waiting steps have expired tickets only.
+  if (needsTicket && aStep.advice.validUntil - this->state.settings.ticketMargin <= aNow) {
     return candidates;
   }
   for (Worker* worker : this->Accepting(aStep)) {
