Rounds leave two thirds of the leader's time to calls, however long they take

Cause: a round began 2 ms after any event, and its duration grows with the backlog. At 20 rounds a second of 35 ms the leader answered queries, cancellations and notices late; their callers repeated them, which made it later. Change: the next round begins after a pause of twice the last one's duration at least; the tick takes the same way. Measured: tests of coordination green (on virtual time rounds take no time). Conclusion: an overload no longer takes the leader's calls first.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -7,6 +7,10 @@
 namespace {
 /// Events within this time are handled in the same scheduling round.
 constexpr std::chrono::milliseconds kRoundDelay{ 2 };
+/// Least time between two rounds as a multiple of the last one's duration, which grows with the
+/// number of waiting jobs: the rest of the time is for calls, without which the backlog can't
+/// shrink.
+constexpr int kRoundPauseFactor = 2;
 /// Time between rounds without events, which handle retries, leases and throttling.
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
 /// Attempts to send a start command; a worker recognizes a repeated one. When all stay unanswered,
@@ -190,8 +194,9 @@
     return;
   }
   this->isRoundScheduled = true;
-  this->roundScheduledAt = this->env.loop.Now();
-  this->After(kRoundDelay, [this] { this->RunRound(); });
+  TimePoint now = this->env.loop.Now();
+  this->nextRoundAt = std::max(now + kRoundDelay, this->roundPauseUntil);
+  this->After(this->nextRoundAt - now, [this] { this->RunRound(); });
 }
 
 void Leader::Tick()
@@ -209,9 +214,7 @@
     this->nextPurge = now + kPurgeInterval;
     this->PurgeFinishedJobs();
   }
-  if (!this->isRoundScheduled) {
-    this->RunRound();
-  }
+  this->ScheduleRound();
 }
 
 void Leader::LogSummary(TimePoint aNow)
@@ -275,7 +278,7 @@
 {
   TimePoint now = this->env.loop.Now();
   if (this->isRoundScheduled) {
-    this->maxRoundDelay = std::max(this->maxRoundDelay, now - this->roundScheduledAt - kRoundDelay);
+    this->maxRoundDelay = std::max(this->maxRoundDelay, now - this->nextRoundAt);
   }
   this->isRoundScheduled = false;
   ++this->roundCount;
@@ -295,7 +298,9 @@
   for (const AdviceRequest& request : round.adviceRequests) {
     this->adviceSlots->Enqueue(request);
   }
-  this->maxRoundDuration = std::max(this->maxRoundDuration, this->env.loop.Now() - now);
+  Duration duration = this->env.loop.Now() - now;
+  this->maxRoundDuration = std::max(this->maxRoundDuration, duration);
+  this->roundPauseUntil = now + duration + duration * kRoundPauseFactor;
   this->recordWriter->Flush();
 }
 
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -133,7 +133,9 @@
   TimePoint workersKnownAt;
   TimePoint nextPurge;
   TimePoint nextSummary;
-  TimePoint roundScheduledAt;
+  /// Due time of the scheduled round, and the time before which none runs.
+  TimePoint nextRoundAt;
+  TimePoint roundPauseUntil;
   /// Longest delay and duration of a round, and the number of rounds, since the last summary.
   Duration maxRoundDelay{ 0 };
   Duration maxRoundDuration{ 0 };
