A leader refuses no job because workers have not reported to it yet

Callers saw: a job that fits is refused with 422 no_worker_fits, not_run, while the workers have not reported to a new leader. Cause: a worker of the list that has not reported to this leader has a capacity of zero, and the check whether a job can ever run counted it as a worker on which nothing fits. The case "no worker is known" was meant for this but holds only for an empty list. Change: a worker that has not reported rules no job out. A job that the known workers can hold is judged as before. Ruled out: refusing with 503 until all workers have reported, since one dead machine would refuse all jobs. Measured: LeaderChangeTest.SubmissionIsNotRefusedBeforeTheWorkersHaveReported failed before: "a task needs 1 cores, 100 MiB, 0 accelerators; no worker is large enough, the largest capacities are 0 cores"; so did FaultTest .NoJobIsRuledOutByWorkersThatHaveNotReportedTheirCapacity. Both pass, as do the other tests of core.

--- a/packages/core/src/Entities.h
+++ b/packages/core/src/Entities.h
@@ -97,6 +97,12 @@
   Resources indexedFree;
   WorkerAttempts attempts;
 
+  /// False until the worker has reported since this scheduler began; until then its capacity is
+  /// not known.
+  bool HasReported() const
+  {
+    return this->health != WorkerHealth::Unresponsive || this->capacity != Resources();
+  }
   Resources FreeCapacity() const { return this->capacity - this->committed - this->held; }
 };
 
--- a/packages/core/src/Explainer.cpp
+++ b/packages/core/src/Explainer.cpp
@@ -94,7 +94,9 @@
     return std::nullopt;
   }
   std::uint64_t slots = 0;
+  bool isAnyCapacityUnknown = false;
   for (const Worker& worker : this->state.workers) {
+    isAnyCapacityUnknown |= !worker.HasReported();
     if (worker.health == WorkerHealth::Gone || !aSpec.size.FitsIn(worker.capacity)) {
       continue;
     }
@@ -103,6 +105,10 @@
       break;
     }
   }
+  if (isAnyCapacityUnknown) {
+    // Either the job fits, or it may fit on a worker that has still to report.
+    return std::nullopt;
+  }
   if (slots == 0) {
     return Explanation{ "no_worker_fits",
                         "a task needs " + ToText(aSpec.size) +
--- a/packages/core/tests/FaultTest.cpp
+++ b/packages/core/tests/FaultTest.cpp
@@ -188,6 +188,23 @@
   EXPECT_EQ(code(this->harness.MakeJobSpec("t", 100, MakeResources(1, 100))), "");
 }
 
+TEST_F(FaultTest, NoJobIsRuledOutByWorkersThatHaveNotReportedTheirCapacity)
+{
+  this->harness.AddWorkers(1, MakeResources(4, 4096));
+  WorkerDescription unknown{ "x", "a", "r", {}, WorkerHealth::Unresponsive };
+  this->harness.scheduler.UpdateWorker(unknown, this->harness.now);
+  JobSpec large = this->harness.MakeJobSpec("t", 1, MakeResources(8, 100));
+  JobSpec gang = this->harness.MakeJobSpec("t", 8, MakeResources(1, 100));
+  gang.workClass = WorkClass::Gang;
+  EXPECT_FALSE(this->harness.scheduler.CheckJob(large));
+  EXPECT_FALSE(this->harness.scheduler.CheckJob(gang));
+  unknown.capacity = MakeResources(2, 4096);
+  unknown.health = WorkerHealth::Live;
+  this->harness.scheduler.UpdateWorker(unknown, this->harness.now);
+  EXPECT_EQ(this->harness.scheduler.CheckJob(large)->code, "no_worker_fits");
+  EXPECT_EQ(this->harness.scheduler.CheckJob(gang)->code, "fleet_too_small");
+}
+
 TEST_F(FaultTest, EveryWaitingJobIsExplained)
 {
   this->harness.AddWorkers(2, MakeResources(4, 4096));
--- /dev/null
+++ b/packages/daemon/tests/LeaderChangeTest.cpp
@@ -0,0 +1,137 @@
+// Guards against a task that stands still after a change of leader although its worker is gone, and
+// against callers who get no answer or a wrong one around a change of leader.
+
+#include "RegionLeader.h"
+
+#include "daisydrift/external.h"
+
+#include <gtest/gtest.h>
+
+namespace daisydrift {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* kRegion = "r";
+constexpr const char* kTeam = "team";
+constexpr const char* kJob =
+  R"({"name": "n", "tasks": 1, "size": {"milli_cores": 1000, "memory_mib": 100}})";
+
+ConfigDocument MakeConfig()
+{
+  ConfigDocument config;
+  config.version = 1;
+  TeamEntry team;
+  team.name = kTeam;
+  team.ceiling = { 100'000, 100'000, 0 };
+  team.maxRunningTasks = 100;
+  config.teams[kTeam] = team;
+  config.failureDomains["d"] = { "d", kRegion, false };
+  return config;
+}
+
+/// A region with workers of one core and leaders that follow each other, on a virtual clock.
+struct LeaderChangeTest : testing::Test
+{
+  LeaderChangeTest()
+  {
+    for (unsigned i = 0; i < 2; ++i) {
+      InstanceInfo info;
+      info.id = "w" + std::to_string(i);
+      info.endpoint = { "127.0.0.1", static_cast<std::uint16_t>(1000 + i) };
+      info.failureDomain = "d";
+      info.region = kRegion;
+      this->instances.push_back(info);
+      this->fleet.Add(info.endpoint, { 1000, 1000, 0 });
+    }
+  }
+
+  /// Replaces the leader by one of the next epoch.
+  void Elect()
+  {
+    this->exchanges.clear();
+    ++this->epoch;
+    RegionLeaderOptions options;
+    options.region = kRegion;
+    options.epoch = this->epoch;
+    options.writer = "leader-" + std::to_string(this->epoch);
+    Result<RegionOwnership> ownership = TakeOver(this->store, kRegion, this->epoch, options.writer);
+    ASSERT_TRUE(ownership);
+    RegionLeaderHooks hooks;
+    hooks.beginSync =
+      [this](const WorkerId& aWorker, const Endpoint& aEndpoint, const SyncRequest& aRequest) {
+        this->exchanges.push_back({ aWorker, aEndpoint, aRequest });
+      };
+    hooks.canRenewTaskLeases = [] { return true; };
+    hooks.havePredecessorLeasesExpired = [] { return false; };
+    hooks.wallSeconds = [] { return 1000; };
+    this->leader = std::make_unique<RegionLeader>(options,
+                                                  std::move(hooks),
+                                                  std::move(*ownership),
+                                                  MakeConfig(),
+                                                  this->instances,
+                                                  this->clock.Now());
+  }
+
+  void Step()
+  {
+    this->clock.Advance(kGroupCommitInterval);
+    this->leader->ConfirmConfig(this->clock.Now());
+    static_cast<void>(this->leader->Step(this->clock.Now()));
+    auto due = std::move(this->exchanges);
+    this->exchanges.clear();
+    for (const Exchange& exchange : due) {
+      this->leader->OnSyncResult(exchange.worker,
+                                 this->fleet.Sync(exchange.endpoint, exchange.request, 1s),
+                                 this->clock.Now());
+    }
+  }
+
+  /// Runs the leader for 2 s, which is less than any lease.
+  void StepForTwoSeconds()
+  {
+    for (TimePoint end = this->clock.Now() + 2s; this->clock.Now() < end;) {
+      this->Step();
+    }
+  }
+
+  /// Submits aBody; the replies go to `replies` in their order.
+  void Submit(const std::string& aBody, const std::string& aKey = "")
+  {
+    SubmitCall call;
+    call.team = kTeam;
+    call.idempotencyKey = aKey;
+    call.body = aBody;
+    call.deadline = this->clock.Now() + 5s;
+    call.reply = [this](const SubmitReply& aReply) { this->replies.push_back(aReply); };
+    this->leader->Submit(std::move(call), this->clock.Now());
+  }
+
+  struct Exchange
+  {
+    WorkerId worker;
+    Endpoint endpoint;
+    SyncRequest request;
+  };
+
+  ManualClock clock;
+  FakeStore store{ this->clock };
+  FakeWorkerFleet fleet{ this->clock };
+  std::vector<InstanceInfo> instances;
+  Epoch epoch = 0;
+  std::unique_ptr<RegionLeader> leader;
+  std::vector<Exchange> exchanges;
+  std::vector<SubmitReply> replies;
+};
+
+TEST_F(LeaderChangeTest, SubmissionIsNotRefusedBeforeTheWorkersHaveReported)
+{
+  this->Elect();
+  this->Submit(kJob);
+  this->StepForTwoSeconds();
+  ASSERT_EQ(this->replies.size(), 1U);
+  EXPECT_FALSE(this->replies[0].error) << this->replies[0].explanation.message;
+}
+
+} // namespace
+} // namespace daisydrift
