A new leader ends the tasks on a worker that is listed as gone at once

Callers saw: around a change of leader, a task or service whose worker the platform has removed stands still until the leases have expired, 27 s from the leader's start or from the proof that its predecessor has stopped. Cause: the tasks of a worker end when it becomes gone in the list. Change: after restoring the jobs, a leader ends the attempts that are assigned to gone workers, as it does for those that become gone. Ruled out: a shorter wait for leases; it is needed for workers that are only silent. Measured: LeaderChangeTest.TaskOnAWorkerThatIsGoneDoesNotWaitForItsLeaseAtTheNewLeader failed before (0 tasks run after 2 s on the remaining worker, 1 expected) and passes; RegionLeaderTest passes. Conclusion: what the list proves needs no lease.

--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -66,6 +66,11 @@
       this->RestoreJob(job, aNow);
     }
   }
+  for (auto& [id, worker] : this->workers) {
+    if (worker.info.state == InstanceState::Gone) {
+      this->EndAllAttempts(worker, AttemptOutcome::Interrupted, "the worker is gone", aNow);
+    }
+  }
 }
 
 void RegionLeader::RestoreJob(const JobRecord& aJob, TimePoint aNow)
--- a/packages/daemon/tests/LeaderChangeTest.cpp
+++ b/packages/daemon/tests/LeaderChangeTest.cpp
@@ -133,5 +133,21 @@
   EXPECT_FALSE(this->replies[0].error) << this->replies[0].explanation.message;
 }
 
+TEST_F(LeaderChangeTest, TaskOnAWorkerThatIsGoneDoesNotWaitForItsLeaseAtTheNewLeader)
+{
+  this->Elect();
+  this->StepForTwoSeconds();
+  this->Submit(kJob);
+  this->StepForTwoSeconds();
+  ASSERT_EQ(this->replies.size(), 1U);
+  std::size_t first = this->fleet.At(this->instances[0].endpoint).RunningCount() > 0 ? 0 : 1;
+  ASSERT_EQ(this->fleet.At(this->instances[first].endpoint).RunningCount(), 1U);
+  this->instances[first].state = InstanceState::Gone;
+  this->Elect();
+  this->StepForTwoSeconds();
+  EXPECT_EQ(this->fleet.At(this->instances[1 - first].endpoint).RunningCount(), 1U)
+    << "nothing runs on a worker that the platform lists as gone";
+}
+
 } // namespace
 } // namespace daisydrift
