A cancellation of several jobs is not_run only if no job was cancelled

Callers saw: a cancellation by name or team answered with store_unavailable, not_run, though some of its jobs were cancelled. Cause: the reply had the outcome of the last entry, on the assumption that the deadline drops all entries or none. Entries beyond one record of 192 KB, or behind other entries in it, are written later, and by then the deadline may have passed, or the leader resigned. Change: when the last entry is dropped after an earlier one took effect or may have, the outcome is unknown. Ruled out: one record for all; 14,000 cancellations don't fit in one. Measured: LeaderChangeTest.CancellationOfWhichAPartWasCommittedIsNotReportedAsNotRun failed before (deadline exceeded, with the first of two jobs cancelled) and passes; CancelTest and RegionLeaderTest pass. Conclusion: not_run is said only when nothing was run.

--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -432,25 +432,26 @@
     aReply({}, 0);
     return;
   }
-  // The entries have the same deadline and are committed in order, so the deadline applies to the
-  // request as a whole: either all of its entries are dropped or none. The reply contains the
-  // outcome of the last one.
+  // The entries are committed in order, so the last one is committed only if all are. They may be
+  // part of several records: when the last one is dropped, earlier ones may have taken effect.
+  auto hasPartialEffect = std::make_shared<bool>(false);
   for (std::size_t i = 0; i < unfinished.size(); ++i) {
     bool isLast = i + 1 == unfinished.size();
-    auto callback = [this, job = unfinished[i], isLast, count = unfinished.size(), aReply](
-                      CommitOutcome aOutcome, TimePoint aTime) {
-      if (aOutcome == CommitOutcome::Committed) {
-        static_cast<void>(this->scheduler.CancelJob(job, aTime));
-      }
-      if (isLast) {
-        std::error_code error;
-        if (aOutcome != CommitOutcome::Committed) {
-          error =
-            aOutcome == CommitOutcome::Unknown ? Errc::OutcomeUnknown : Errc::DeadlineExceeded;
+    auto callback =
+      [this, job = unfinished[i], isLast, count = unfinished.size(), hasPartialEffect, aReply](
+        CommitOutcome aOutcome, TimePoint aTime) {
+        if (aOutcome == CommitOutcome::Committed) {
+          static_cast<void>(this->scheduler.CancelJob(job, aTime));
         }
-        aReply(error, error ? 0 : count);
-      }
-    };
+        *hasPartialEffect |= aOutcome != CommitOutcome::NotCommitted;
+        if (isLast) {
+          std::error_code error;
+          if (aOutcome != CommitOutcome::Committed) {
+            error = *hasPartialEffect ? Errc::OutcomeUnknown : Errc::DeadlineExceeded;
+          }
+          aReply(error, error ? 0 : count);
+        }
+      };
     this->commits.Add(JobCancelled{ unfinished[i] }, std::move(callback), 0, aDeadline);
   }
 }
--- a/packages/daemon/src/RegionLeader.h
+++ b/packages/daemon/src/RegionLeader.h
@@ -108,7 +108,8 @@
   /// Accepts or rejects a job. The reply to an accepted job follows its commit.
   void Submit(SubmitCall aCall, TimePoint aNow);
   /// Cancels those of aJobs that have not finished. After the commit, aReply gets the error and the
-  /// number of cancelled jobs.
+  /// number of cancelled jobs. Errors: DeadlineExceeded (no job was cancelled), OutcomeUnknown
+  /// (some may have been).
   void Cancel(const std::vector<JobNumber>& aJobs,
               TimePoint aDeadline,
               const std::function<void(std::error_code, std::size_t)>& aReply);
--- a/packages/daemon/tests/LeaderChangeTest.cpp
+++ b/packages/daemon/tests/LeaderChangeTest.cpp
@@ -149,5 +149,41 @@
     << "nothing runs on a worker that the platform lists as gone";
 }
 
+TEST_F(LeaderChangeTest, CancellationOfWhichAPartWasCommittedIsNotReportedAsNotRun)
+{
+  this->Elect();
+  this->StepForTwoSeconds();
+  this->Submit(kJob);
+  this->Submit(kJob);
+  this->StepForTwoSeconds();
+  ASSERT_EQ(this->replies.size(), 2U);
+  std::vector<JobNumber> jobs{ this->replies[0].job, this->replies[1].job };
+  // Large submissions fill the journal's record up to the first of the two cancellations.
+  constexpr std::size_t kRecordBytes = 192 * 1024;
+  constexpr std::size_t kJobBytes = 48 * 1024;
+  std::string large(kJob);
+  large.pop_back();
+  large += R"(, "payload": ")";
+  for (std::size_t i = 0; i < kRecordBytes / kJobBytes; ++i) {
+    // An entry has some 80 bytes besides the body.
+    std::size_t bytes = kJobBytes - large.size() - 100;
+    this->Submit(large + std::string(bytes, 'x') + "\"}");
+  }
+  std::error_code error;
+  std::size_t answers = 0;
+  this->leader->Cancel(jobs,
+                       this->clock.Now() + kGroupCommitInterval * 3 / 2,
+                       [&](std::error_code aError, std::size_t) {
+                         error = aError;
+                         ++answers;
+                       });
+  this->StepForTwoSeconds();
+  EXPECT_EQ(answers, 1U);
+  const RegionState& state = this->leader->Commits().State();
+  ASSERT_TRUE(state.FindJob(jobs[0])->isCancelled);
+  ASSERT_FALSE(state.FindJob(jobs[1])->isCancelled);
+  EXPECT_EQ(error, Errc::OutcomeUnknown) << error.message();
+}
+
 } // namespace
 } // namespace daisydrift
