A repeated submission is answered when the leader resigns

Callers saw: of two submissions with the same Idempotency-Key, the second got no reply from a leader that resigned, and was answered only because the leader's destruction broke the promise: outcome_unknown, where nothing had been accepted. Cause: a resigning leader drops its entries; the callback of the first submission submitted the second one again, to the queue that was being dropped. If the first one's outcome was unknown, the second was treated as if it were not accepted. Change: a leader that was abandoned refuses submissions, and a repetition shares an unknown outcome. Ruled out: dropping the queue in a loop until it is empty; a submission could be queued again each time. Measured: LeaderChangeTest.RepeatedSubmissionIsAnsweredWhenTheLeaderResigns and .RepeatedSubmissionHasTheUnknownOutcomeOfTheFirst failed before (1 reply of 2) and pass; RegionLeaderTest passes. Conclusion: each submission that reached a leader is answered by it.

--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -371,7 +371,7 @@
   }
   bool isBlocked = this->commits.IsBlocked() &&
                    aNow - this->commits.BlockedSince() > kMaxBlockedTimeForSubmissions;
-  if (isBlocked || this->IsSuperseded()) {
+  if (isBlocked || this->isAbandoned || this->IsSuperseded()) {
     reply.error = Errc::Overloaded;
     aCall.reply(reply);
     return;
@@ -410,7 +410,11 @@
     auto waiting = this->duplicateSubmissions.extract(key);
     if (!waiting.empty()) {
       for (SubmitCall& call : waiting.mapped()) {
-        this->Submit(std::move(call), aTime);
+        if (aOutcome == CommitOutcome::Unknown) {
+          call.reply(reply);
+        } else {
+          this->Submit(std::move(call), aTime);
+        }
       }
     }
   };
@@ -472,6 +476,13 @@
   return error;
 }
 
+void RegionLeader::Abandon(TimePoint aNow)
+{
+  // The callbacks submit the repetitions of dropped submissions again, which must not be queued.
+  this->isAbandoned = true;
+  this->commits.Abandon(aNow);
+}
+
 void RegionLeader::EndExpiredAttempts(TimePoint aNow)
 {
   for (auto& [id, worker] : this->workers) {
--- a/packages/daemon/src/RegionLeader.h
+++ b/packages/daemon/src/RegionLeader.h
@@ -120,8 +120,9 @@
 
   /// Returns true once another leader has taken over; Abandon must be called then.
   bool IsSuperseded() const { return this->isSuperseded || this->commits.IsFenced(); }
-  /// Drops all uncommitted entries and sends the replies that wait for them.
-  void Abandon(TimePoint aNow) { this->commits.Abandon(aNow); }
+  /// Drops all uncommitted entries and sends the replies that wait for them. Later submissions are
+  /// refused.
+  void Abandon(TimePoint aNow);
 
   const Scheduler& GetScheduler() const { return this->scheduler; }
   const CommitQueue& Commits() const { return this->commits; }
@@ -200,6 +201,7 @@
   JobNumber nextJob = 1;
   TimePoint configConfirmedAt;
   bool isSuperseded = false;
+  bool isAbandoned = false;
   std::uint64_t startCount = 0;
 };
 
--- a/packages/daemon/tests/LeaderChangeTest.cpp
+++ b/packages/daemon/tests/LeaderChangeTest.cpp
@@ -149,6 +149,37 @@
     << "nothing runs on a worker that the platform lists as gone";
 }
 
+TEST_F(LeaderChangeTest, RepeatedSubmissionIsAnsweredWhenTheLeaderResigns)
+{
+  this->Elect();
+  this->StepForTwoSeconds();
+  this->Submit(kJob, "key");
+  this->Submit(kJob, "key");
+  this->leader->Abandon(this->clock.Now());
+  ASSERT_EQ(this->replies.size(), 2U);
+  for (const SubmitReply& reply : this->replies) {
+    EXPECT_TRUE(reply.error == Errc::Overloaded || reply.error == Errc::DeadlineExceeded)
+      << reply.error.message();
+  }
+}
+
+TEST_F(LeaderChangeTest, RepeatedSubmissionHasTheUnknownOutcomeOfTheFirst)
+{
+  this->Elect();
+  this->StepForTwoSeconds();
+  this->store.SetFaultHook([](const std::string& aOperation, const std::string&) {
+    return aOperation == "cas" ? StoreFault::ResponseLost : StoreFault::Unreachable;
+  });
+  this->Submit(kJob, "key");
+  this->Step();
+  this->Submit(kJob, "key");
+  this->leader->Abandon(this->clock.Now());
+  ASSERT_EQ(this->replies.size(), 2U);
+  for (const SubmitReply& reply : this->replies) {
+    EXPECT_EQ(reply.error, Errc::OutcomeUnknown) << reply.error.message();
+  }
+}
+
 TEST_F(LeaderChangeTest, CancellationOfWhichAPartWasCommittedIsNotReportedAsNotRun)
 {
   this->Elect();
