A new leader stops no task for limits that its predecessor had reduced

Callers saw: at a change of leader, tasks of a team at its ceiling are stopped with ceiling_lowered although no ceiling changed; those that are not repeatable end as outcome_unknown. Their sum may exceed the team's ceiling, under which the predecessor had started more, and the first round, some milliseconds after the takeover, enforced the ceiling on it before a worker could report the real limits. Change: attempts restored on a worker that has not reported don't count as use of resources when a ceiling is enforced, and are not stopped for it, until the worker reports. They count in full when a start is decided. The number of tasks is enforced as before. Measured: EnforcementTest.RestoredAttemptsAreNotStoppedByLimitsThatAnEarlierLeaderHadReduced failed before (6 tasks of 2 cores under a ceiling of 8 cores, stops in the first round) and passes; the 8 test programs of core pass. Conclusion: if an operator lowers a ceiling at that moment, what runs on a worker that never reports is above it until its leases end.

--- a/packages/core/src/ClusterState.cpp
+++ b/packages/core/src/ClusterState.cpp
@@ -308,6 +308,7 @@
   }
   aAttempt.isStopping = false;
   this->SetCommitted(aAttempt, {});
+  this->SetLimitUnconfirmed(aAttempt, false);
   this->UpdatePlacementCounts(aAttempt, -1);
   Worker& worker = this->workers[aAttempt.worker];
   worker.attempts.erase(worker.attempts.iterator_to(aAttempt));
@@ -337,12 +338,27 @@
 void ClusterState::MarkStopping(Attempt& aAttempt)
 {
   assert(!aAttempt.isStopping);
+  this->SetLimitUnconfirmed(aAttempt, false);
   this->ApplyEvent(aAttempt.job->tasks[aAttempt.taskIndex], TaskEvent::Stop);
   aAttempt.isStopping = true;
   aAttempt.job->team->stopping += aAttempt.committed;
   ++aAttempt.job->team->stoppingTasks;
 }
 
+void ClusterState::SetLimitUnconfirmed(Attempt& aAttempt, bool aIsUnconfirmed)
+{
+  if (aAttempt.isLimitUnconfirmed == aIsUnconfirmed) {
+    return;
+  }
+  aAttempt.isLimitUnconfirmed = aIsUnconfirmed;
+  Resources& sum = aAttempt.job->team->unconfirmed;
+  if (aIsUnconfirmed) {
+    sum += aAttempt.committed;
+  } else {
+    sum -= aAttempt.committed;
+  }
+}
+
 void ClusterState::SetCommitted(Attempt& aAttempt, const Resources& aCommitted)
 {
   Resources change = aCommitted - aAttempt.committed;
@@ -355,6 +371,9 @@
   if (aAttempt.isStopping) {
     team.stopping += change;
   }
+  if (aAttempt.isLimitUnconfirmed) {
+    team.unconfirmed += change;
+  }
   if (aAttempt.job->IsService()) {
     team.services += change;
   }
--- a/packages/core/src/ClusterState.h
+++ b/packages/core/src/ClusterState.h
@@ -63,6 +63,8 @@
   void RemoveAttempt(Attempt& aAttempt);
   /// Marks an attempt as being stopped.
   void MarkStopping(Attempt& aAttempt);
+  /// Records whether the limit of an attempt still has to be confirmed by its worker.
+  void SetLimitUnconfirmed(Attempt& aAttempt, bool aIsUnconfirmed);
   /// Changes the resources committed to an attempt.
   void SetCommitted(Attempt& aAttempt, const Resources& aCommitted);
   /// Adds aAmount, which may be negative, to the resources held on a worker.
--- a/packages/core/src/Enforcement.cpp
+++ b/packages/core/src/Enforcement.cpp
@@ -40,16 +40,19 @@
 
 void Enforcement::EnforceCeiling(Team& aTeam)
 {
+  // Attempts whose real limits are not known yet count as nothing here: they ran within the ceiling
+  // at the earlier leader, perhaps with lower limits. No start is decided on that assumption.
   const TeamPolicy& policy = aTeam.policy;
   for (bool isRepeatable : kRepeatablePasses) {
     for (auto it = aTeam.attempts.rbegin(); it != aTeam.attempts.rend(); ++it) {
-      Resources used = aTeam.running - aTeam.stopping;
+      Resources used = aTeam.running - aTeam.stopping - aTeam.unconfirmed;
       std::uint32_t tasks = aTeam.runningTasks - aTeam.stoppingTasks;
       if (used.FitsIn(policy.ceiling) && tasks <= policy.maxRunningTasks) {
         return;
       }
       bool reducesExcess =
-        tasks > policy.maxRunningTasks || ReducesExcess(it->committed, used, policy.ceiling);
+        tasks > policy.maxRunningTasks ||
+        (!it->isLimitUnconfirmed && ReducesExcess(it->committed, used, policy.ceiling));
       if (!it->isStopping && reducesExcess && it->job->spec.isRepeatable == isRepeatable) {
         this->recorder.StopWithGang(*it, StopReason::CeilingLowered);
       }
--- a/packages/core/src/Entities.h
+++ b/packages/core/src/Entities.h
@@ -61,6 +61,9 @@
   TimePoint expectedEnd;
   bool hasStarted = false;
   bool isStopping = false;
+  /// Restored with the limit of its assignment, which an earlier leader may have changed; the
+  /// worker has not reported the real one yet.
+  bool isLimitUnconfirmed = false;
   /// Backfill: started on reserved workers; stopped once the job that holds the reservation could
   /// start without it.
   bool isBackfill = false;
@@ -97,8 +100,8 @@
   Resources indexedFree;
   WorkerAttempts attempts;
 
-  /// False until the worker has reported since this scheduler began; until then its capacity is
-  /// not known.
+  /// False until the worker has reported since this scheduler began; until then neither its
+  /// capacity nor the limits of its attempts are known.
   bool HasReported() const
   {
     return this->health != WorkerHealth::Unresponsive || this->capacity != Resources();
@@ -214,6 +217,9 @@
   /// Part of `running` that belongs to attempts that are being stopped.
   Resources stopping;
   std::uint32_t stoppingTasks = 0;
+  /// Part of `running` that belongs to attempts with an unconfirmed limit that are not being
+  /// stopped.
+  Resources unconfirmed;
   /// Part of `running` that belongs to services, which end only when cancelled.
   Resources services;
   std::uint32_t serviceTasks = 0;
--- a/packages/core/src/SchedulerImpl.cpp
+++ b/packages/core/src/SchedulerImpl.cpp
@@ -121,12 +121,25 @@
   if (isReplaced) {
     this->reliability.Reset(workerIndex);
   }
+  if (worker.HasReported()) {
+    this->ConfirmLimits(worker);
+  }
   while (aWorker.health == WorkerHealth::Gone && !worker.attempts.empty()) {
     this->outcomes.OnEnded(
       worker.attempts.front(), AttemptOutcome::Interrupted, "worker gone", aNow);
   }
 }
 
+void Scheduler::Impl::ConfirmLimits(Worker& aWorker)
+{
+  for (Attempt& attempt : aWorker.attempts) {
+    if (attempt.isLimitUnconfirmed) {
+      this->state.SetLimitUnconfirmed(attempt, false);
+      this->enforcement.OnCeilingsChanged();
+    }
+  }
+}
+
 void Scheduler::Impl::OnStarted(const AttemptId& aAttempt, TimePoint aNow)
 {
   Attempt* attempt = this->state.FindAttempt(aAttempt);
@@ -201,8 +214,9 @@
     return;
   }
   Job& job = *this->state.FindJob(aAttempt.task.job);
-  this->state.AddAttempt(
+  Attempt& attempt = this->state.AddAttempt(
     job, aAttempt.task.index, aAttempt.attempt, this->state.FindOrAddWorker(aWorker), aLimit, aNow);
+  this->state.SetLimitUnconfirmed(attempt, !this->state.workers[attempt.worker].HasReported());
   if (!job.isEnding) {
     job.state = JobState::Running;
   }
@@ -220,6 +234,7 @@
   }
   attempt->limit = aLimit;
   this->state.SetCommitted(*attempt, aLimit);
+  this->state.SetLimitUnconfirmed(*attempt, false);
   this->enforcement.OnCeilingsChanged();
 }
 
--- a/packages/core/src/SchedulerImpl.h
+++ b/packages/core/src/SchedulerImpl.h
@@ -59,6 +59,8 @@
   core::Explainer explainer;
 
 private:
+  /// Recovery: the worker has reported, so the limits of its attempts are the real ones.
+  void ConfirmLimits(core::Worker& aWorker);
   void FireTimers(TimePoint aNow);
   /// Fails jobs whose tasks have outgrown every worker or their team's ceiling.
   void FailOversizedJobs();
--- a/packages/core/tests/EnforcementTest.cpp
+++ b/packages/core/tests/EnforcementTest.cpp
@@ -55,6 +55,43 @@
   EXPECT_EQ(this->harness.RunningAttemptsOf(older).size(), 3U);
 }
 
+TEST_F(EnforcementTest, RestoredAttemptsAreNotStoppedByLimitsThatAnEarlierLeaderHadReduced)
+{
+  this->SetCeiling(MakeResources(8, 100000), 100);
+  JobNumber job = this->harness.SubmitJob(this->harness.MakeJobSpec("t", 6, MakeResources(2, 100)));
+  auto attempt = [job](std::uint32_t aIndex) { return AttemptId{ { job, aIndex }, 1 }; };
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    this->harness.scheduler.RestoreAttempt(
+      attempt(i), "w" + std::to_string(i), MakeResources(2, 100), this->harness.now);
+  }
+  this->harness.Decide();
+  EXPECT_TRUE(this->harness.stops.empty());
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    this->harness.scheduler.RestoreLimit(attempt(i), MakeResources(1, 100));
+    this->harness.Decide();
+  }
+  this->harness.scheduler.RestoreLimit(attempt(5), MakeResources(3, 100));
+  this->harness.Decide();
+  EXPECT_TRUE(this->harness.stops.empty());
+  // The workers are live, so no report about the last attempt will lower its limit.
+  this->harness.AddWorkers(6, MakeResources(4, 4096));
+  this->harness.Decide();
+  ASSERT_EQ(this->harness.stops.size(), 1U) << "9 cores are in use under a ceiling of 8";
+  EXPECT_EQ(this->harness.stops[0].attempt, attempt(5));
+}
+
+TEST_F(EnforcementTest, RestoredAttemptsBeyondTheNumberOfTasksAreStoppedAtOnce)
+{
+  this->SetCeiling(MakeResources(100, 100000), 4);
+  JobNumber job = this->harness.SubmitJob(this->harness.MakeJobSpec("t", 6, MakeResources(2, 100)));
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    this->harness.scheduler.RestoreAttempt(
+      { { job, i }, 1 }, "w" + std::to_string(i), MakeResources(2, 100), this->harness.now);
+  }
+  this->harness.Decide();
+  EXPECT_EQ(this->harness.stops.size(), 2U);
+}
+
 TEST_F(EnforcementTest, RemovedTeamHasACeilingOfZero)
 {
   this->harness.AddWorkers(2, MakeResources(4, 4096));
