--- a/packages/daemon/src/CommitQueue.cpp
+++ b/packages/daemon/src/CommitQueue.cpp
@@ -43,6 +43,7 @@
                       std::uint64_t aAtomicGroup,
                       std::optional<TimePoint> aDeadline)
 {
+  this->queuedBytes += EstimateSize(aEntry);
   this->entries.push_back({ std::move(aEntry), std::move(aCallback), aAtomicGroup, aDeadline });
 }
 
@@ -52,7 +53,7 @@
     return this->OnResult(this->ownership.journal->Resolve(), aNow);
   }
   this->DropExpired(aNow);
-  if (this->isCompacting || this->ownership.journal->NeedsSnapshot()) {
+  if (this->isCompacting || this->isSnapshotRequested || this->ownership.journal->NeedsSnapshot()) {
     std::error_code error = this->Compact(aWallSeconds);
     if (error && !this->ownership.journal->IsNextSlotFree()) {
       return this->OnResult(error, aNow);
@@ -91,6 +92,7 @@
   std::vector<JournalEntry> batch;
   std::vector<Callback> callbacks;
   for (std::size_t i = 0; i < this->batchSize; ++i) {
+    this->queuedBytes -= EstimateSize(this->entries.front().entry);
     batch.push_back(std::move(this->entries.front().entry));
     callbacks.push_back(std::move(this->entries.front().callback));
     this->entries.pop_front();
@@ -123,6 +125,7 @@
   std::vector<Callback> dropped;
   for (QueuedEntry& queued : this->entries) {
     if (isExpired(queued)) {
+      this->queuedBytes -= EstimateSize(queued.entry);
       dropped.push_back(std::move(queued.callback));
     } else {
       kept.push_back(std::move(queued));
@@ -152,6 +155,12 @@
   return lastBoundary;
 }
 
+std::size_t CommitQueue::StateBytes() const
+{
+  return this->ownership.snapshotBytes + this->bytesDuringSnapshot +
+         this->ownership.journal->BytesSinceSnapshot() + this->queuedBytes;
+}
+
 std::error_code CommitQueue::Compact(std::int64_t aWallSeconds)
 {
   if (!this->isCompacting) {
@@ -160,6 +169,8 @@
       return error;
     }
     this->isCompacting = true;
+    this->isSnapshotRequested = false;
+    this->bytesAtSnapshotBegin = this->ownership.journal->BytesSinceSnapshot();
   }
   Result<bool> isDone = this->ownership.snapshots->Step();
   if (!isDone) {
@@ -167,6 +178,9 @@
   }
   if (*isDone) {
     this->isCompacting = false;
+    this->ownership.snapshotBytes = this->ownership.snapshots->SnapshotBytes();
+    this->bytesDuringSnapshot =
+      this->ownership.journal->BytesSinceSnapshot() - this->bytesAtSnapshotBegin;
     this->ownership.journal->SetSnapshotPosition(this->ownership.snapshots->SnapshotPosition());
   }
   return {};
@@ -176,6 +190,7 @@
 {
   std::deque<QueuedEntry> abandoned = std::move(this->entries);
   this->entries.clear();
+  this->queuedBytes = 0;
   for (std::size_t i = 0; i < abandoned.size(); ++i) {
     if (abandoned[i].callback) {
       abandoned[i].callback(
--- a/packages/daemon/src/CommitQueue.h
+++ b/packages/daemon/src/CommitQueue.h
@@ -61,6 +61,11 @@
   bool IsFenced() const { return this->ownership.journal->IsFenced(); }
   /// Number of entries that are not committed yet.
   std::size_t Size() const { return this->entries.size(); }
+  /// Upper bound of the encoded size of the state with all queued entries, in bytes. It falls only
+  /// when a snapshot is written.
+  std::size_t StateBytes() const;
+  /// Makes a snapshot due, by which expired jobs are removed from the state.
+  void RequestSnapshot() { this->isSnapshotRequested = true; }
   /// The committed state.
   const RegionState& State() const { return this->ownership.state; }
   /// Number of records appended by this leader.
@@ -86,12 +91,19 @@
 
   RegionOwnership ownership;
   std::deque<QueuedEntry> entries;
+  /// Estimated size of the entries, in bytes.
+  std::size_t queuedBytes = 0;
   /// Number of entries at the front that belong to an unresolved write.
   std::size_t unresolvedCount = 0;
   /// Number of entries at the front that belong to the batch written last.
   std::size_t batchSize = 0;
   bool isBlocked = false;
   bool isCompacting = false;
+  bool isSnapshotRequested = false;
+  /// Journal::BytesSinceSnapshot() when the writing of the last snapshot began.
+  std::uint64_t bytesAtSnapshotBegin = 0;
+  /// Bytes of the records that were written during the writing of the last complete snapshot.
+  std::uint64_t bytesDuringSnapshot = 0;
   TimePoint blockedSince;
   TimePoint lastCommit;
   std::uint64_t recordCount = 0;
--- a/packages/daemon/src/LeaderCallHandler.cpp
+++ b/packages/daemon/src/LeaderCallHandler.cpp
@@ -33,6 +33,16 @@
            {} };
 }
 
+Problem RegionFullProblem()
+{
+  return { 503,
+           "region_full",
+           "the region keeps as many jobs as it can; finished ones are removed after an hour",
+           "not_run",
+           std::chrono::seconds(60),
+           {} };
+}
+
 Problem UnknownJobProblem()
 {
   return { 404, "unknown_job", "no such job", "not_run", {}, {} };
@@ -70,7 +80,8 @@
   if (aReply.error == Errc::OutcomeUnknown) {
     return MakeProblemReply(OutcomeUnknownProblem());
   }
-  return MakeProblemReply(StoreProblem());
+  return MakeProblemReply(aReply.error == Errc::LimitReached ? RegionFullProblem()
+                                                             : StoreProblem());
 }
 
 /// Splits a path into its segments, without the query.
--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -376,6 +376,11 @@
     aCall.reply(reply);
     return;
   }
+  if (this->commits.StateBytes() + aCall.body.size() > kMaxStateBytesForSubmissions) {
+    reply.error = Errc::LimitReached;
+    aCall.reply(reply);
+    return;
+  }
   auto key = std::make_pair(aCall.team, keyDigest);
   if (!keyDigest.empty()) {
     auto [it, isFirst] = this->duplicateSubmissions.try_emplace(key);
@@ -470,6 +475,7 @@
   if (isConfigFresh && !this->commits.IsBlocked()) {
     this->Decide(aNow);
   }
+  this->MakeRoom(aNow);
   std::error_code error = this->commits.Flush(aNow, this->hooks.wallSeconds());
   this->EraseExpiredJobs();
   this->BeginExchanges(aNow);
@@ -521,7 +527,8 @@
 
 void RegionLeader::Decide(TimePoint aNow)
 {
-  std::vector<Decision> decisions = this->scheduler.Decide(aNow, kMaxStartsPerStep);
+  bool hasRoom = this->commits.StateBytes() <= kMaxStateBytesForStarts;
+  std::vector<Decision> decisions = this->scheduler.Decide(aNow, hasRoom ? kMaxStartsPerStep : 0);
   for (const Decision& decision : decisions) {
     if (const auto* start = std::get_if<StartDecision>(&decision)) {
       JobNumber job = start->attempt.task.job;
@@ -618,6 +625,16 @@
   });
 }
 
+void RegionLeader::MakeRoom(TimePoint aNow)
+{
+  // Somewhat below the limit, so that the largest submission is never refused without a request.
+  bool isFull = this->commits.StateBytes() + kMaxSubmissionBytes > kMaxStateBytesForSubmissions;
+  if (isFull && aNow - this->fullStateSnapshotAt >= kFullStateSnapshotInterval) {
+    this->fullStateSnapshotAt = aNow;
+    this->commits.RequestSnapshot();
+  }
+}
+
 std::size_t RegionLeader::ReportingWorkerCount() const
 {
   return static_cast<std::size_t>(
--- a/packages/daemon/src/RegionLeader.h
+++ b/packages/daemon/src/RegionLeader.h
@@ -25,6 +25,14 @@
 /// Maximum number of starts decided in one step.
 constexpr std::size_t kMaxStartsPerStep = 256;
 
+/// No job is accepted while the state may be larger than this: a state that no snapshot can hold
+/// fills the journal, and then no leader can take over.
+constexpr std::size_t kMaxStateBytesForSubmissions = kMaxStateBytes / 4 * 3;
+/// No task is started while the state may be larger than this.
+constexpr std::size_t kMaxStateBytesForStarts = kMaxStateBytes / 16 * 15;
+/// Time between two snapshots that are written only to remove expired jobs from a full state.
+constexpr std::chrono::seconds kFullStateSnapshotInterval{ 60 };
+
 /// Functions that the leader needs.
 struct RegionLeaderHooks
 {
@@ -51,6 +59,7 @@
   /// - NotPermitted: the job was refused, see the explanation.
   /// - DeadlineExceeded, Overloaded: not accepted; the journal was blocked or did not commit it in
   ///   time, or another leader has taken over.
+  /// - LimitReached: not accepted; the region keeps as many jobs as a snapshot can hold.
   /// - OutcomeUnknown: the job may or may not have been accepted.
   std::error_code error;
   JobNumber job = 0;
@@ -186,6 +195,9 @@
   void Execute(const ThrottleDecision& aDecision, TimePoint aNow);
   void Execute(const JobFinishedDecision& aDecision);
   void EraseExpiredJobs();
+  /// Requests a snapshot from time to time while the state is full: without new jobs there are few
+  /// records, and so no snapshot would become due.
+  void MakeRoom(TimePoint aNow);
 
   RegionLeaderOptions options;
   RegionLeaderHooks hooks;
@@ -200,6 +212,7 @@
   std::map<std::pair<TeamName, std::string>, std::vector<SubmitCall>> duplicateSubmissions;
   JobNumber nextJob = 1;
   TimePoint configConfirmedAt;
+  TimePoint fullStateSnapshotAt;
   bool isSuperseded = false;
   bool isAbandoned = false;
   std::uint64_t startCount = 0;
--- a/packages/daemon/tests/LeaderChangeTest.cpp
+++ b/packages/daemon/tests/LeaderChangeTest.cpp
@@ -64,7 +64,7 @@
       };
     hooks.canRenewTaskLeases = [] { return true; };
     hooks.havePredecessorLeasesExpired = [] { return false; };
-    hooks.wallSeconds = [] { return 1000; };
+    hooks.wallSeconds = [this] { return this->wallSeconds; };
     this->leader = std::make_unique<RegionLeader>(options,
                                                   std::move(hooks),
                                                   std::move(*ownership),
@@ -119,6 +119,7 @@
   FakeWorkerFleet fleet{ this->clock };
   std::vector<InstanceInfo> instances;
   Epoch epoch = 0;
+  std::int64_t wallSeconds = 1000;
   std::unique_ptr<RegionLeader> leader;
   std::vector<Exchange> exchanges;
   std::vector<SubmitReply> replies;
@@ -149,6 +150,50 @@
     << "nothing runs on a worker that the platform lists as gone";
 }
 
+TEST_F(LeaderChangeTest, AcceptedJobsAreNoMoreThanASnapshotAndSoTheNextLeaderCanTake)
+{
+  this->Elect();
+  this->StepForTwoSeconds();
+  constexpr std::size_t kSubmissions = 800;
+  constexpr std::size_t kPayloadBytes = 63 * 1024;
+  std::string large(kJob);
+  large.pop_back();
+  large += R"(, "payload": ")" + std::string(kPayloadBytes, 'x') + "\"}";
+  for (std::size_t i = 0; i < kSubmissions; ++i) {
+    this->Submit(large);
+    if (i % 2 == 0) {
+      this->Step();
+    }
+  }
+  this->StepForTwoSeconds();
+  ASSERT_EQ(this->replies.size(), kSubmissions);
+  std::size_t accepted = 0;
+  for (const SubmitReply& reply : this->replies) {
+    accepted += reply.error ? 0 : 1;
+    EXPECT_TRUE(!reply.error || reply.error == Errc::LimitReached) << reply.error.message();
+  }
+  EXPECT_GT(accepted, 300U);
+  EXPECT_TRUE(this->leader->Commits().State().Encode());
+  this->Elect();
+  EXPECT_EQ(this->leader->Commits().State().Jobs().size(), accepted);
+  this->Submit(large);
+  EXPECT_EQ(this->replies.back().error, Errc::LimitReached) << "the limit holds at a new leader";
+
+  // Jobs that have finished make room when their retention has ended, though nothing is written.
+  std::vector<JobNumber> jobs;
+  for (const auto& [number, job] : this->leader->Commits().State().Jobs()) {
+    jobs.push_back(number);
+  }
+  this->leader->Cancel(jobs, this->clock.Now() + 1h, [](std::error_code, std::size_t) {});
+  this->StepForTwoSeconds();
+  this->wallSeconds += std::chrono::seconds(kFinishedJobRetention).count();
+  this->clock.Advance(kFullStateSnapshotInterval);
+  this->StepForTwoSeconds();
+  this->Submit(large);
+  this->StepForTwoSeconds();
+  EXPECT_FALSE(this->replies.back().error) << this->replies.back().error.message();
+}
+
 TEST_F(LeaderChangeTest, RepeatedSubmissionIsAnsweredWhenTheLeaderResigns)
 {
   this->Elect();
--- a/packages/durable/include/daisydrift/durable/Journal.h
+++ b/packages/durable/include/daisydrift/durable/Journal.h
@@ -81,6 +81,8 @@
   Epoch WriterEpoch() const { return this->epoch; }
   /// Records that a snapshot covers all records up to aPosition, so that their slots may be reused.
   void SetSnapshotPosition(std::uint64_t aPosition);
+  /// Bytes of the records that no snapshot covers.
+  std::uint64_t BytesSinceSnapshot() const { return this->bytesSinceSnapshot; }
   /// True when a snapshot is due.
   bool NeedsSnapshot() const;
   /// True when the next slot is empty or holds a record covered by a snapshot.
--- a/packages/durable/include/daisydrift/durable/Recovery.h
+++ b/packages/durable/include/daisydrift/durable/Recovery.h
@@ -16,6 +16,8 @@
   std::unique_ptr<SnapshotWriter> snapshots;
   /// State after the last committed record; after TakeOver() that is the new leader's barrier.
   RegionState state;
+  /// Size in bytes of the last snapshot read or written.
+  std::uint64_t snapshotBytes = 0;
 };
 
 /// Reads the snapshot and the journal of aRegion and fences the old leader by an epoch barrier.
--- a/packages/durable/include/daisydrift/durable/RegionState.h
+++ b/packages/durable/include/daisydrift/durable/RegionState.h
@@ -18,6 +18,9 @@
 /// 2.7).
 constexpr std::chrono::hours kIdempotencyRetention{ 24 };
 
+/// Largest encoded state, in bytes: 64 parts of a snapshot.
+constexpr std::size_t kMaxStateBytes = 32 * 1024 * 1024;
+
 /// Assignment of the running attempt of a task.
 struct CurrentAttempt
 {
--- a/packages/durable/include/daisydrift/durable/Snapshot.h
+++ b/packages/durable/include/daisydrift/durable/Snapshot.h
@@ -85,6 +85,8 @@
   Result<bool> Step();
   /// Last record covered by the snapshot in use, as last read or written by this writer.
   std::uint64_t SnapshotPosition() const { return this->head.position; }
+  /// Size of that snapshot in bytes.
+  std::uint64_t SnapshotBytes() const { return this->head.totalBytes; }
 
 private:
   /// Reads the head and writes this leader's epoch into it.
--- a/packages/durable/src/Recovery.cpp
+++ b/packages/durable/src/Recovery.cpp
@@ -23,6 +23,7 @@
     return state.Error();
   }
   aOut.state = std::move(*state);
+  aOut.snapshotBytes = head.totalBytes;
   aOut.journal = std::make_unique<Journal>(aStore, aRegion, aEpoch, aWriter, aOptions);
   aOut.journal->SetSnapshotPosition(head.position);
   aOut.snapshots = std::make_unique<SnapshotWriter>(aStore, aRegion, aEpoch, aWriter, aOptions);
@@ -41,6 +42,7 @@
     return covered.Error();
   }
   aOut.journal->SetSnapshotPosition(*covered);
+  aOut.snapshotBytes = aOut.snapshots->SnapshotBytes();
   return {};
 }
 
--- a/packages/durable/src/RegionStateCodec.cpp
+++ b/packages/durable/src/RegionStateCodec.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// Size limits of an encoded state: 64 parts of a snapshot. The two-year load (docs/design.md,
-/// section 1.6) needs about a tenth of this.
-constexpr EnvelopeLimits kLimits{ 32 * 1024 * 1024, 128 * 1024 * 1024 };
+/// Size limits of an encoded state. The two-year load (docs/design.md, section 1.6) needs about a
+/// fifth of this.
+constexpr EnvelopeLimits kLimits{ kMaxStateBytes, 128 * 1024 * 1024 };
 
 using WorkerIndex = std::map<std::pair<WorkerId, std::string>, unsigned>;
 
--- a/packages/durable/src/Snapshot.cpp
+++ b/packages/durable/src/Snapshot.cpp
@@ -11,7 +11,7 @@
 
 /// Largest number of parts of a snapshot; 64 parts of kMaxPartBytes take half of a daemon's memory
 /// limit.
-constexpr std::size_t kMaxParts = 64;
+constexpr std::size_t kMaxParts = kMaxStateBytes / kMaxPartBytes;
 /// Size limits of an encoded head; identity and 64 digests take less than 1 KB.
 constexpr EnvelopeLimits kHeadLimits{ 16 * 1024, 64 * 1024 };
 
