--- a/packages/daemon/src/RegionLeader.cpp
+++ b/packages/daemon/src/RegionLeader.cpp
@@ -363,7 +363,13 @@
   }
   JobSpec spec = submission->spec;
   spec.team = aCall.team;
-  if (std::optional<Explanation> refusal = this->scheduler.CheckJob(spec)) {
+  std::optional<Explanation> refusal = this->scheduler.CheckJob(spec);
+  if (!refusal && spec.workClass == WorkClass::Gang && spec.taskCount > kMaxGangTasks) {
+    refusal = { "gang_too_large",
+                "a gang may have at most " + std::to_string(kMaxGangTasks) + " tasks",
+                "use fewer tasks or several jobs" };
+  }
+  if (refusal) {
     reply.error = Errc::NotPermitted;
     reply.explanation = *refusal;
     aCall.reply(reply);
--- a/packages/daemon/src/RegionLeader.h
+++ b/packages/daemon/src/RegionLeader.h
@@ -33,6 +33,11 @@
 /// Time between two snapshots that are written only to remove expired jobs from a full state.
 constexpr std::chrono::seconds kFullStateSnapshotInterval{ 60 };
 
+/// Space in a record for one assignment: 48 bytes, and the IDs of the worker and its incarnation.
+constexpr std::size_t kAssignmentBytes = 128;
+/// Largest number of tasks in a gang, whose assignments are committed in one record.
+constexpr std::size_t kMaxGangTasks = kMaxRecordBytes / kAssignmentBytes;
+
 /// Functions that the leader needs.
 struct RegionLeaderHooks
 {
--- a/packages/daemon/tests/LeaderChangeTest.cpp
+++ b/packages/daemon/tests/LeaderChangeTest.cpp
@@ -1,5 +1,6 @@
 // Guards against a task that stands still after a change of leader although its worker is gone, and
-// against callers who get no answer or a wrong one around a change of leader.
+// against callers who get no answer or a wrong one around a change of leader, and accepted work
+// that the journal or a snapshot can't hold.
 
 #include "RegionLeader.h"
 
@@ -24,7 +25,7 @@
   TeamEntry team;
   team.name = kTeam;
   team.ceiling = { 100'000, 100'000, 0 };
-  team.maxRunningTasks = 100;
+  team.maxRunningTasks = 10'000;
   config.teams[kTeam] = team;
   config.failureDomains["d"] = { "d", kRegion, false };
   return config;
@@ -194,6 +195,33 @@
   EXPECT_FALSE(this->replies.back().error) << this->replies.back().error.message();
 }
 
+TEST_F(LeaderChangeTest, GangTooLargeForOneRecordIsRefusedAndBlocksNoOtherJob)
+{
+  InstanceInfo large = this->instances[0];
+  large.id = "large";
+  large.endpoint.port = 2000;
+  this->instances.push_back(large);
+  this->fleet.Add(large.endpoint, { 50'000, 50'000, 0 });
+  this->Elect();
+  this->StepForTwoSeconds();
+  auto gang = [](std::uint32_t aTasks) {
+    return R"({"name": "n", "class": "gang", "tasks": )" + std::to_string(aTasks) +
+           R"(, "size": {"milli_cores": 1, "memory_mib": 1}})";
+  };
+  this->Submit(gang(6'000));
+  this->StepForTwoSeconds();
+  this->Submit(kJob);
+  this->StepForTwoSeconds();
+  ASSERT_EQ(this->replies.size(), 2U);
+  EXPECT_FALSE(this->replies[1].error) << this->replies[1].error.message();
+  EXPECT_EQ(this->replies[0].error, Errc::NotPermitted);
+  EXPECT_EQ(this->replies[0].explanation.code, "gang_too_large");
+  this->Submit(gang(kMaxGangTasks));
+  this->StepForTwoSeconds();
+  EXPECT_GE(this->fleet.At(large.endpoint).RunningCount(), kMaxGangTasks / 2);
+  EXPECT_FALSE(this->leader->Commits().IsBlocked());
+}
+
 TEST_F(LeaderChangeTest, RepeatedSubmissionIsAnsweredWhenTheLeaderResigns)
 {
   this->Elect();
