--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -54,6 +54,13 @@
 {
   auto submission = std::make_shared<Submission>();
   submission->definition = aDefinition;
+  if (const FleetConfig* config = this->env.config.Config()) {
+    // The leader may have a configuration without this queue, now or after its removal.
+    auto rules = config->policy.queues.find(aDefinition.queue);
+    if (rules != config->policy.queues.end()) {
+      submission->definition.rules = rules->second;
+    }
+  }
   submission->deadline = this->env.loop.Now() + aTimeout;
   submission->done = std::move(aDone);
   if (this->membership.IsStoreAvailable()) {
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -114,6 +114,37 @@
   return step;
 }
 
+json ToJson(const QueuePolicy& aRules)
+{
+  json record{ { "version", aRules.version },       { "service", aRules.service },
+               { "priority", aRules.priority },     { "attempts", aRules.maxAttempts },
+               { "stretch", aRules.stretchFactor }, { "target_us", aRules.targetLatency.count() } };
+  if (aRules.advice) {
+    record["advice_us"] = json::array({ aRules.advice->baseTime.count(),
+                                        aRules.advice->timePerWorker.count(),
+                                        aRules.advice->validity.count() });
+  }
+  return record;
+}
+
+QueuePolicy QueuePolicyFromJson(const QueueName& aName, const json& aRecord)
+{
+  QueuePolicy rules;
+  rules.name = aName;
+  rules.version = aRecord.at("version");
+  rules.service = aRecord.at("service");
+  rules.priority = aRecord.at("priority");
+  rules.maxAttempts = aRecord.at("attempts");
+  rules.stretchFactor = aRecord.at("stretch");
+  rules.targetLatency = Duration(aRecord.at("target_us").get<Duration::rep>());
+  if (auto advice = aRecord.find("advice_us"); advice != aRecord.end()) {
+    rules.advice = AdvicePolicy{ Duration(advice->at(0).get<Duration::rep>()),
+                                 Duration(advice->at(1).get<Duration::rep>()),
+                                 Duration(advice->at(2).get<Duration::rep>()) };
+  }
+  return rules;
+}
+
 /// Runs a decoder that throws on malformed records.
 template<typename Decoder>
 auto Decode(const char* aKind, Decoder aDecoder) -> std::optional<decltype(aDecoder())>
@@ -138,6 +169,9 @@
   for (const StepSpec& step : aDefinition.steps) {
     record["steps"].push_back(ToJson(step));
   }
+  if (aDefinition.rules) {
+    record["rules"] = ToJson(*aDefinition.rules);
+  }
   if (aDefinition.occurrences > 0) {
     record["occurrences"] = aDefinition.occurrences;
     record["first_due_ms"] = aDefinition.firstDue.time_since_epoch().count();
@@ -152,6 +186,9 @@
     JobDefinition definition;
     definition.id = aRecord.at("id");
     definition.queue = aRecord.at("queue");
+    if (auto rules = aRecord.find("rules"); rules != aRecord.end()) {
+      definition.rules = QueuePolicyFromJson(definition.queue, *rules);
+    }
     definition.team = aRecord.at("team");
     definition.payload = aRecord.at("payload");
     definition.acceptedAt =
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -44,8 +44,11 @@
   FleetConfig config;
   config.version = std::stoull(aDocument);
   config.document = aDocument;
-  QueuePolicy queue{ "queue", "desk", 0, 3, 1.5, milliseconds(250), {} };
-  config.policy.queues["queue"] = queue;
+  config.policy.version = config.version;
+  QueuePolicy queue{ "queue", "desk", 0, 3, 1.5, milliseconds(250), {}, config.version };
+  if (aDocument.find(kWithoutQueue) == std::string::npos) {
+    config.policy.queues["queue"] = queue;
+  }
   config.policy.teams["team"] = { "team", 1000, {} };
   return config;
 }
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -9,6 +9,9 @@
 
 namespace daisydrift {
 
+/// Ends a configuration document that has no queue; otherwise there is one, `queue`.
+inline constexpr const char* kWithoutQueue = " without queue";
+
 /// Calls between the instances of one cluster.
 class InMemoryPeers : public PeerTransport
 {
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -278,6 +278,37 @@
   this->ExpectAllCompleted({ "job" }, 0, seconds(5));
 }
 
+// Guards against accepted jobs that never run: their queue was removed from the configuration, and
+// the next leader knew no service for it.
+TEST_F(ClusterTest, JobsOfARemovedQueueRunAfterAChangeOfLeader)
+{
+  std::vector<JobId> jobs;
+  for (int number = 0; number < 8; ++number) {
+    jobs.push_back("job" + std::to_string(number));
+    ASSERT_EQ(this->Submit(number % 3, jobs.back(), 8), SubmitOutcome::Accepted);
+  }
+  this->store.Put("operators/config", std::string("2") + kWithoutQueue);
+  this->loop.RunFor(milliseconds(300));
+  int leader = this->LeaderNumber();
+  this->KillInstance(leader);
+  this->ExpectAllCompleted(jobs, (leader + 1) % 3, seconds(12));
+}
+
+// Guards against a job that fails at its first failure although its queue allowed three attempts.
+TEST_F(ClusterTest, JobOfARemovedQueueKeepsItsAttemptsAfterAChangeOfLeader)
+{
+  this->fleet.outcome = RunOutcome::Failed;
+  this->fleet.runTime = seconds(2);
+  ASSERT_EQ(this->Submit(0, "job", 1), SubmitOutcome::Accepted);
+  this->loop.RunFor(milliseconds(100));
+  this->fleet.outcome = RunOutcome::Succeeded;
+  this->store.Put("operators/config", std::string("2") + kWithoutQueue);
+  this->loop.RunFor(milliseconds(300));
+  int leader = this->LeaderNumber();
+  this->KillInstance(leader);
+  this->ExpectAllCompleted({ "job" }, (leader + 1) % 3, seconds(9));
+}
+
 TEST_F(ClusterTest, StoreOutageRefusesNewJobsAndKeepsAcceptedOnes)
 {
   ASSERT_EQ(this->Submit(0, "before", 4), SubmitOutcome::Accepted);
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
@@ -56,11 +56,47 @@
   Duration tailLatencyTarget{ 0 };
 };
 
+/// Timing of the advice service, which says on which workers the steps of a queue may run.
+struct AdvicePolicy
+{
+  Duration baseTime{ 0 };
+  Duration timePerWorker{ 0 };
+  /// Validity of granted tickets.
+  Duration validity{ 0 };
+
+  /// Expected response time of a request that names aWorkers workers.
+  Duration TimeFor(std::size_t aWorkers) const
+  {
+    return this->baseTime + this->timePerWorker * static_cast<std::int64_t>(aWorkers);
+  }
+};
+
+/// Scheduling rules of one queue.
+struct QueuePolicy
+{
+  QueueName name;
+  /// Service whose workers run the queue's jobs.
+  std::string service;
+  /// 0 is the highest priority.
+  std::uint32_t priority = 0;
+  /// Number of failures of one task after which its job fails.
+  std::uint32_t maxAttempts = 1;
+  /// A job's latency objective is its critical path times this factor, plus targetLatency.
+  double stretchFactor = 1;
+  Duration targetLatency{ 0 };
+  std::optional<AdvicePolicy> advice;
+  /// Version of the configuration that these rules are from.
+  std::uint64_t version = 0;
+};
+
 /// A job as accepted from its caller.
 struct JobDefinition
 {
   JobId id;
   QueueName queue;
+  /// Rules of the queue by which the job was accepted. They stay in force after the queue is
+  /// removed from the configuration. Empty in records of versions that did not store them.
+  std::optional<QueuePolicy> rules;
   /// Empty for a job that was submitted without an API key to an open queue.
   TeamName team;
   /// Opaque data that is passed to the workers unchanged.
@@ -96,37 +132,6 @@
   auto operator<=>(const StepName&) const = default;
 };
 
-/// Timing of the advice service, which says on which workers the steps of a queue may run.
-struct AdvicePolicy
-{
-  Duration baseTime{ 0 };
-  Duration timePerWorker{ 0 };
-  /// Validity of granted tickets.
-  Duration validity{ 0 };
-
-  /// Expected response time of a request that names aWorkers workers.
-  Duration TimeFor(std::size_t aWorkers) const
-  {
-    return this->baseTime + this->timePerWorker * static_cast<std::int64_t>(aWorkers);
-  }
-};
-
-/// Scheduling rules of one queue.
-struct QueuePolicy
-{
-  QueueName name;
-  /// Service whose workers run the queue's jobs.
-  std::string service;
-  /// 0 is the highest priority.
-  std::uint32_t priority = 0;
-  /// Number of failures of one task after which its job fails.
-  std::uint32_t maxAttempts = 1;
-  /// A job's latency objective is its critical path times this factor, plus targetLatency.
-  double stretchFactor = 1;
-  Duration targetLatency{ 0 };
-  std::optional<AdvicePolicy> advice;
-};
-
 /// Scheduling rules of one team.
 struct TeamRules
 {
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -43,9 +43,8 @@
 void Dispatcher::SetPolicy(const FleetPolicy& aPolicy)
 {
   FleetState& state = this->impl->state;
-  state.policy = aPolicy;
-  for (const auto& [name, queue] : aPolicy.queues) {
-    state.EnsureQueue(name);
+  for (const auto& [name, rules] : aPolicy.queues) {
+    this->impl->AdoptRules(rules);
   }
   for (const auto& [name, rules] : aPolicy.teams) {
     state.EnsureTeam(name).rules = rules;
@@ -185,10 +184,26 @@
   return worker == nullptr ? nullptr : &worker->listing;
 }
 
+void Dispatcher::Impl::AdoptRules(const QueuePolicy& aRules)
+{
+  if (!this->state.AdoptRules(aRules)) {
+    return;
+  }
+  for (Job* job : this->state.openJobs) {
+    if (job->definition.queue == aRules.name) {
+      job->latencyObjective = dispatch::LatencyObjectiveOf(job->definition, *job->queue);
+      this->FailIfAttemptsAreUsedUp(*job);
+    }
+  }
+}
+
 Job& Dispatcher::Impl::InsertJob(const JobDefinition& aDefinition, TimePoint aNow)
 {
   auto job = std::make_unique<Job>();
   job->definition = aDefinition;
+  if (aDefinition.rules) {
+    this->AdoptRules(*aDefinition.rules);
+  }
   job->queue = this->state.EnsureQueue(aDefinition.queue);
   job->addedAt = aNow;
   job->latencyObjective = dispatch::LatencyObjectiveOf(aDefinition, *job->queue);
@@ -444,7 +459,7 @@
   }
   std::vector<std::pair<dispatch::StepRank, Step*>> waiting;
   for (Job* job : state.openJobs) {
-    if (job->IsFinished()) {
+    if (job->IsFinished() || !FleetState::HasRules(*job->queue)) {
       continue;
     }
     for (const auto& step : job->steps) {
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -56,6 +56,9 @@
                  TimePoint aNow,
                  DispatchRound& aRound);
   RunNumber NextRunNumber(const dispatch::Task& aTask) const;
+  /// Adopts rules of a queue unless newer ones are known.
+  void AdoptRules(const QueuePolicy& aRules);
+  void FailIfAttemptsAreUsedUp(dispatch::Job& aJob);
   dispatch::Job& InsertJob(const JobDefinition& aDefinition, TimePoint aNow);
 
   DispatchSettings settings;
--- a/packages/dispatch/src/FleetState.cpp
+++ b/packages/dispatch/src/FleetState.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 
 namespace daisydrift::dispatch {
 
@@ -23,14 +24,25 @@
 
 const QueuePolicy* FleetState::EnsureQueue(const QueueName& aName)
 {
-  auto found = this->policy.queues.find(aName);
-  if (found != this->policy.queues.end()) {
-    // Jobs keep the latest rules of a queue after it is removed from the configuration.
-    return &(this->knownQueues[aName] = found->second);
+  auto [found, isNew] = this->queues.try_emplace(aName);
+  if (isNew) {
+    found->second.name = aName;
+    found->second.maxAttempts = std::numeric_limits<std::uint32_t>::max();
+  }
+  return &found->second;
+}
+
+bool FleetState::AdoptRules(const QueuePolicy& aRules)
+{
+  auto [known, isNew] = this->queues.try_emplace(aRules.name, aRules);
+  if (isNew) {
+    return false;
+  }
+  bool hadRules = HasRules(known->second);
+  if (!hadRules || aRules.version >= known->second.version) {
+    known->second = aRules;
   }
-  QueuePolicy& queuePolicy = this->knownQueues[aName];
-  queuePolicy.name = aName;
-  return &queuePolicy;
+  return !hadRules;
 }
 
 Worker& FleetState::EnsureWorker(const WorkerId& aId)
--- a/packages/dispatch/src/FleetState.h
+++ b/packages/dispatch/src/FleetState.h
@@ -15,7 +15,12 @@
   ~FleetState();
 
   Team& EnsureTeam(const TeamName& aName);
+  /// The newest known rules of a queue. While none are known, its jobs neither start nor fail.
   const QueuePolicy* EnsureQueue(const QueueName& aName);
+  /// Adopts rules of a queue unless newer ones are known. Returns true when the queue was known
+  /// without rules.
+  bool AdoptRules(const QueuePolicy& aRules);
+  static bool HasRules(const QueuePolicy& aQueue) { return !aQueue.service.empty(); }
   Worker& EnsureWorker(const WorkerId& aId);
   Worker* FindWorker(const WorkerId& aId);
   Worker* FindWorker(std::uint32_t aNumber);
@@ -53,7 +58,6 @@
   static Resources CommittedResources(const StepSpec& aSpec);
 
   const DispatchSettings& settings;
-  FleetPolicy policy;
   std::set<FailureDomain> drainedDomains;
   std::map<WorkerId, std::unique_ptr<Worker>> workers;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
@@ -64,8 +68,8 @@
   std::vector<JobId> changedJobs;
 
 private:
-  /// Latest rules of each queue, including queues that were removed from the configuration.
-  std::map<QueueName, QueuePolicy> knownQueues;
+  /// Newest rules of each queue, including queues that were removed from the configuration.
+  std::map<QueueName, QueuePolicy> queues;
   std::unordered_map<AttemptKey, std::unique_ptr<Attempt>> attempts;
   AttemptKey nextKey = 1;
   std::unordered_map<std::uint32_t, Worker*> workersByNumber;
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -43,6 +43,22 @@
   }
 }
 
+void Dispatcher::Impl::FailIfAttemptsAreUsedUp(Job& aJob)
+{
+  for (const auto& step : aJob.steps) {
+    bool isUsedUp = !step->spec->isService &&
+                    std::any_of(step->tasks.begin(), step->tasks.end(), [&](const Task& aTask) {
+                      return !aTask.hasSucceeded && aTask.failures >= aJob.queue->maxAttempts;
+                    });
+    if (isUsedUp && !aJob.IsFinished()) {
+      LogLine(LogLevel::Info, "job_failed")
+        .Add("job", aJob.definition.id)
+        .Add("step", step->number);
+      this->state.Finish(aJob, DispatchState::Failed, this->wall);
+    }
+  }
+}
+
 void Dispatcher::Impl::OnTaskSucceeded(Attempt& aAttempt, TimePoint aNow)
 {
   Step& step = *aAttempt.step;
