A worker that may have restarted while no poll was open is sent no acknowledgement

Cause: while the leader waits for the store, no poll is open that would fail with the worker's process. Change: a poll that is sent more than 200 ms after the last report acknowledges nothing; once the same process has answered, the next poll acknowledges at once. Ruled out: acknowledging nothing after each wait for the store, as this repeats each report; comparing the clock in the responses to starts, which the gateway does not pass on yet and which would need no time limit. Conclusion: 200 ms is less than a process needs to end, start anew and carry out a run; this is assumed, not shown.

--- a/packages/coordination/src/WorkerPoller.cpp
+++ b/packages/coordination/src/WorkerPoller.cpp
@@ -15,6 +15,8 @@
 /// Time between polls while the store is unavailable, which still renew leases and collect
 /// completions.
 constexpr std::chrono::milliseconds kOutagePollInterval{ 300 };
+/// In this time without a poll a worker's process can't end, start anew and carry out a run.
+constexpr std::chrono::milliseconds kMaxUnwatchedTime{ 200 };
 } // namespace
 
 WorkerPoller::WorkerPoller(EventLoop& aLoop,
@@ -94,9 +96,11 @@
   ++poll.generation;
   TimePoint now = this->loop.Now();
   PollRequest request;
-  // After a failed poll the worker may have restarted, and its completions are numbered from 1
-  // again.
-  request.lastCompletion = poll.hasAnswered ? poll.acknowledged : 0;
+  // After a failed poll, or some time without one, the worker may have restarted, and its
+  // completions are numbered from 1 again.
+  bool mayHaveRestarted = !poll.hasAnswered || now - poll.answeredAt > kMaxUnwatchedTime;
+  request.lastCompletion = mayHaveRestarted ? 0 : poll.acknowledged;
+  poll.sentAcknowledgement = request.lastCompletion;
   request.lease = this->dispatcher.ExtendWorkerLease(aWorker, now);
   // The first poll must not wait: it raises the fencing token.
   request.wait = request.lease && !this->isStoreUnavailable ? this->MaxPollWait(now) : Duration(0);
@@ -138,13 +142,15 @@
     return;
   }
   poll.hasAnswered = true;
+  poll.answeredAt = now;
   if (poll.incarnation != aReport->incarnation) {
     poll.incarnation = aReport->incarnation;
     poll.acknowledged = 0;
   }
   this->dispatcher.OnReport(aWorker, *aReport, aSentAt, now);
   bool hasNewCompletions = this->dispatcher.LastCompletion(aWorker) > poll.acknowledged;
-  if (hasNewCompletions && !this->isStoreUnavailable) {
+  bool isAcknowledgementDue = poll.sentAcknowledgement < poll.acknowledged;
+  if (hasNewCompletions && !this->isStoreUnavailable && !isAcknowledgementDue) {
     poll.isWaitingForStore = true;
     // Renews the lease even if the store is slow.
     this->SchedulePoll(aWorker, this->settings.pollWait);
--- a/packages/coordination/src/WorkerPoller.h
+++ b/packages/coordination/src/WorkerPoller.h
@@ -47,7 +47,10 @@
     bool wasPolled = false;
     /// The last poll was answered.
     bool hasAnswered = false;
+    TimePoint answeredAt;
     std::uint64_t acknowledged = 0;
+    /// What the last poll acknowledged.
+    std::uint64_t sentAcknowledgement = 0;
     /// The next poll waits until the processed completions are stored.
     bool isWaitingForStore = false;
     /// Increases with each poll that is scheduled or sent; cancels polls that were scheduled
--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -10,6 +10,8 @@
 constexpr std::chrono::milliseconds kPollStep{ 10 };
 constexpr std::chrono::seconds kLateStartDelay{ 2 };
 constexpr std::chrono::milliseconds kMaxLease{ 6000 };
+/// Time for which a member of a gang waits for the others.
+constexpr std::chrono::milliseconds kGangTimeout{ 3000 };
 constexpr std::size_t kTasksPerWorker = 4;
 constexpr const char* kPrefix = "workers/";
 } // namespace
@@ -42,10 +44,26 @@
 
 void FakeFleet::Kill(const WorkerId& aId)
 {
-  this->workers[aId] = {};
+  this->Restart(aId);
   this->workers[aId].isDown = true;
 }
 
+void FakeFleet::Restart(const WorkerId& aId)
+{
+  std::int64_t incarnation = this->workers[aId].incarnation + 1;
+  this->workers[aId] = {};
+  this->workers[aId].incarnation = incarnation;
+}
+
+std::size_t FakeFleet::CountRuns(const TaskName& aTask) const
+{
+  std::size_t count = 0;
+  for (const auto& [id, worker] : this->workers) {
+    count += worker.running.count(aTask);
+  }
+  return count;
+}
+
 void FakeFleet::SetUnreachable(const WorkerId& aId, bool aIsUnreachable)
 {
   this->workers[aId].isUnreachable = aIsUnreachable;
@@ -101,11 +119,81 @@
   }
   ++this->startedRuns;
   std::uint64_t id = this->nextRunId++;
-  worker.running[aCommand.task] = { aCommand.run, id };
-  this->loop.After(this->runTime,
-                   [this, aId, task = aCommand.task, id, runOutcome = this->outcome] {
-                     this->EndRun(aId, task, id, runOutcome);
-                   });
+  bool isMember = this->gangSize && this->gangSize(aCommand.task) > 0;
+  worker.running[aCommand.task] = { aCommand.run, id, isMember };
+  if (isMember) {
+    this->StartMember(aId, aCommand, id);
+    return;
+  }
+  std::pair<std::optional<Duration>, RunOutcome> plan{ this->runTime, this->outcome };
+  if (this->planRun) {
+    plan = this->planRun(aCommand);
+  }
+  if (plan.first) {
+    this->loop.After(*plan.first, [this, aId, task = aCommand.task, id, end = plan.second] {
+      this->EndRun(aId, task, id, end);
+    });
+  }
+}
+
+void FakeFleet::ForGang(
+  const TaskName& aTask,
+  RunNumber aRun,
+  const std::function<void(const WorkerId&, const TaskName&, std::uint64_t)>& aAction)
+{
+  std::vector<std::tuple<WorkerId, TaskName, std::uint64_t>> members;
+  for (const auto& [id, worker] : this->workers) {
+    for (const auto& [task, run] : worker.running) {
+      if (task.job == aTask.job && task.occurrence == aTask.occurrence && task.step == aTask.step &&
+          run.run == aRun) {
+        members.emplace_back(id, task, run.id);
+      }
+    }
+  }
+  for (const auto& [id, task, run] : members) {
+    aAction(id, task, run);
+  }
+}
+
+void FakeFleet::StartMember(const WorkerId& aId, const StartCommand& aCommand, std::uint64_t aRunId)
+{
+  std::uint32_t present = 0;
+  this->ForGang(aCommand.task, aCommand.run, [&](const WorkerId&, const TaskName&, std::uint64_t) {
+    ++present;
+  });
+  if (present < this->gangSize(aCommand.task)) {
+    this->loop.After(kGangTimeout, [this, aId, aCommand, aRunId] {
+      std::uint32_t left = 0;
+      this->ForGang(aCommand.task,
+                    aCommand.run,
+                    [&left](const WorkerId&, const TaskName&, std::uint64_t) { ++left; });
+      if (left < this->gangSize(aCommand.task)) {
+        this->EndRun(aId, aCommand.task, aRunId, RunOutcome::GangIncomplete);
+      }
+    });
+    return;
+  }
+  std::pair<std::optional<Duration>, RunOutcome> plan{ this->runTime, this->outcome };
+  if (this->planRun) {
+    plan = this->planRun(aCommand);
+  }
+  this->loop.After(
+    plan.first.value_or(this->runTime), [this, aId, aCommand, aRunId, end = plan.second] {
+      auto member = this->workers[aId].running.find(aCommand.task);
+      if (member == this->workers[aId].running.end() || member->second.id != aRunId) {
+        return;
+      }
+      if (end == RunOutcome::Succeeded) {
+        this->ForGang(aCommand.task,
+                      aCommand.run,
+                      [this](const WorkerId& aWorker, const TaskName& aTask, std::uint64_t aRun) {
+                        this->workers[aWorker].running[aTask].isMember = false;
+                        this->EndRun(aWorker, aTask, aRun, RunOutcome::Succeeded);
+                      });
+      } else {
+        this->EndRun(aId, aCommand.task, aRunId, end);
+      }
+    });
 }
 
 void FakeFleet::EndRun(const WorkerId& aId,
@@ -121,9 +209,18 @@
   worker.highestEndedRun[aTask] = run->second.run;
   worker.completions.push_back(
     { worker.nextCompletionNumber++, aTask, run->second.run, aOutcome, "" });
+  Run ended = run->second;
   worker.running.erase(run);
-  if (aOutcome == RunOutcome::Succeeded) {
-    ++this->successes[aTask];
+  this->successes[aTask] += aOutcome == RunOutcome::Succeeded ? 1 : 0;
+  this->failures[aTask] += aOutcome == RunOutcome::Failed ? 1 : 0;
+  if (ended.isMember) {
+    this->ForGang(
+      aTask,
+      ended.run,
+      [this](const WorkerId& aWorker, const TaskName& aMember, std::uint64_t aMemberRun) {
+        this->workers[aWorker].running[aMember].isMember = false;
+        this->EndRun(aWorker, aMember, aMemberRun, RunOutcome::GangBroken);
+      });
   }
 }
 
@@ -138,8 +235,12 @@
     this->loop.After(kNoResponseTimeout, [aDone] { aDone(StartResult::Unknown, false); });
     return;
   }
-  auto execute = [this, id = aWorker.id, aCommand, aLease, aFencingToken] {
+  std::int64_t incarnation = this->workers[aWorker.id].incarnation;
+  auto execute = [this, id = aWorker.id, aCommand, aLease, aFencingToken, incarnation] {
     Worker& worker = this->workers[id];
+    if (worker.incarnation != incarnation) {
+      return StartResult::IncarnationMismatch; // The connection ended with the process.
+    }
     if (worker.isDown || aFencingToken < worker.fencingToken) {
       return StartResult::Unhealthy;
     }
@@ -242,29 +343,30 @@
       return aCompletion.number <= aRequest.lastCompletion;
     });
     if (!isLost) {
-      this->AnswerPoll(id, aRequest, this->loop.Now() + aRequest.wait, aDone);
+      this->AnswerPoll(id, worker.incarnation, aRequest, this->loop.Now() + aRequest.wait, aDone);
     }
   });
 }
 
 void FakeFleet::AnswerPoll(const WorkerId& aId,
+                           std::int64_t aIncarnation,
                            const PollRequest& aRequest,
                            TimePoint aUntil,
                            std::function<void(const Result<WorkerReport>&)> aDone)
 {
   Worker& worker = this->workers[aId];
-  if (!this->IsReachable(aId)) {
+  if (!this->IsReachable(aId) || worker.incarnation != aIncarnation) {
     aDone(Errc::OutcomeUnknown);
     return;
   }
   if (worker.completions.empty() && this->loop.Now() < aUntil) {
-    this->loop.After(kPollStep, [this, aId, aRequest, aUntil, aDone] {
-      this->AnswerPoll(aId, aRequest, aUntil, aDone);
+    this->loop.After(kPollStep, [this, aId, aIncarnation, aRequest, aUntil, aDone] {
+      this->AnswerPoll(aId, aIncarnation, aRequest, aUntil, aDone);
     });
     return;
   }
   WorkerReport report;
-  report.incarnation = 1;
+  report.incarnation = worker.incarnation;
   report.clock = this->Clock();
   report.completions = worker.completions;
   for (const auto& [task, run] : worker.running) {
--- a/packages/coordination/tests/FakeFleet.h
+++ b/packages/coordination/tests/FakeFleet.h
@@ -27,6 +27,8 @@
   void AddWorker(InMemoryStore& aStore, const WorkerId& aId);
   /// Ends the worker's process and all its runs; it no longer answers.
   void Kill(const WorkerId& aId);
+  /// Starts a new process of the worker under its id, which runs and knows nothing.
+  void Restart(const WorkerId& aId);
   /// Sets whether the worker, which keeps running, is unreachable.
   void SetUnreachable(const WorkerId& aId, bool aIsUnreachable);
 
@@ -53,6 +55,11 @@
   std::function<StartFault(const StartCommand&)> startFault;
   /// Outcome of the runs that start from now on.
   RunOutcome outcome = RunOutcome::Succeeded;
+  /// Run time and outcome of each run instead of runTime and outcome; a run whose time is empty
+  /// lasts until it is stopped. Empty for none.
+  std::function<std::pair<std::optional<Duration>, RunOutcome>(const StartCommand&)> planRun;
+  /// Number of members of the task's gang, or 0; empty for no gangs.
+  std::function<std::uint32_t(const TaskName&)> gangSize;
   /// True for a poll that is carried out but whose response is lost; empty for none.
   std::function<bool(const WorkerId&)> isPollResponseLost;
   /// Number of runs that were started, and violated invariants.
@@ -60,17 +67,24 @@
   std::vector<std::string> violations;
   /// Number of successful runs by task.
   std::map<TaskName, int> successes;
+  /// Number of failed runs by task.
+  std::map<TaskName, std::uint32_t> failures;
+  /// Number of the task's runs at present.
+  std::size_t CountRuns(const TaskName& aTask) const;
 
 private:
   struct Run
   {
     RunNumber run = 0;
     std::uint64_t id = 0;
+    /// A member of a gang, which works only while all members are present.
+    bool isMember = false;
   };
   struct Worker
   {
     bool isDown = false;
     bool isUnreachable = false;
+    std::int64_t incarnation = 1;
     Epoch fencingToken = 0;
     TimePoint leaseEnd;
     std::map<TaskName, Run> running;
@@ -88,9 +102,15 @@
               const TaskName& aTask,
               std::uint64_t aRunId,
               RunOutcome aOutcome);
+  /// Calls aAction for each member of the task's gang that belongs to the same run.
+  void ForGang(const TaskName& aTask,
+               RunNumber aRun,
+               const std::function<void(const WorkerId&, const TaskName&, std::uint64_t)>& aAction);
+  void StartMember(const WorkerId& aId, const StartCommand& aCommand, std::uint64_t aRunId);
   void ExtendLease(Worker& aWorker, std::chrono::milliseconds aLease);
   void CheckLeases();
   void AnswerPoll(const WorkerId& aId,
+                  std::int64_t aIncarnation,
                   const PollRequest& aRequest,
                   TimePoint aUntil,
                   std::function<void(const Result<WorkerReport>&)> aDone);
--- a/packages/coordination/tests/InMemoryStore.cpp
+++ b/packages/coordination/tests/InMemoryStore.cpp
@@ -49,7 +49,8 @@
         continue;
       }
       bytes += key.size() + item.value.size();
-      if (this->maxResponseBytes > 0 && bytes > this->maxResponseBytes) {
+      bool isTooLong = this->maxResponseBytes > 0 && bytes > this->maxResponseBytes;
+      if (page.items.size() == this->pageSize || isTooLong) {
         page.hasMore = true;
         break;
       }
--- a/packages/coordination/tests/InMemoryStore.h
+++ b/packages/coordination/tests/InMemoryStore.h
@@ -68,6 +68,8 @@
   /// While true, no call is carried out or answered, and the waiting watches are lost: the callers
   /// get OutcomeUnknown when the platform adapter's timeouts have passed.
   bool isSilent = false;
+  /// Most items in a page.
+  std::size_t pageSize = 500;
   Duration lateDelay = std::chrono::seconds(2);
   Duration responseTime = std::chrono::milliseconds(4);
   /// Number of applied transactions.
--- a/packages/coordination/tests/WorkerPollerTest.cpp
+++ b/packages/coordination/tests/WorkerPollerTest.cpp
@@ -114,6 +114,23 @@
   EXPECT_EQ(this->gateway.acknowledged.back(), 1U);
 }
 
+// Guards against the same while no poll is open, since the store takes long: nothing shows that the
+// worker has restarted meanwhile.
+TEST_F(WorkerPollerTest, WorkerThatMayHaveRestartedDuringAWaitForTheStoreIsSentNoAcknowledgement)
+{
+  this->Respond(ReportOf(1, 3));
+  this->loop.RunFor(milliseconds(600));
+  this->poller.Acknowledge({ { kWorker, 1, 3 } });
+  EXPECT_EQ(this->gateway.acknowledged.back(), 0U);
+  this->Respond(ReportOf(1, 4));
+  EXPECT_EQ(this->gateway.acknowledged.back(), 3U) << "the same process has answered";
+  this->Respond(ReportOf(1, 4));
+  this->loop.RunFor(milliseconds(600));
+  this->poller.Acknowledge({ { kWorker, 1, 4 } });
+  this->Respond(ReportOf(2, 1));
+  EXPECT_EQ(this->gateway.acknowledged.back(), 0U);
+}
+
 TEST_F(WorkerPollerTest, AcknowledgementIsRepeatedAfterALostResponse)
 {
   this->Respond(ReportOf(1, 3));
