A group finds a new leader after the leader's key was removed during a campaign

Cause: an instance that learns that the leader's key is gone does not campaign while a campaign of its own is in flight. That campaign then fails on the removed key, and after such a conflict nothing followed. With a slow store this can happen to all instances after a leader was killed; then nobody led for good: nothing runs, and the state of jobs is not known. Change: after a conflict, as after any other failed campaign, the instance campaigns again if it then knows no leader. Ruled out: to campaign each second without a leader, which would hide which event is missed.

--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -336,7 +336,9 @@
     } else if (aRevision.Error() == make_error_code(Errc::LeaseExpired)) {
       this->lease = 0;
       this->AcquireLease();
-    } else if (aRevision.Error() != make_error_code(Errc::Conflict)) {
+    } else {
+      // After a conflict there may be no leader either: the key may have been removed meanwhile,
+      // while this campaign kept another from starting.
       this->loop.After(kStoreRetryDelay, [this] {
         if (!this->leader) {
           this->Campaign();
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -227,6 +227,27 @@
   this->ExpectAllCompleted({ "job" }, (leader + 1) % 3, seconds(5));
 }
 
+// Guards against a group without a leader: the leader's key was removed while all others had a
+// campaign for it in flight, and none campaigned again.
+TEST_F(ClusterTest, KeyThatIsRemovedDuringAllCampaignsIsTakenByANewLeader)
+{
+  int leader = this->LeaderNumber();
+  this->store.responseTime = milliseconds(270);
+  this->KillInstance(leader);
+  for (const auto& [number, instance] : this->instances) {
+    JobDefinition job;
+    job.id = "job" + std::to_string(number);
+    job.queue = "queue";
+    // Its notice finds that the leader's process has ended.
+    instance->Submit(job, seconds(2), [](SubmitOutcome) {});
+  }
+  this->loop.RunFor(milliseconds(400));
+  ASSERT_NE(this->store.Value("daisydrift/group/leader"), "");
+  this->store.Remove("daisydrift/group/leader");
+  this->loop.RunFor(seconds(5));
+  EXPECT_GE(this->LeaderNumber(), 0);
+}
+
 // A single lost response of the store is not a refusal.
 TEST_F(ClusterTest, LeaderIsKeptWhileTheStoreLosesResponses)
 {
