An instance whose term has ended campaigns again after a lost campaign

Cause: a campaign without a response is settled by a read of the leader's record. When that read gave the record of the instance's own ended term, nothing followed. The instance goes on renewing the lease of that record, so the store named a leader that did not act, and the others saw its process alive: nobody led for good. Change: when the read shows no election and no leader is known, the instance campaigns again; the conditions of the write admit one winner. Ruled out: letting the record go with the lease, as this takes a lease's time and a second election.

--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -373,7 +373,8 @@
         LeaderRecord elected = aRecord;
         elected.revision = (*aItem)->revision;
         this->BecomeLeader(elected);
-      } else if (!*aItem && !this->leader) {
+      } else if (!this->leader) {
+        // There is no record, or the one of this instance's ended term.
         this->CampaignAfterDelay();
       }
     });
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -248,6 +248,24 @@
   EXPECT_GE(this->LeaderNumber(), 0);
 }
 
+// Guards against a leader that the store names and that does not act: its term has ended, and its
+// new campaign was lost.
+TEST_F(ClusterTest, LeaderWhoseTermHasEndedCampaignsAgainAfterALostCampaign)
+{
+  bool isLost = false;
+  this->store.lateDelay = std::chrono::hours(1);
+  this->store.commitFault = [&isLost](const KeyValueTransaction& aTransaction) {
+    bool isFirstCampaign = !isLost && aTransaction.puts[0].key == "daisydrift/group/leader";
+    isLost = isLost || isFirstCampaign;
+    return isFirstCampaign ? CommitFault::AppliedLate : CommitFault::None;
+  };
+  this->store.Put("daisydrift/guards/1/0", "other"); // Ends the term with the next record.
+  ASSERT_EQ(this->Submit(0, "job", 2), SubmitOutcome::Accepted);
+  this->loop.RunFor(milliseconds(100));
+  ASSERT_TRUE(isLost);
+  this->ExpectAllCompleted({ "job" }, 0, seconds(5));
+}
+
 // A single lost response of the store is not a refusal.
 TEST_F(ClusterTest, LeaderIsKeptWhileTheStoreLosesResponses)
 {
