A new leader waits for the leases that leaders ask for, not for the longest that workers grant

Cause: a new leader took it that earlier ones had asked for the longest lease that workers grant, from the start of its term, and from a worker's first report. No leader asks for more than 5 s. Change: the key group/leases tells the longest lease that leaders up to a term have asked for, and whether all before that term have ended; a candidate writes it in its election. A worker that has answered in the term can't have got a later lease from an earlier leader, since its fencing number is raised: the wait counts from that answer. For a worker that has not answered, the wait is short once the last leader's process answers with another incarnation, or says that its term is over, and those before it are known to have ended. In all other cases it is as long as before. A leader counts a worker's clock as 2% slow when it asks for a lease, so that the lease is never longer there. term_begins has longest_earlier_lease_ms; earlier_leaders_ended, leases_not_stored are new.

--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -359,7 +359,8 @@
     return;
   }
   if (aMethod == "ping") {
-    aReply(json{ { "incarnation", self.membership.Incarnation() } });
+    Epoch endedTerm = self.leader ? 0 : self.membership.LastHeldTerm();
+    aReply(json{ { "incarnation", self.membership.Incarnation() }, { "ended_term", endedTerm } });
     return;
   }
   if (aMethod == "suspect") {
--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -2,6 +2,8 @@
 
 #include "RecordCodec.h"
 
+#include <string_view>
+
 namespace daisydrift::coordination {
 
 namespace {
@@ -21,14 +23,20 @@
 constexpr std::chrono::seconds kPurgeInterval{ 1 };
 /// Time between log lines that summarize the load.
 constexpr std::chrono::seconds kSummaryInterval{ 1 };
+/// Response time limit of the previous leader's process, and the time between calls to it.
+constexpr std::chrono::milliseconds kEarlierLeaderTimeout{ 300 };
+constexpr std::chrono::milliseconds kEarlierLeaderInterval{ 100 };
+/// Delay before the record of the leaders' leases is written again.
+constexpr std::chrono::seconds kLeasesRetryDelay{ 1 };
 /// Run numbers reserved for each task and term, so that the numbers of a later term are always
 /// higher.
 constexpr RunNumber kRunsPerTerm = 1000;
 
-DispatchSettings SettingsForTerm(const InstanceSettings& aSettings, Epoch aTerm)
+DispatchSettings SettingsForTerm(const InstanceSettings& aSettings, const LeaderRecord& aRecord)
 {
   DispatchSettings settings = aSettings.dispatch;
-  settings.firstRunNumber = (aTerm - 1) * kRunsPerTerm + 1;
+  settings.firstRunNumber = (aRecord.term - 1) * kRunsPerTerm + 1;
+  settings.longestEarlierLease = LongestLease(aRecord.earlier, aSettings);
   return settings;
 }
 
@@ -41,7 +49,7 @@
   , record(aRecord)
   , onTermEnded(std::move(aOnTermEnded))
 {
-  this->dispatcher = std::make_unique<Dispatcher>(SettingsForTerm(this->env.settings, aRecord.term),
+  this->dispatcher = std::make_unique<Dispatcher>(SettingsForTerm(this->env.settings, aRecord),
                                                   this->env.loop.Now());
   this->recordWriter = std::make_unique<RecordWriter>(
     this->env.loop,
@@ -110,9 +118,87 @@
 
 void Leader::Start()
 {
-  LogLine(LogLevel::Info, "term_begins").Add("term", this->record.term);
+  LogLine(LogLevel::Info, "term_begins")
+    .Add("term", this->record.term)
+    .Add("longest_earlier_lease_ms", this->record.earlier.longestLease);
   this->env.metrics.Count("terms_total");
   this->LoadProgress();
+  if (this->record.term > 1) {
+    const DispatchSettings& dispatch = this->env.settings.dispatch;
+    this->After(dispatch.leaseMargin +
+                  std::chrono::ceil<Duration>(dispatch.maxLease * (1 + dispatch.maxClockDrift)),
+                [this] { this->OnEarlierLeadersEnded("time"); });
+    this->CheckEarlierLeader();
+  }
+}
+
+void Leader::CheckEarlierLeader()
+{
+  const EarlierLeaders& earlier = this->record.earlier;
+  if (this->haveEarlierLeadersEnded || !earlier.haveEndedButLast || earlier.incarnation.empty()) {
+    return;
+  }
+  if (earlier.name == this->record.name) {
+    this->OnEarlierLeadersEnded("own_process");
+    return;
+  }
+  this->env.peers.Call(
+    earlier.endpoint,
+    "ping",
+    nlohmann::json::object(),
+    kEarlierLeaderTimeout,
+    [this, alive = this->isAlive](const Result<nlohmann::json>& aResponse) {
+      if (!*alive || this->hasEnded) {
+        return;
+      }
+      const EarlierLeaders& last = this->record.earlier;
+      std::string incarnation = aResponse ? aResponse->value("incarnation", "") : "";
+      // A refused call proves nothing: a connection may be refused on the way.
+      bool isRestarted =
+        incarnation != last.incarnation && incarnation.rfind(last.name + "@", 0) == 0;
+      bool hasEndedTerm = incarnation == last.incarnation &&
+                          aResponse->value("ended_term", Epoch(0)) + 1 >= this->record.term;
+      if (isRestarted || hasEndedTerm) {
+        this->OnEarlierLeadersEnded(isRestarted ? "restarted" : "ended_term");
+        return;
+      }
+      this->After(kEarlierLeaderInterval, [this] { this->CheckEarlierLeader(); });
+    });
+}
+
+void Leader::OnEarlierLeadersEnded(const char* aSource)
+{
+  bool isByTime = std::string_view(aSource) == "time";
+  if (!this->haveEarlierLeadersEnded) {
+    LogLine(LogLevel::Info, "earlier_leaders_ended")
+      .Add("term", this->record.term)
+      .Add("source", aSource);
+    this->dispatcher->OnEarlierLeadersEnded(this->env.loop.Now());
+    this->haveEarlierLeadersEnded = true;
+  }
+  const InstanceSettings& settings = this->env.settings;
+  Duration own = OwnLease(settings);
+  // All leases of earlier leaders are over as well after that time.
+  this->StoreLeases(isByTime ? own : std::max(own, LongestLease(this->record.earlier, settings)));
+}
+
+void Leader::StoreLeases(Duration aLongest)
+{
+  KeyValueTransaction transaction;
+  transaction.conditions = { { this->env.settings.storePrefix + "group/leader",
+                               this->record.revision } };
+  transaction.puts = { LeasesItem(this->env.settings, this->record.term, aLongest, true) };
+  this->env.store.Commit(
+    transaction, [this, alive = this->isAlive, aLongest](const Result<std::uint64_t>& aRevision) {
+      if (!*alive || this->hasEnded || aRevision ||
+          aRevision.Error() == make_error_code(Errc::Conflict)) {
+        return;
+      }
+      LogLine(LogLevel::Warning, "leases_not_stored")
+        .Add("term", this->record.term)
+        .Add("error", aRevision.Error());
+      this->After(kLeasesRetryDelay, [this, aLongest] { this->StoreLeases(aLongest); });
+    });
 }
 
 void Leader::ApplyWorker(const std::string& aKey, const std::optional<std::string>& aValue)
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -74,6 +74,12 @@
                   const std::function<void(const KeyValueItem&)>& aOnItem,
                   const std::function<void(std::uint64_t)>& aOnDone);
   void ReadNextPage(const PagedRead& aRead);
+  /// Asks the previous leader's process, until it answers, whether its term has ended.
+  void CheckEarlierLeader();
+  /// No earlier leader extends leases any more.
+  void OnEarlierLeadersEnded(const char* aSource);
+  /// Stores that no earlier leader extends leases, and the longest lease that may be in force.
+  void StoreLeases(Duration aLongest);
   void LoadProgress();
   void LoadDefinitions();
   void LoadWorkers();
@@ -121,6 +127,7 @@
   std::unique_ptr<AdviceRequestSlots> adviceSlots;
   std::unique_ptr<MaintenanceController> maintenance;
   bool isRecovered = false;
+  bool haveEarlierLeadersEnded = false;
   bool hasEnded = false;
   bool isRoundScheduled = false;
   /// Used only during recovery.
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -13,6 +13,7 @@
 constexpr const char* kMembersPrefix = "members/";
 constexpr const char* kLeaderKey = "leader";
 constexpr const char* kTermKey = "term";
+constexpr const char* kLeasesKey = "leases";
 /// Delay before a failed store call is repeated.
 constexpr std::chrono::milliseconds kStoreRetryDelay{ 200 };
 /// A call that fails within this time was refused; a lost response shows only after a longer
@@ -36,12 +37,39 @@
 }
 } // namespace
 
+KeyValueTransaction::Put LeasesItem(const InstanceSettings& aSettings,
+                                    Epoch aTerm,
+                                    Duration aLongestLease,
+                                    bool aHaveEarlierEnded)
+{
+  json record{ { "term", aTerm },
+               { "longest_us", aLongestLease.count() },
+               { "earlier_ended", aHaveEarlierEnded } };
+  return { aSettings.storePrefix + "group/" + kLeasesKey, record.dump(), 0 };
+}
+
+Duration OwnLease(const InstanceSettings& aSettings)
+{
+  return std::min(aSettings.dispatch.lease, aSettings.dispatch.maxLease);
+}
+
+Duration LongestLease(const EarlierLeaders& aEarlier, const InstanceSettings& aSettings)
+{
+  return aEarlier.longestLease > Duration(0) ? aEarlier.longestLease : aSettings.dispatch.maxLease;
+}
+
 json ToJson(const LeaderRecord& aLeader)
 {
   return { { "name", aLeader.name },
            { "endpoint", EndpointText(aLeader.endpoint) },
            { "incarnation", aLeader.incarnation },
-           { "term", aLeader.term } };
+           { "term", aLeader.term },
+           { "earlier",
+             { { "longest_us", aLeader.earlier.longestLease.count() },
+               { "ended_but_last", aLeader.earlier.haveEndedButLast },
+               { "name", aLeader.earlier.name },
+               { "endpoint", EndpointText(aLeader.earlier.endpoint) },
+               { "incarnation", aLeader.earlier.incarnation } } } };
 }
 
 std::optional<LeaderRecord> LeaderRecordFromJson(const json& aRecord)
@@ -53,6 +81,16 @@
   leader.name = aRecord.value("name", "");
   leader.incarnation = aRecord.value("incarnation", "");
   leader.term = aRecord.value("term", Epoch(0));
+  json earlier = aRecord.value("earlier", json::object());
+  if (earlier.is_object() &&
+      ParseEndpoint(earlier.value("endpoint", ""), leader.earlier.endpoint)) {
+    leader.earlier.incarnation = earlier.value("incarnation", "");
+    leader.earlier.name = earlier.value("name", "");
+  }
+  if (earlier.is_object()) {
+    leader.earlier.longestLease = Duration(earlier.value("longest_us", Duration::rep(0)));
+    leader.earlier.haveEndedButLast = earlier.value("ended_but_last", false);
+  }
   return leader;
 }
 
@@ -209,6 +247,13 @@
     }
     return;
   }
+  if (relativeKey == kLeasesKey) {
+    bool isValid = record && record->is_object();
+    this->leasesTerm = isValid ? record->value("term", Epoch(0)) : 0;
+    this->longestLease = Duration(isValid ? record->value("longest_us", Duration::rep(0)) : 0);
+    this->haveEarlierEnded = isValid && record->value("earlier_ended", false);
+    return;
+  }
   if (relativeKey == kLeaderKey) {
     if (!aValue) {
       this->leaderRevision = 0;
@@ -262,6 +307,9 @@
   bool isSame = aLeader && this->leader && aLeader->incarnation == this->leader->incarnation &&
                 aLeader->term == this->leader->term;
   this->leader = std::move(aLeader);
+  if (this->leader) {
+    this->lastLeader = this->leader;
+  }
   if (isSame) {
     return;
   }
@@ -317,14 +365,19 @@
     return;
   }
   this->isCampaigning = true;
-  LeaderRecord record{
-    this->settings.name, this->settings.peerEndpoint, this->incarnation, this->term + 1, 0
-  };
+  LeaderRecord record{ this->settings.name,
+                       this->settings.peerEndpoint,
+                       this->incarnation,
+                       this->term + 1,
+                       this->KnownLeaders() };
+  Duration longest =
+    std::max(OwnLease(this->settings), LongestLease(record.earlier, this->settings));
   KeyValueTransaction transaction;
   transaction.conditions = { { this->prefix + kLeaderKey, this->leaderRevision },
                              { this->prefix + kTermKey, this->termRevision } };
   transaction.puts = { { this->prefix + kLeaderKey, ToJson(record).dump(), this->lease },
-                       { this->prefix + kTermKey, json(record.term).dump(), 0 } };
+                       { this->prefix + kTermKey, json(record.term).dump(), 0 },
+                       LeasesItem(this->settings, record.term, longest, record.term == 1) };
   this->store.Commit(transaction, [this, record](const Result<std::uint64_t>& aRevision) {
     this->isCampaigning = false;
     if (aRevision) {
@@ -361,6 +414,27 @@
   this->hooks.onElected(aElected);
 }
 
+EarlierLeaders Membership::KnownLeaders() const
+{
+  EarlierLeaders known;
+  if (this->term == 0) {
+    known.longestLease = OwnLease(this->settings);
+    known.haveEndedButLast = true;
+    return known;
+  }
+  // A leader of a version without this record changes only the term.
+  if (this->leasesTerm == this->term) {
+    known.longestLease = this->longestLease;
+    known.haveEndedButLast = this->haveEarlierEnded;
+  }
+  if (this->lastLeader && this->lastLeader->term == this->term) {
+    known.name = this->lastLeader->name;
+    known.endpoint = this->lastLeader->endpoint;
+    known.incarnation = this->lastLeader->incarnation;
+  }
+  return known;
+}
+
 void Membership::ConfirmElection(const LeaderRecord& aRecord)
 {
   this->store.Read(
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -9,6 +9,19 @@
 
 namespace daisydrift::coordination {
 
+/// What a candidate knows of the leaders before it, as it campaigns.
+struct EarlierLeaders
+{
+  /// Longest lease on workers that they have asked for; 0 when that is not known.
+  Duration longestLease{ 0 };
+  /// None of them extends leases any more, except perhaps the last one.
+  bool haveEndedButLast = false;
+  /// The last one; its incarnation is empty when it is not known.
+  std::string name;
+  SocketEndpoint endpoint;
+  std::string incarnation;
+};
+
 /// The current leader, as far as this instance knows.
 struct LeaderRecord
 {
@@ -17,6 +30,7 @@
   /// Unique for each start of a process.
   std::string incarnation;
   Epoch term = 0;
+  EarlierLeaders earlier;
   /// Revision of the leader key; 0 when the record came from another instance.
   std::uint64_t revision = 0;
 };
@@ -66,6 +80,8 @@
   TimePoint LeaderSince() const { return this->leaderSince; }
   const std::map<std::string, MemberRecord>& Members() const { return this->members; }
   const std::string& Incarnation() const { return this->incarnation; }
+  /// Last term in which this instance led; 0 for none.
+  Epoch LastHeldTerm() const { return this->lastHeldTerm; }
   /// Tracks from the result of a store call whether the store is available.
   void OnStoreResult(std::error_code aError);
   /// True when the store has answered the last call.
@@ -96,6 +112,8 @@
   /// Campaigns at once if the leader is an earlier process of this instance, which has ended.
   void ReclaimLeadership();
   void ConfirmElection(const LeaderRecord& aRecord);
+  /// The leaders until now.
+  EarlierLeaders KnownLeaders() const;
   /// Starts this instance's leadership with that record.
   void BecomeLeader(const LeaderRecord& aElected);
   void ProbeLeader(int aAttemptsLeft);
@@ -124,6 +142,13 @@
   std::uint64_t leaderRevision = 0;
   Epoch term = 0;
   std::uint64_t termRevision = 0;
+  /// Stored for the leaders up to leasesTerm: their longest lease, and whether all but the last
+  /// have ended.
+  Duration longestLease{ 0 };
+  bool haveEarlierEnded = false;
+  Epoch leasesTerm = 0;
+  /// The last leader that was known.
+  std::optional<LeaderRecord> lastLeader;
   /// Last term in which this instance led, and the last one that ended without Resign.
   Epoch lastHeldTerm = 0;
   Epoch lastLostTerm = 0;
@@ -131,6 +156,19 @@
   RangeFollower range;
 };
 
+/// The record of the longest lease that leaders up to aTerm have asked for, and of whether all
+/// before aTerm have ended. It outlives the leaders' own records.
+KeyValueTransaction::Put LeasesItem(const InstanceSettings& aSettings,
+                                    Epoch aTerm,
+                                    Duration aLongestLease,
+                                    bool aHaveEarlierEnded);
+
+/// Lease on workers that an instance asks for when it leads.
+Duration OwnLease(const InstanceSettings& aSettings);
+
+/// Longest lease on workers that an earlier leader may have asked for.
+Duration LongestLease(const EarlierLeaders& aEarlier, const InstanceSettings& aSettings);
+
 /// JSON of a leader record, for the leader key and for announcements.
 nlohmann::json ToJson(const LeaderRecord& aLeader);
 std::optional<LeaderRecord> LeaderRecordFromJson(const nlohmann::json& aRecord);
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -123,6 +123,7 @@
   settings.peerEndpoint = { "10.0.0.1", static_cast<unsigned short>(9000 + aNumber) };
   settings.operatorPrefix = "operators/";
   settings.workerPrefix = "workers/";
+  settings.dispatch = this->dispatch;
   PlatformDecoders decoders{
     ConfigFrom, ParseFakeWorker, "operators/config", "operators/drain/", "", nullptr, "", nullptr
   };
@@ -163,6 +164,7 @@
   step.taskCount = aTasks;
   step.size = { 1000, 100, 0 };
   step.estimate = milliseconds(600);
+  step.isService = this->isServiceSubmitted;
   job.steps.push_back(step);
   job.acceptedAt = this->loop.WallClockNow();
   std::optional<SubmitOutcome> outcome;
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -70,6 +70,10 @@
   Result<DispatchState> State(int aInstance, const JobId& aId);
   std::error_code Cancel(int aInstance, const JobId& aId);
 
+  /// Timing of the dispatchers of the instances that start from now on.
+  DispatchSettings dispatch;
+  /// The jobs that are submitted from now on are services.
+  bool isServiceSubmitted = false;
   VirtualLoop loop;
   InMemoryStore store;
   FakeFleet fleet;
--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -9,7 +9,6 @@
 constexpr std::chrono::milliseconds kPollTimeout{ 200 };
 constexpr std::chrono::milliseconds kPollStep{ 10 };
 constexpr std::chrono::seconds kLateStartDelay{ 2 };
-constexpr std::chrono::milliseconds kMaxLease{ 6000 };
 /// Time for which a member of a gang waits for the others.
 constexpr std::chrono::milliseconds kGangTimeout{ 3000 };
 constexpr std::size_t kTasksPerWorker = 4;
@@ -82,7 +81,8 @@
 
 void FakeFleet::ExtendLease(Worker& aWorker, std::chrono::milliseconds aLease)
 {
-  std::chrono::milliseconds lease = std::min(aLease, this->Clock() + kMaxLease);
+  auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(this->maxLease);
+  std::chrono::milliseconds lease = std::min(aLease, this->Clock() + longest);
   aWorker.leaseEnd = std::max(aWorker.leaseEnd, TimePoint(lease));
 }
 
--- a/packages/coordination/tests/FakeFleet.h
+++ b/packages/coordination/tests/FakeFleet.h
@@ -31,6 +31,7 @@
   void Restart(const WorkerId& aId);
   /// Sets whether the worker, which keeps running, is unreachable.
   void SetUnreachable(const WorkerId& aId, bool aIsUnreachable);
+  std::size_t CountRuns(const WorkerId& aId) const { return this->workers.at(aId).running.size(); }
 
   void Start(const WorkerListing& aWorker,
              const StartCommand& aCommand,
@@ -50,6 +51,8 @@
             Epoch aFencingToken,
             std::function<void(const Result<WorkerReport>&)> aDone) override;
 
+  /// Longest lease that a worker grants.
+  Duration maxLease = std::chrono::milliseconds(6000);
   /// Run time of each task.
   Duration runTime = std::chrono::milliseconds(600);
   std::function<StartFault(const StartCommand&)> startFault;
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
@@ -25,6 +25,13 @@
   Duration lease = std::chrono::milliseconds(5000);
   /// Longest lease that a worker grants; defined by the platform.
   Duration maxLease = std::chrono::milliseconds(6000);
+  /// Longest lease that earlier leaders have asked for; maxLease when that is not known.
+  Duration longestEarlierLease = std::chrono::milliseconds(6000);
+  /// Time after its start from which a worker carries out no command that was meant for an earlier
+  /// incarnation: the clock starts anew, so such a command may ask for a far longer lease than the
+  /// leader meant. Covers a command that is carried out 12 s late, and the time until the leader
+  /// knows of the restart.
+  Duration incarnationSettleTime = std::chrono::seconds(15);
   /// Greatest rate by which a worker's clock runs slower than ours, as a fraction; guaranteed by
   /// the platform.
   double maxClockDrift = 0.02;
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -67,6 +67,9 @@
 
   /// Adds a worker that the platform's directory lists, or updates its entry.
   void ListWorker(const WorkerListing& aListing);
+  /// No earlier leader extends leases from now on. Without this call they are assumed to have begun
+  /// no lease after the start of the term, but to have asked for the longest that workers grant.
+  void OnEarlierLeadersEnded(TimePoint aNow);
   /// The directory no longer lists the worker. Its runs stay counted until their lease expires.
   void UnlistWorker(const WorkerId& aWorker);
   /// Processes a worker's response to a poll that was sent at aSentAt.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -25,6 +25,7 @@
 Dispatcher::Impl::Impl(const DispatchSettings& aSettings, TimePoint aTermStart)
   : settings(aSettings)
   , termStart(aTermStart)
+  , restoredLeaseBound(aTermStart + aSettings.maxLease + aSettings.leaseMargin)
   , state(this->settings)
   , reliability(this->state)
   , placement(this->state, this->reliability)
@@ -73,9 +74,7 @@
 {
   Worker& worker = this->impl->state.EnsureWorker(aListing.id);
   if (!worker.hasReported && worker.leaseExpiryBound == TimePoint()) {
-    // An earlier leader may have extended leases on this worker until this term began.
-    worker.leaseExpiryBound =
-      this->impl->termStart + this->impl->settings.maxLease + this->impl->settings.leaseMargin;
+    worker.leaseExpiryBound = this->impl->restoredLeaseBound;
   }
   if (worker.isListed && aListing.isDraining && !worker.listing.isDraining) {
     LogLine(LogLevel::Info, "worker_draining")
@@ -86,6 +85,20 @@
   worker.isListed = true;
 }
 
+void Dispatcher::OnEarlierLeadersEnded(TimePoint aNow)
+{
+  const DispatchSettings& settings = this->impl->settings;
+  Duration longest = std::min(settings.longestEarlierLease, settings.maxLease);
+  TimePoint bound = aNow + settings.leaseMargin +
+                    std::chrono::ceil<Duration>(longest * (1 + settings.maxClockDrift));
+  this->impl->restoredLeaseBound = std::min(this->impl->restoredLeaseBound, bound);
+  for (auto& [id, worker] : this->impl->state.workers) {
+    if (!worker->hasReported) {
+      worker->leaseExpiryBound = std::min(worker->leaseExpiryBound, bound);
+    }
+  }
+}
+
 void Dispatcher::UnlistWorker(const WorkerId& aWorker)
 {
   Worker* worker = this->impl->state.FindWorker(aWorker);
@@ -95,6 +108,15 @@
   }
 }
 
+Duration Dispatcher::Impl::LongestLeaseBefore(std::chrono::milliseconds aClock) const
+{
+  // The poll that led to the report has raised the fencing token, so no earlier leader has extended
+  // a lease since.
+  Duration longest = std::min(this->settings.longestEarlierLease, this->settings.maxLease);
+  bool isSettled = aClock > this->settings.incarnationSettleTime + longest;
+  return isSettled ? longest : this->settings.maxLease;
+}
+
 void Dispatcher::OnReport(const WorkerId& aWorker,
                           const WorkerReport& aReport,
                           TimePoint aSentAt,
@@ -108,9 +130,8 @@
     this->impl->OnIncarnationChange(*worker, aReport.incarnation);
   }
   if (!worker->hasReported) {
-    // An earlier leader may have extended leases on this worker just before this report.
-    worker->maxLeaseEnd = aReport.clock + std::chrono::duration_cast<std::chrono::milliseconds>(
-                                            this->impl->settings.maxLease);
+    worker->maxLeaseEnd = aReport.clock + std::chrono::ceil<std::chrono::milliseconds>(
+                                            this->impl->LongestLeaseBefore(aReport.clock));
   }
   worker->hasReported = true;
   worker->isUnresponsive = false;
@@ -150,8 +171,10 @@
   using Milliseconds = std::chrono::milliseconds;
   const DispatchSettings& settings = this->impl->settings;
   Duration lease = std::min(settings.lease, settings.maxLease);
-  auto end =
-    worker->clock + std::chrono::duration_cast<Milliseconds>(aNow - worker->reportedAt + lease);
+  // The least time that has passed on the worker's clock, so that the lease is never longer there.
+  auto passed = std::chrono::duration_cast<Duration>((aNow - worker->reportedAt) /
+                                                     (1 + settings.maxClockDrift));
+  auto end = worker->clock + std::chrono::duration_cast<Milliseconds>(passed + lease);
   worker->sentLeaseEnd = std::max(worker->sentLeaseEnd, end);
   worker->maxLeaseEnd = std::max(worker->maxLeaseEnd, worker->sentLeaseEnd);
   Duration left = worker->maxLeaseEnd - worker->clock;
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -29,6 +29,9 @@
   void CloseAttempt(dispatch::Attempt& aAttempt);
   /// Adopts a reported run that has no attempt here, or stops it.
   void OnUnknownRun(dispatch::Worker& aWorker, const RunningTask& aRunning, TimePoint aNow);
+  /// Longest lease, from its first report in this term, that earlier leaders may have given a
+  /// worker with that clock.
+  Duration LongestLeaseBefore(std::chrono::milliseconds aClock) const;
   /// Handles the first report of a new incarnation of the worker.
   void OnIncarnationChange(dispatch::Worker& aWorker, std::int64_t aIncarnation);
   void CloseExpiredAttempts(dispatch::Worker& aWorker, TimePoint aNow);
@@ -63,6 +66,8 @@
 
   DispatchSettings settings;
   TimePoint termStart;
+  /// Time by which the leases on a worker that has not reported in this term have expired.
+  TimePoint restoredLeaseBound;
   /// Wall clock time of the newest scheduling round or restored job.
   WallTime wall;
   dispatch::FleetState state;
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -109,8 +109,7 @@
       }
       Worker& worker = state.EnsureWorker(open.worker);
       if (worker.leaseExpiryBound == TimePoint()) {
-        worker.leaseExpiryBound =
-          this->impl->termStart + this->impl->settings.maxLease + this->impl->settings.leaseMargin;
+        worker.leaseExpiryBound = this->impl->restoredLeaseBound;
       }
       Attempt& attempt = state.AddAttempt(step, open.index, worker, open.run, aNow);
       attempt.state = AttemptState::Restored;
--- a/packages/dispatch/tests/WorkerRulesTest.cpp
+++ b/packages/dispatch/tests/WorkerRulesTest.cpp
@@ -3,6 +3,7 @@
 #include "DispatcherFixture.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace daisydrift {
 namespace {
@@ -201,5 +202,70 @@
   EXPECT_LT(this->now - begin, kMaxTargetViolation);
 }
 
+/// Workers that would grant leases of 10 s; leaders have asked for 5 s.
+class RestoredRunTest : public WorkerRulesTest
+{
+protected:
+  /// Time from the only report of a worker with a restored run until the run's task starts
+  /// elsewhere.
+  Duration TimeUntilRestart(milliseconds aWorkerClock)
+  {
+    this->settings.maxLease = seconds(10);
+    this->settings.longestEarlierLease = seconds(5);
+    this->workerClock = aWorkerClock;
+    Dispatcher& restored = this->next.emplace(this->settings, this->now);
+    restored.SetPolicy(this->policy);
+    for (const char* id : { "w1", "w2" }) {
+      this->AddWorker(id);
+      restored.ListWorker(*this->dispatcher.FindWorker(id));
+    }
+    JobProgress progress;
+    progress.state = DispatchState::Running;
+    progress.steps.resize(1);
+    progress.steps[0].open.push_back({ 0, 1, "w1" });
+    restored.RestoreJob(Job("job", 1), progress, this->now, this->wall);
+    RunningTask running;
+    running.task = { "job", 0, 0, 0 };
+    running.run = 1;
+    TimePoint lostAt = this->now;
+    this->ReportToNext("w1", { running });
+    restored.OnPollFailed("w1", false, this->now);
+    while (this->now - lostAt < seconds(20)) {
+      this->Advance(milliseconds(50));
+      this->ReportToNext("w2", {});
+      if (!restored.Decide(this->now, this->wall, this->requestSlots).starts.empty()) {
+        break;
+      }
+    }
+    return this->now - lostAt;
+  }
+
+private:
+  void ReportToNext(const WorkerId& aWorker, std::vector<RunningTask> aRunning)
+  {
+    WorkerReport report;
+    report.incarnation = 1;
+    report.clock = this->workerClock;
+    report.running = std::move(aRunning);
+    this->next->OnReport(aWorker, report, this->now, this->now);
+  }
+
+  std::optional<Dispatcher> next;
+};
+
+// Guards against two runs of one task: a command for the worker's earlier incarnation has a lease
+// end on the earlier clock, and gives the new one the longest lease.
+TEST_F(RestoredRunTest, AWorkerThatStartedShortlyBeforeMayHaveTheLongestLease)
+{
+  EXPECT_GE(this->TimeUntilRestart(milliseconds(1500)), seconds(10));
+}
+
+TEST_F(RestoredRunTest, AWorkerThatStartedLongBeforeHasNoLongerLeaseThanLeadersAskFor)
+{
+  Duration time = this->TimeUntilRestart(milliseconds(60000));
+  EXPECT_GE(time, std::chrono::duration_cast<Duration>(seconds(5) * 1.02));
+  EXPECT_LT(time, seconds(6));
+}
+
 } // namespace
 } // namespace daisydrift
