Services that wait long get advice ahead of a backlog

What callers saw: lasting tasks stood still for up to 20 s during a burst of the first priority, with a third of the capacity free. Cause: requests for advice are made in the order of scheduling; on 350 workers a round considers 11 steps, and on a small fleet the backlog takes all request slots, so the services' turn never came. Evidence: load with steps_passed_over 700 to 2100, questions 10 to 20 of 44 slots, longest_service_wait_ms up to 20177. Change: while a service has waited for a second, each round considers one such service more, and a sixth of the request slots (at least one) is kept for them. Ruled out: services before the first priority, which would let many services take all slots from it; more steps a round, which costs the leader processor time and only moves the limit. Measured: AdviceBacklogTest failed before: 0 of 20 services started in 5 s on 350 workers with 44 slots, 0 of 4 on 48 workers with 7 slots; now all. First-priority tasks started meanwhile: 27500 before and after; 8750 before, 8110 after. Conclusion: the first priority pays up to 7% of its starts where slots are few, while a service waits.

--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -19,6 +19,12 @@
 constexpr std::size_t kWorkerChecksPerRound = 4000;
 /// Least number of steps that are considered in one round, however many workers there are.
 constexpr std::size_t kMinScansPerRound = 8;
+/// One in so many request slots, and so many steps considered in one round, are kept for services
+/// while one waits long: their turn comes after all steps of a higher priority.
+constexpr std::size_t kSlotsPerSlotForServices = 6;
+constexpr std::size_t kServiceScansPerRound = 1;
+/// Time after which a service waits long. A normal request and a start are done by then.
+constexpr std::chrono::milliseconds kLongServiceWait{ 1000 };
 /// Most tickets that a step holds in advance for capacity that becomes free.
 constexpr std::size_t kMaxSpareTickets = 8;
 /// Time until the next request for a step after a failure, or when its tickets cover its waiting
@@ -34,9 +40,11 @@
 {
 }
 
-void AdvicePlanner::BeginRound()
+void AdvicePlanner::BeginRound(bool aHasLongWaitingService)
 {
+  this->hasLongWaitingService = aHasLongWaitingService;
   this->stepsPassedOver = 0;
+  this->serviceScansLeft = kServiceScansPerRound;
   this->scansLeft =
     std::max(kMinScansPerRound,
              kWorkerChecksPerRound / std::max<std::size_t>(this->state.workers.size(), 1));
@@ -51,6 +59,25 @@
                                                       : 1;
 }
 
+bool AdvicePlanner::IsLongWaitingService(const Step& aStep, TimePoint aNow)
+{
+  return aStep.spec->isService && aStep.waitingSince <= aNow - kLongServiceWait;
+}
+
+bool AdvicePlanner::HasRequestSlot(bool aIsLongWaitingService,
+                                   Duration aBaseTime,
+                                   std::size_t aRequestSlots) const
+{
+  std::size_t slots = std::min(aRequestSlots, this->RequestSlotsFor(aBaseTime, aRequestSlots));
+  if (this->hasLongWaitingService && aRequestSlots > 1) {
+    std::size_t kept = std::max<std::size_t>(aRequestSlots / kSlotsPerSlotForServices, 1);
+    std::size_t unused = kept - std::min(this->openServiceRequests.size(), kept);
+    slots =
+      aIsLongWaitingService && unused > 0 ? aRequestSlots : std::min(slots, aRequestSlots - unused);
+  }
+  return this->openRequests < slots;
+}
+
 bool AdvicePlanner::WillBeReadySoon(const Step& aStep, TimePoint aNow) const
 {
   const Job& job = *aStep.job;
@@ -121,8 +148,8 @@
   if (!policy || advice.isRequestOpen || aNow < advice.notBefore) {
     return;
   }
-  if (this->openRequests >= aRequestSlots ||
-      this->openRequests >= this->RequestSlotsFor(policy->baseTime, aRequestSlots)) {
+  bool isLongWaitingService = IsLongWaitingService(aStep, aNow);
+  if (!this->HasRequestSlot(isLongWaitingService, policy->baseTime, aRequestSlots)) {
     ++this->stepsPassedOver;
     return;
   }
@@ -130,11 +157,13 @@
   if (team != nullptr && !FleetState::FitsCeiling(*team, aStep.spec->size)) {
     return; // The tickets would expire before the team may start more tasks.
   }
-  if (this->scansLeft == 0) {
+  std::size_t& scans =
+    isLongWaitingService && this->scansLeft == 0 ? this->serviceScansLeft : this->scansLeft;
+  if (scans == 0) {
     ++this->stepsPassedOver;
     return;
   }
-  --this->scansLeft;
+  --scans;
   Coverage coverage;
   std::vector<Candidate> candidates = this->ListCandidates(aStep, aNow, coverage);
   auto waiting = static_cast<double>(aStep.Waiting());
@@ -176,6 +205,9 @@
   request.expected = policy->TimeFor(request.workers.size());
   advice.isRequestOpen = true;
   ++this->openRequests;
+  if (isLongWaitingService) {
+    this->openServiceRequests.insert(request.step);
+  }
   aRound.adviceRequests.push_back(std::move(request));
 }
 
@@ -184,6 +216,7 @@
                                TimePoint aValidUntil)
 {
   --this->openRequests;
+  this->openServiceRequests.erase(aRequest.step);
   Step* step = this->state.FindStep(aRequest.step);
   if (step == nullptr) {
     return;
@@ -215,6 +248,7 @@
 void AdvicePlanner::OnFailure(const AdviceRequest& aRequest, TimePoint aNow)
 {
   --this->openRequests;
+  this->openServiceRequests.erase(aRequest.step);
   if (Step* step = this->state.FindStep(aRequest.step)) {
     step->advice.isRequestOpen = false;
     step->advice.notBefore = aNow + kRequestRetryDelay;
--- a/packages/dispatch/src/AdvicePlanner.h
+++ b/packages/dispatch/src/AdvicePlanner.h
@@ -3,20 +3,25 @@
 
 #include "Placement.h"
 
+#include <set>
+
 namespace daisydrift::dispatch {
 
 /// Decides which advice requests are sent. The service processes one request at a time for each
 /// asking instance, and some take half a second. Therefore a request names a limited number of
-/// workers, preferably with free capacity; it is sent before the step is ready; and slow requests
-/// never use all request slots.
+/// workers, preferably with free capacity; it is sent before the step is ready; slow requests never
+/// use all request slots; and services that wait long don't depend on the steps before them.
 class AdvicePlanner
 {
 public:
   AdvicePlanner(FleetState& aState, Placement& aPlacement);
 
   /// Resets the number of steps that are considered in a round; it is limited, since each step is
-  /// compared with all workers.
-  void BeginRound();
+  /// compared with all workers. aHasLongWaitingService: a step of the round is a service for which
+  /// IsLongWaitingService holds.
+  void BeginRound(bool aHasLongWaitingService);
+  /// True for a service whose tasks wait so long that it gets advice ahead of its turn.
+  static bool IsLongWaitingService(const Step& aStep, TimePoint aNow);
   /// Requests advice for a step when its valid tickets don't cover its waiting tasks. aPosition is
   /// the step's place in the scheduling order.
   void MaybeRequest(Step& aStep,
@@ -61,12 +66,19 @@
   static std::size_t MinWorkersPerRequest(const AdvicePolicy& aPolicy);
   /// Request slots that a request to a service with this base time may use.
   std::size_t RequestSlotsFor(Duration aBaseTime, std::size_t aRequestSlots) const;
+  bool HasRequestSlot(bool aIsLongWaitingService,
+                      Duration aBaseTime,
+                      std::size_t aRequestSlots) const;
 
   FleetState& state;
   Placement& placement;
   std::size_t openRequests = 0;
-  /// Steps that may still be considered in this round.
+  /// Those of the open requests that were made for a service that had waited long.
+  std::set<StepName> openServiceRequests;
+  bool hasLongWaitingService = false;
+  /// Steps that may still be considered in this round; the second ones are services that wait long.
   std::size_t scansLeft = 0;
+  std::size_t serviceScansLeft = 0;
   std::size_t stepsPassedOver = 0;
   /// Moving average of the fraction of requested workers that were granted, by queue.
   std::map<QueueName, double> grantRates;
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -504,7 +504,10 @@
              aRight.second->job->sequence, aRight.second->occurrence, aRight.second->number);
   });
   this->impl->placement.BeginRound(aNow);
-  this->impl->advicePlanner.BeginRound();
+  this->impl->advicePlanner.BeginRound(
+    std::any_of(waiting.begin(), waiting.end(), [aNow](const auto& aEntry) {
+      return dispatch::AdvicePlanner::IsLongWaitingService(*aEntry.second, aNow);
+    }));
   std::size_t position = 0;
   for (const auto& [rank, step] : waiting) {
     if (round.starts.size() >= this->impl->settings.maxStartsPerRound) {
--- a/packages/dispatch/tests/AdviceTest.cpp
+++ b/packages/dispatch/tests/AdviceTest.cpp
@@ -3,6 +3,7 @@
 #include "DispatcherFixture.h"
 
 #include <algorithm>
+#include <map>
 
 namespace daisydrift {
 namespace {
@@ -107,5 +108,118 @@
   EXPECT_GE(requested.size(), 1U);
 }
 
+class AdviceBacklogTest : public AdviceTest
+{
+protected:
+  static constexpr int kFirstPriorityJobs = 400;
+
+  AdviceBacklogTest()
+  {
+    QueuePolicy watch{ "watch", "desk", 1, 2, 2.2, milliseconds(2500), {} };
+    watch.advice =
+      AdvicePolicy{ milliseconds(450), std::chrono::microseconds(6500), milliseconds(2000) };
+    this->policy.queues["watch"] = watch;
+    this->dispatcher.SetPolicy(this->policy);
+  }
+
+  void AddServices(int aCount)
+  {
+    for (int number = 0; number < aCount; ++number) {
+      JobDefinition service = Job("service" + std::to_string(number), 1);
+      service.queue = "watch";
+      service.steps[0].isService = true;
+      this->Add(service);
+    }
+  }
+
+  /// Answers each request after its expected time, and starts what is granted. New first-priority
+  /// jobs keep their backlog as long as it was.
+  void RunFor(Duration aTime)
+  {
+    TimePoint end = this->now + aTime;
+    while (this->now < end) {
+      this->Advance(kRoundInterval);
+      this->AnswerDueRequests();
+      if (this->now >= this->nextReport) {
+        this->nextReport = this->now + milliseconds(1000);
+        this->percent += 5;
+        for (auto& [id, tasks] : this->running) {
+          for (RunningTask& task : tasks) {
+            task.percent = this->percent;
+          }
+        }
+        for (const WorkerId& id : this->dispatcher.Workers()) {
+          this->Report(id, this->running[id]);
+        }
+      }
+      while (this->waitingJobs < kFirstPriorityJobs) {
+        this->Add(Job("quick" + std::to_string(this->nextJob++), kTasksPerJob));
+        ++this->waitingJobs;
+      }
+      for (const StartCommand& command : this->RoundAccepted()) {
+        this->running[command.worker].push_back(Running(command));
+        bool isService = command.task.job.rfind("service", 0) == 0;
+        this->startedServices += isService ? 1 : 0;
+        this->startedFirst += isService ? 0 : 1;
+        this->waitingJobs -= !isService && ++this->started[command.task.job] == kTasksPerJob;
+      }
+      for (const AdviceRequest& request : this->round.adviceRequests) {
+        this->open.emplace(this->now + request.expected, request);
+      }
+    }
+  }
+
+  int startedServices = 0;
+  int startedFirst = 0;
+
+private:
+  static constexpr milliseconds kRoundInterval{ 20 };
+  static constexpr int kTasksPerJob = 10;
+
+  void AnswerDueRequests()
+  {
+    while (!this->open.empty() && this->open.begin()->first <= this->now) {
+      AdviceRequest request = this->open.begin()->second;
+      this->open.erase(this->open.begin());
+      this->Respond(request, request.workers.size() / 2);
+    }
+  }
+
+  TimePoint nextReport;
+  int percent = 10;
+  int nextJob = 0;
+  int waitingJobs = 0;
+  std::map<JobId, int> started;
+  std::map<WorkerId, std::vector<RunningTask>> running;
+  std::multimap<TimePoint, AdviceRequest> open;
+};
+
+// Guards against services that wait for seconds beside free workers, while all requests for advice
+// are made for a backlog of the first priority: on a large fleet, where few steps are considered in
+// a round, and with few request slots.
+TEST_F(AdviceBacklogTest, ServicesGetAdviceBehindABacklogOnALargeFleet)
+{
+  this->AddWorkers(350, 1000000);
+  this->requestSlots = 44;
+  this->RunFor(milliseconds(2000));
+  this->AddServices(20);
+  this->startedFirst = 0;
+  this->RunFor(milliseconds(5000));
+  RecordProperty("started_first_priority", this->startedFirst);
+  EXPECT_EQ(this->startedServices, 20);
+}
+
+TEST_F(AdviceBacklogTest, ServicesGetAdviceBehindABacklogWithFewRequestSlots)
+{
+  this->AddWorkers(48, 1000000);
+  this->requestSlots = 7;
+  this->RunFor(milliseconds(2000));
+  this->AddServices(4);
+  this->startedFirst = 0;
+  this->RunFor(milliseconds(5000));
+  RecordProperty("started_first_priority", this->startedFirst);
+  EXPECT_EQ(this->startedServices, 4);
+}
+
 } // namespace
 } // namespace daisydrift
