A listener that stops or times out answers the requests that have arrived

Cause: HttpListener judged a connection by what its parser had read, not by what had arrived. CloseIdle reset connections whose request was in the socket or in the accept queue; a draining listener closed after its next answer and dropped the requests that were read behind it; a request that had begun to arrive was not counted as open, so a process could end between its first and its last byte; the idle timeout of a busy process cut a request that had begun in time.

Change: CloseIdle cancels the pending read, and the read's handler closes the connection only if no byte has arrived; the accept queue is accepted first. A draining listener says `Connection: close` with the last of the requests that have arrived. An exchange is open from the first byte of its request. A timeout that is due reads what has arrived.

Ruled out: answers lost with the reset of a close with unread bytes.

Conclusion: a listener that is told to stop cuts no request of which a byte has arrived.

--- a/packages/http/include/daisydrift/http/HttpListener.h
+++ b/packages/http/include/daisydrift/http/HttpListener.h
@@ -56,11 +56,11 @@
   /// Replaces the limits. Size limits apply to connections accepted from now on; timeouts also
   /// apply to later requests on open connections.
   void SetLimits(const HttpServerLimits& aLimits);
-  /// From now on, each connection is closed after its next response.
+  /// From now on, each connection is closed after the responses to the requests that have arrived.
   void Drain();
-  /// Stops accepting connections and closes those without a request in progress.
+  /// Stops accepting connections and closes those on which no byte of a request has arrived.
   void CloseIdle();
-  /// Number of requests that were received and have no complete response yet.
+  /// Number of requests of which a byte was received and that have no complete response yet.
   std::size_t OpenExchanges() const;
 
 private:
--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -40,8 +40,8 @@
 {
 public:
   virtual ~TrackedConnection() = default;
-  virtual bool IsIdle() const = 0;
-  virtual void Close() = 0;
+  /// Closes the connection unless a byte of a request has arrived.
+  virtual void CloseIfIdle() = 0;
 };
 
 } // namespace
@@ -60,6 +60,9 @@
   bool isDraining = false;
 
   void Accept(const std::shared_ptr<State>& aSelf);
+  /// Accepts the connections that wait in the accept queue; a close of the port would reset them.
+  void AcceptWaiting(const std::shared_ptr<State>& aSelf);
+  void StartConnection(const std::shared_ptr<State>& aSelf, asio::ip::tcp::socket aSocket);
 };
 
 class HttpListener::Connection
@@ -87,13 +90,11 @@
     this->Read();
   }
 
-  bool IsIdle() const override { return !this->isHandlingRequest && !this->parser.HasStarted(); }
-
-  void Close() override
+  void CloseIfIdle() override
   {
-    std::error_code ignored; // The socket may have failed already.
-    this->socket.close(ignored);
-    this->timer.cancel();
+    if (!this->isHandlingRequest && !this->parser.HasStarted()) {
+      this->CancelRead();
+    }
   }
 
 private:
@@ -107,7 +108,6 @@
       this->request = {
         parser.Method(), std::move(parser.target), std::move(parser.headers), std::move(parser.body)
       };
-      ++this->connection->state->openExchanges;
     }
     ~Exchange() override
     {
@@ -126,7 +126,6 @@
     {
       if (!this->isCompleted) {
         this->isCompleted = true;
-        --this->connection->state->openExchanges;
         this->connection->Close();
       }
     }
@@ -136,14 +135,61 @@
     bool isCompleted = false;
   };
 
+  /// An exchange lasts from the first byte of a request until its answer is sent.
+  void BeginExchange()
+  {
+    this->isExchangeOpen = true;
+    ++this->state->openExchanges;
+  }
+
+  void EndExchange()
+  {
+    if (this->isExchangeOpen) {
+      this->isExchangeOpen = false;
+      --this->state->openExchanges;
+    }
+  }
+
+  void Close()
+  {
+    this->EndExchange();
+    std::error_code ignored; // The socket may have failed already.
+    this->socket.close(ignored);
+    this->timer.cancel();
+  }
+
+  /// Ends the pending read. Its handler closes the connection if no bytes have arrived.
+  void CancelRead()
+  {
+    std::error_code ignored; // The socket may have failed already.
+    this->socket.cancel(ignored);
+  }
+
+  /// True when bytes have arrived that no request has consumed yet.
+  bool HasUnreadBytes() const
+  {
+    std::error_code ignored; // A failed socket has none.
+    return this->inputPosition < this->inputSize || this->socket.available(ignored) > 0;
+  }
+
   void StartTimeout(Duration aTimeout)
   {
+    this->isOverdue = false;
     this->timer.expires_after(aTimeout);
-    this->timer.async_wait([self = Ref<Connection>(this)](std::error_code aError) {
-      if (!aError && !self->isHandlingRequest) {
-        self->Close();
-      }
-    });
+    this->timer.async_wait(
+      [self = Ref<Connection>(this), number = ++this->timeoutNumber](std::error_code aError) {
+        // The action of an earlier timeout may be due already when a new one is started.
+        if (!aError && number == self->timeoutNumber && !self->isHandlingRequest) {
+          self->OnTimeout();
+        }
+      });
+  }
+
+  /// Bytes that have arrived while the process was busy are still read.
+  void OnTimeout()
+  {
+    this->isOverdue = true;
+    this->CancelRead();
   }
 
   void Read()
@@ -151,6 +197,10 @@
     this->socket.async_read_some(
       asio::buffer(this->input),
       [self = Ref<Connection>(this)](std::error_code aError, std::size_t aSize) {
+        if (aError == asio::error::operation_aborted && self->HasUnreadBytes()) {
+          self->Read();
+          return;
+        }
         if (aError) {
           self->Close();
           return;
@@ -171,10 +221,15 @@
       this->inputSize = total < http::kMaxBytesPerTurn
                           ? http::ReadArrived(this->socket, this->input.data(), this->input.size())
                           : 0;
-      if (this->inputSize == 0) {
+      if (this->inputSize > 0) {
+        continue;
+      }
+      if (this->isOverdue && !this->HasUnreadBytes()) {
+        this->Close();
+      } else {
         this->Read();
-        return;
       }
+      return;
     }
   }
 
@@ -182,12 +237,14 @@
   bool ParseInput()
   {
     bool hadStarted = this->parser.HasStarted();
+    if (!hadStarted) {
+      this->BeginExchange();
+    }
     this->inputPosition += this->parser.Consume(this->input.data() + this->inputPosition,
                                                 this->inputSize - this->inputPosition);
     if (this->parser.Error() != ParseError::None) {
       this->isHandlingRequest = true;
       this->mustClose = true;
-      ++this->state->openExchanges;
       this->Write({ HttpStatusFor(this->parser.Error()), {}, "" });
       return false;
     }
@@ -207,7 +264,8 @@
 
   void Write(HttpResponse aResponse)
   {
-    if (this->state->isDraining) {
+    // Requests that have arrived behind this one are answered first.
+    if (this->state->isDraining && !this->HasUnreadBytes()) {
       this->mustClose = true;
     }
     if (this->mustClose) {
@@ -227,7 +285,7 @@
 
   void OnWritten(std::error_code aError)
   {
-    --this->state->openExchanges;
+    this->EndExchange();
     this->isHandlingRequest = false;
     this->output.clear();
     if (aError || this->mustClose) {
@@ -248,6 +306,7 @@
   std::shared_ptr<State> state;
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
+  std::uint64_t timeoutNumber = 0;
   MessageParser parser;
   std::array<char, http::kReadBufferBytes> input;
   std::size_t inputSize = 0;
@@ -255,28 +314,54 @@
   std::string output;
   bool isHandlingRequest = false;
   bool mustClose = false;
+  bool isExchangeOpen = false;
+  /// The timeout has passed; the bytes that have arrived are the last that are read.
+  bool isOverdue = false;
 };
 
 void HttpListener::State::Accept(const std::shared_ptr<State>& aSelf)
 {
   this->acceptor.async_accept(
     [this, self = aSelf](std::error_code aError, asio::ip::tcp::socket aSocket) {
-      if (aError == asio::error::operation_aborted || !this->acceptor.is_open()) {
+      if (aError == asio::error::operation_aborted) {
         return;
       }
-      if (aError) {
+      if (aError && this->acceptor.is_open()) {
         LogLine(LogLevel::Warning, "accept_failed").Add("error", aError);
         this->loop.After(kAcceptRetryDelay, [this, self] { this->Accept(self); });
         return;
       }
-      if (this->openConnections < this->limits.maxConnections) {
-        Ref<Connection> connection(new Connection(self, std::move(aSocket)));
-        connection->Start();
+      if (!aError) {
+        this->StartConnection(self, std::move(aSocket));
+      }
+      if (this->acceptor.is_open()) {
+        this->Accept(self);
       }
-      this->Accept(self);
     });
 }
 
+void HttpListener::State::AcceptWaiting(const std::shared_ptr<State>& aSelf)
+{
+  std::error_code error;
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(this->loop.Context());
+    this->acceptor.accept(socket, error); // Ends with would_block.
+    if (!error) {
+      this->StartConnection(aSelf, std::move(socket));
+    }
+  }
+}
+
+void HttpListener::State::StartConnection(const std::shared_ptr<State>& aSelf,
+                                          asio::ip::tcp::socket aSocket)
+{
+  if (this->openConnections < this->limits.maxConnections) {
+    Ref<Connection> connection(new Connection(aSelf, std::move(aSocket)));
+    connection->Start();
+  }
+}
+
 HttpListener::HttpListener(AsioLoop& aLoop, HttpServerLimits aLimits, Handler aHandler)
   : state(std::make_shared<State>(
       State{ aLoop, aLimits, std::move(aHandler), asio::ip::tcp::acceptor(aLoop.Context()) }))
@@ -285,6 +370,8 @@
 
 HttpListener::~HttpListener()
 {
+  std::error_code ignored; // The acceptor may never have been opened.
+  this->state->acceptor.close(ignored);
   this->CloseIdle();
 }
 
@@ -329,12 +416,13 @@
 
 void HttpListener::CloseIdle()
 {
-  std::error_code ignored; // The acceptor may never have been opened.
-  this->state->acceptor.close(ignored);
+  if (this->state->acceptor.is_open()) {
+    this->state->AcceptWaiting(this->state);
+    std::error_code ignored; // The port is released all the same.
+    this->state->acceptor.close(ignored);
+  }
   for (TrackedConnection& connection : this->state->connections) {
-    if (connection.IsIdle()) {
-      connection.Close(); // Leaves the list in its destructor, after its pending read has failed.
-    }
+    connection.CloseIfIdle(); // Leaves the list in its destructor.
   }
 }
 
--- a/packages/http/tests/HttpTest.cpp
+++ b/packages/http/tests/HttpTest.cpp
@@ -73,7 +73,51 @@
     return received;
   }
 
+  /// A client's connection that the listener has accepted, or that waits to be accepted.
+  asio::ip::tcp::socket Connect(bool aIsAccepted)
+  {
+    asio::ip::tcp::socket socket(this->clientContext);
+    socket.connect({ asio::ip::make_address_v4("127.0.0.1"), this->endpoint.port });
+    if (aIsAccepted) {
+      this->RunLoop();
+    }
+    return socket;
+  }
+
+  /// Runs what is ready, and what becomes ready while the loop is idle for some 20 ms.
+  void RunLoop()
+  {
+    this->loop.After(milliseconds(20), [this] { this->loop.Stop(); });
+    this->loop.Run();
+    this->loop.Context().restart();
+  }
+
+  static void Send(asio::ip::tcp::socket& aSocket, const std::string& aBytes)
+  {
+    asio::write(aSocket, asio::buffer(aBytes));
+  }
+
+  /// Runs the loop and returns what the client receives until the end of the connection. aError
+  /// is the error that ended it: eof unless the connection was reset.
+  std::string Receive(asio::ip::tcp::socket& aSocket, std::error_code& aError)
+  {
+    std::string received;
+    std::thread clientThread([&] {
+      std::array<char, 4096> buffer;
+      while (!aError) {
+        received.append(buffer.data(), aSocket.read_some(asio::buffer(buffer), aError));
+      }
+      aSocket.close();
+      this->loop.After(Duration(0), [this] { this->loop.Stop(); });
+    });
+    this->loop.Run();
+    this->loop.Context().restart();
+    clientThread.join();
+    return received;
+  }
+
   AsioLoop loop;
+  asio::io_context clientContext;
   HttpListener::Handler handler = [](const Ref<HttpExchange>& aExchange) {
     const HttpRequest& request = aExchange->Request();
     aExchange->Reply({ 200, {}, request.method + " " + request.target + " " + request.body });
@@ -212,6 +256,118 @@
   EXPECT_EQ(FindHeader(response->headers, "connection"), "close");
 }
 
+// Guards against requests that were sent whole before the listener closed its idle connections and
+// were cut unread.
+TEST_F(HttpTest, RequestThatArrivesAsIdleConnectionsAreClosedIsAnswered)
+{
+  for (bool isAccepted : { true, false }) {
+    HttpListener stopping(this->loop, Limits(), this->handler);
+    ASSERT_FALSE(stopping.Open({ "127.0.0.1", 0 }));
+    this->endpoint.port = stopping.Port();
+    asio::ip::tcp::socket socket = this->Connect(isAccepted);
+    Send(socket, "GET /last HTTP/1.1\r\n\r\n");
+    stopping.Drain();
+    stopping.CloseIdle();
+    std::error_code error;
+    EXPECT_NE(this->Receive(socket, error).find("GET /last"), std::string::npos) << isAccepted;
+    EXPECT_EQ(error, asio::error::eof) << isAccepted;
+  }
+}
+
+// Guards against requests behind another one on the same connection, which the listener had read
+// and dropped when it closed the connection after the first answer.
+TEST_F(HttpTest, PipelinedRequestsAreAnsweredBeforeADrainingListenerCloses)
+{
+  asio::ip::tcp::socket socket = this->Connect(true);
+  Ref<HttpExchange> first;
+  this->handler = [&](const Ref<HttpExchange>& aExchange) {
+    if (!first) {
+      first = aExchange;
+      return;
+    }
+    aExchange->Reply({ 200, {}, aExchange->Request().target });
+  };
+  Send(socket, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  this->RunLoop();
+  Send(socket, "GET /3 HTTP/1.1\r\n\r\n");
+  this->listener.Drain();
+  this->listener.CloseIdle();
+  first->Reply({ 200, {}, "/1" });
+  std::error_code error;
+  std::string received = this->Receive(socket, error);
+  EXPECT_NE(received.find("/1"), std::string::npos) << received;
+  EXPECT_NE(received.find("/2"), std::string::npos) << received;
+  EXPECT_NE(received.find("/3"), std::string::npos) << received;
+  EXPECT_EQ(error, asio::error::eof);
+}
+
+// Guards against an exit of the process while a request is arriving: it counted as no request.
+TEST_F(HttpTest, RequestThatIsArrivingCountsAsOpen)
+{
+  asio::ip::tcp::socket socket = this->Connect(true);
+  Send(socket, "POST /late HTTP/1.1\r\nContent-Length: 3\r\n\r\na");
+  this->RunLoop();
+  this->listener.Drain();
+  this->listener.CloseIdle();
+  EXPECT_EQ(this->listener.OpenExchanges(), 1U);
+  Send(socket, "bc");
+  std::error_code error;
+  EXPECT_NE(this->Receive(socket, error).find("POST /late abc"), std::string::npos);
+  EXPECT_EQ(this->listener.OpenExchanges(), 0U);
+}
+
+// The bytes that the listener leaves unread reset the connection, but after the answer.
+TEST_F(HttpTest, FinalAnswerArrivesAlthoughTheClientSendsOn)
+{
+  asio::ip::tcp::socket socket = this->Connect(true);
+  Send(socket, "POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + std::string(200000, 'x'));
+  this->RunLoop();
+  std::error_code error;
+  EXPECT_NE(this->Receive(socket, error).find("413"), std::string::npos);
+  EXPECT_EQ(error, asio::error::eof);
+}
+
+// Guards against a connection that is closed for idling although its next request has begun to
+// arrive while the process was busy.
+TEST_F(HttpTest, RequestThatArrivesAtTheIdleTimeoutIsAnswered)
+{
+  HttpServerLimits limits = Limits();
+  limits.idleTimeout = milliseconds(60);
+  this->listener.SetLimits(limits);
+  asio::ip::tcp::socket socket = this->Connect(true);
+  Send(socket, "GET /busy HTTP/1.1\r\n");
+  std::this_thread::sleep_for(milliseconds(100)); // The loop is busy beyond the timeout.
+  this->RunLoop();
+  std::error_code error;
+  asio::write(socket, asio::buffer(std::string("Connection: close\r\n\r\n")), error);
+  EXPECT_NE(this->Receive(socket, error).find("GET /busy"), std::string::npos);
+}
+
+// Limits of a new configuration apply to later requests only.
+TEST_F(HttpTest, LowerLimitsDoNotCutAnOpenRequest)
+{
+  asio::ip::tcp::socket socket = this->Connect(true);
+  Ref<HttpExchange> open;
+  this->handler = [&open](const Ref<HttpExchange>& aExchange) { open = aExchange; };
+  Send(socket, "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\na");
+  this->RunLoop();
+  HttpServerLimits limits;
+  limits.maxHeaderBytes = 1;
+  limits.maxBodyBytes = 1;
+  limits.idleTimeout = milliseconds(1);
+  limits.requestTimeout = milliseconds(1);
+  limits.maxConnections = 0;
+  this->listener.SetLimits(limits);
+  this->RunLoop();
+  Send(socket, "bc");
+  this->RunLoop();
+  this->RunLoop();
+  ASSERT_TRUE(open);
+  open->Reply({ 200, { { "Connection", "close" } }, "answer" });
+  std::error_code error;
+  EXPECT_NE(this->Receive(socket, error).find("answer"), std::string::npos);
+}
+
 TEST(EndpointTest, ParsesAddressAndPort)
 {
   SocketEndpoint endpoint;
