A stopping leader resigns for certain, and a stopping instance follows its group

Callers saw: a cancellation sent to a stopping instance got 504 at its deadline, a count of jobs 503, although a leader served the others; and no instance led until the stopping leader's lease had expired.

Cause: Membership::Resign stopped the follower of the group, so the instance learnt of a later leader only by announcements, which end with its membership; and it removed the leader's record with a single write, whose failure was only logged.

Change: the group is followed until the process ends. The write is repeated until it is stored or in conflict.

Ruled out: that a followed group makes a stopping instance lead again: Campaign does nothing while it stops, and an election that is applied late is resigned at once, as before.

Measured: before, StoppingInstanceFollowsChangesOfLeader waited 2501000 us for "outcome unknown" instead of under 500 ms, and StoppingLeaderResignsAlthoughTheStoreRefusesItAtFirst had leader -1 after 800 ms. Both pass with the change.

Conclusion: during a planned stop requests go to the leader of the moment.

--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -553,7 +553,6 @@
                         const std::function<void()>& aDone)
 {
   this->isStopping = true;
-  this->range.Stop();
   if (!aOwnRecord) {
     aDone();
     return;
@@ -561,10 +560,17 @@
   KeyValueTransaction transaction;
   transaction.conditions = { { this->prefix + kLeaderKey, aOwnRecord->revision } };
   transaction.removals = { this->prefix + kLeaderKey };
-  this->store.Commit(transaction, [aDone](const Result<std::uint64_t>& aRevision) {
-    LogLine(LogLevel::Info, "leadership_handed_over").Add("error", aRevision.Error());
-    aDone();
-  });
+  this->store.Commit(
+    transaction, [this, aOwnRecord, aDone](const Result<std::uint64_t>& aRevision) {
+      LogLine(LogLevel::Info, "leadership_handed_over").Add("error", aRevision.Error());
+      // Conflict: an earlier attempt has removed the record, or another instance leads.
+      if (aRevision || aRevision.Error() == make_error_code(Errc::Conflict)) {
+        aDone();
+        return;
+      }
+      this->loop.After(kStoreRetryDelay,
+                       [this, aOwnRecord, aDone] { this->Resign(aOwnRecord, aDone); });
+    });
 }
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -70,7 +70,8 @@
              Hooks aHooks);
 
   void Start();
-  /// Stops campaigning, and deletes the leader key that belongs to the given record.
+  /// Stops campaigning, and deletes the leader key that belongs to the given record, with retries.
+  /// Changes of the group are still followed, since callers' requests are still served.
   void Resign(const std::optional<LeaderRecord>& aOwnRecord, const std::function<void()>& aDone);
   /// The leadership of this instance has ended without a call of Resign.
   void OnLeadershipLost();
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -582,5 +582,51 @@
   EXPECT_GT(this->TimeUntilRestart(this->BusyWorker()), seconds(8));
 }
 
+// Guards against a group without a leader until a lease expires: the store refused the one write
+// with which a stopping leader resigns.
+TEST_F(ClusterTest, StoppingLeaderResignsAlthoughTheStoreRefusesItAtFirst)
+{
+  int leader = this->LeaderNumber();
+  for (CommitFault fault : { CommitFault::Refused, CommitFault::ResponseLost }) {
+    int refusals = 0;
+    this->store.commitFault = [&](const KeyValueTransaction& aTransaction) {
+      bool isResignation = aTransaction.puts.empty() && !aTransaction.removals.empty();
+      return isResignation && ++refusals == 1 ? fault : CommitFault::None;
+    };
+    leader = this->LeaderNumber();
+    this->instances[leader]->BeginStop();
+    this->loop.RunFor(milliseconds(800));
+    EXPECT_GE(this->LeaderNumber(), 0);
+    this->KillInstance(leader);
+    this->StartInstance(leader);
+    this->loop.RunFor(seconds(2));
+  }
+}
+
+// Guards against calls to a leader that has been replaced: a stopping instance did not learn of the
+// leaders that followed the one it knew.
+TEST_F(ClusterTest, StoppingInstanceFollowsChangesOfLeader)
+{
+  this->StartInstance(3);
+  this->loop.RunFor(seconds(1));
+  int stopping = (this->LeaderNumber() + 1) % 4;
+  this->fleet.runTime = seconds(30);
+  this->instances[stopping]->BeginStop();
+  // Its membership expires, so that no leader announces itself to it.
+  this->loop.RunFor(seconds(4));
+  for (int change = 0; change < 2; ++change) {
+    int leader = this->LeaderNumber();
+    ASSERT_GE(leader, 0);
+    this->instances[leader]->BeginStop();
+    this->loop.RunFor(milliseconds(500));
+    this->KillInstance(leader);
+    JobId job = "job" + std::to_string(change);
+    ASSERT_EQ(this->Submit(stopping, job, 2), SubmitOutcome::Accepted);
+    TimePoint begin = this->loop.Now();
+    EXPECT_FALSE(this->Cancel(stopping, job));
+    EXPECT_LT(this->loop.Now() - begin, milliseconds(500));
+  }
+}
+
 } // namespace
 } // namespace daisydrift
