Requests that wait across a change of leader are served by the next one

Callers saw: a cancellation that the leader took shortly before a planned stop got 504, although its job was or could be cancelled; a cancellation or a count that came while its own instance took over waited until its deadline and got 504 or 503.

Cause: a leader that is destroyed answers its waiting cancellations with OutcomeUnknown, which was passed on to the caller. CallLeader took a record of its own instance for a leader that has not loaded its jobs yet, also once it had.

Change: a cancellation whose term ends is sent to the next leader until its deadline. CallLeader calls its own instance like any other as soon as it leads.

Ruled out: calls of other instances, which get 409 from the destroyed leader and were repeated already.

Measured: before, CancellationThatAStoppingLeaderHasNotStoredIsCarriedThrough got "outcome unknown", and RequestThatWaitsForALeaderIsServedByItsOwnInstanceOnceItLeads had 2 of 3 answers after 1.5 s.

Conclusion: a planned change of leader ends no cancellation that its caller still waits for.

--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -208,8 +208,10 @@
     return;
   }
   const std::optional<LeaderRecord>& leader = this->membership.Leader();
-  if (!leader || leader->incarnation == this->membership.Incarnation()) {
-    // There is no leader, or this instance leads and has not loaded the stored jobs yet.
+  bool isOwn = leader && leader->incarnation == this->membership.Incarnation();
+  if (!leader || (isOwn && this->ownLeader() == nullptr)) {
+    // There is no leader, or this instance leads and has not loaded the stored jobs yet. Once it
+    // has, it is called like any other leader.
     this->env.loop.After(kRetryDelay, retry);
     return;
   }
@@ -354,9 +356,14 @@
       });
   };
   if (Leader* localLeader = this->ownLeader()) {
-    localLeader->Cancel(aJob, [onUnknownJob, aDone](std::error_code aError) {
+    localLeader->Cancel(aJob, [this, aJob, aDeadline, onUnknownJob, aDone](std::error_code aError) {
       if (aError == make_error_code(Errc::NotFound)) {
         onUnknownJob();
+      } else if (aError && this->env.loop.Now() + kRetryDelay < aDeadline) {
+        // The term has ended before the cancellation was stored; the next leader carries it out.
+        this->env.loop.After(kRetryDelay, [this, aJob, aDeadline, aDone] {
+          this->CancelWithRetries(aJob, aDeadline, aDone);
+        });
       } else {
         aDone(aError);
       }
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -9,6 +9,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr milliseconds kCallTimeout{ 2500 };
+
 class ClusterTest : public Cluster
 {
 protected:
@@ -582,6 +584,28 @@
   EXPECT_GT(this->TimeUntilRestart(this->BusyWorker()), seconds(8));
 }
 
+// Guards against cancellations that a planned stop gives up: the leader is told to stop while it
+// stores them, and the next leader has to carry them out.
+TEST_F(ClusterTest, CancellationThatAStoppingLeaderHasNotStoredIsCarriedThrough)
+{
+  this->fleet.runTime = seconds(30);
+  int leader = this->LeaderNumber();
+  ASSERT_EQ(this->Submit(leader, "job", 4), SubmitOutcome::Accepted);
+  this->loop.RunFor(milliseconds(300));
+  std::optional<std::error_code> result;
+  this->store.responseTime = milliseconds(100);
+  this->instances[leader]->Cancel(
+    "job", kCallTimeout, [&result](std::error_code aError) { result = aError; });
+  this->loop.RunFor(milliseconds(20));
+  this->instances[leader]->BeginStop();
+  this->store.responseTime = milliseconds(4);
+  this->loop.RunFor(kCallTimeout);
+  ASSERT_TRUE(result);
+  EXPECT_FALSE(*result) << result->message();
+  this->loop.RunFor(seconds(3));
+  EXPECT_EQ(*this->State((leader + 1) % 3, "job"), DispatchState::Cancelled);
+}
+
 // Guards against a group without a leader until a lease expires: the store refused the one write
 // with which a stopping leader resigns.
 TEST_F(ClusterTest, StoppingLeaderResignsAlthoughTheStoreRefusesItAtFirst)
@@ -628,5 +652,42 @@
   }
 }
 
+// Guards against requests that wait until their deadline although their own instance has become the
+// leader meanwhile.
+TEST_F(ClusterTest, RequestThatWaitsForALeaderIsServedByItsOwnInstanceOnceItLeads)
+{
+  this->fleet.runTime = seconds(30);
+  int leader = this->LeaderNumber();
+  ASSERT_EQ(this->Submit(leader, "job", 2), SubmitOutcome::Accepted);
+  this->loop.RunFor(milliseconds(200));
+  this->store.responseTime = milliseconds(80);
+  this->instances[leader]->BeginStop();
+  std::map<int, std::error_code> cancelled;
+  std::map<int, Result<std::size_t>> counted;
+  // Long enough for an election; the new leader has not loaded the jobs yet.
+  while (this->metrics.CounterValue("terms_total") < 2) {
+    this->loop.RunFor(milliseconds(1));
+  }
+  for (int number = 0; number < 3; ++number) {
+    this->instances[number]->Cancel(
+      "job", kCallTimeout, [&cancelled, number](std::error_code aError) {
+        cancelled[number] = aError;
+      });
+    this->instances[number]->CountPending(
+      "queue", kCallTimeout, [&counted, number](const Result<std::size_t>& aCount) {
+        counted.emplace(number, aCount);
+      });
+  }
+  this->loop.RunFor(milliseconds(1500));
+  EXPECT_EQ(cancelled.size(), 3U);
+  EXPECT_EQ(counted.size(), 3U);
+  for (const auto& [number, error] : cancelled) {
+    EXPECT_FALSE(error) << number << " " << error.message();
+  }
+  for (const auto& [number, count] : counted) {
+    EXPECT_TRUE(count.HasValue()) << number;
+  }
+}
+
 } // namespace
 } // namespace daisydrift
