A reload that meets the start of the daemon does not end it

Callers saw: a daemon that ends by itself, if it gets SIGHUP while it reads its settings.

Change: the signals are blocked before the settings are read. A reload that comes then is done once the daemon has started.

Ruled out: ignoring the signal as in platform/, which would drop a reload of the certificate.

Conclusion: reloads end no daemon once its program runs.

--- a/packages/daemon/programs/Main.cpp
+++ b/packages/daemon/programs/Main.cpp
@@ -59,9 +59,8 @@
   return signals;
 }
 
-int Serve(const DaemonSettings& aSettings, const DaemonSecrets& aSecrets)
+int Serve(const DaemonSettings& aSettings, const DaemonSecrets& aSecrets, const sigset_t& aSignals)
 {
-  sigset_t signals = BlockSignals();
   ConfigureLogging(aSettings.logLevel);
   Daemon daemon(aSettings, aSecrets);
   Findings findings;
@@ -72,7 +71,7 @@
   }
   int signal = 0;
   do {
-    sigwait(&signals, &signal);
+    sigwait(&aSignals, &signal);
     if (signal == SIGHUP) {
       daemon.ReloadCertificate();
     }
@@ -137,10 +136,12 @@
     std::cerr << "daisydriftd: --settings FILE is required\n" << description;
     return kExitBadInput;
   }
+  // Before the settings are read: by default SIGHUP ends a process that does not block it yet.
+  sigset_t signals = BlockSignals();
   if (!LoadSettings(values["settings"].as<std::string>(), settings, secrets, true)) {
     return kExitBadInput;
   }
-  return Serve(settings, secrets);
+  return Serve(settings, secrets, signals);
 }
 
 } // namespace
