A notice that waited for a long time does not run a finished job again

Callers would see: a job that had completed runs a second time. Cause: StoredJobNotifier keeps a job until a leader has taken it, without a limit. A leader that had found the job in the job list, finished it and forgotten it after the retention time takes the notice for a new job. StoredJobsTest.NoticeThatArrivesAfterTheRetentionTimeDoesNotRunTheJobAgain failed before: "successes Which is: 2" for job0, with `job_added source=notice known_after_ms=140905`. Change: a job that has waited for half the retention time is dropped with notice_given_up; a leader that does not know it finds it in the list. Ruled out: a check of acceptedAt by the leader; the clocks of two instances may differ.

--- a/packages/coordination/src/StoredJobNotifier.cpp
+++ b/packages/coordination/src/StoredJobNotifier.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t kMaxPayloadBytesPerCall = 128 * 1024;
 /// Bounds the memory of an instance that reaches no leader for a long time.
 constexpr std::size_t kMaxWaitingJobs = 4096;
+/// A job waits for this part of the retention time at most: a leader that found it in the job list
+/// forgets it after the whole time, and would run it again.
+constexpr int kRetentionDivisor = 2;
 } // namespace
 
 StoredJobNotifier::StoredJobNotifier(const Leader::Environment& aEnvironment,
@@ -65,9 +68,25 @@
   }
 }
 
+void StoredJobNotifier::RemoveExpired()
+{
+  TimePoint oldest = this->env.loop.Now() - this->env.settings.retention / kRetentionDivisor;
+  while (!this->waiting.empty() && this->waiting.front().addedAt < oldest) {
+    // A leader that does not know the job finds it in the job list.
+    this->env.metrics.Count("notices_given_up_total");
+    LogLine(LogLevel::Warning, "notice_given_up")
+      .Add("job", this->waiting.front().definition.id)
+      .Add("waiting", this->waiting.size())
+      .Add("oldest_ms", this->env.loop.Now() - this->waiting.front().addedAt);
+    this->waitingIds.erase(this->waiting.front().definition.id);
+    this->waiting.pop_front();
+  }
+}
+
 void StoredJobNotifier::SendNext()
 {
   this->isBusy = false;
+  this->RemoveExpired();
   if (Leader* leader = this->ownLeader()) {
     for (const WaitingJob& job : this->waiting) {
       leader->AddJob(job.definition, "own");
--- a/packages/coordination/src/StoredJobNotifier.h
+++ b/packages/coordination/src/StoredJobNotifier.h
@@ -32,6 +32,8 @@
   };
 
   void SendNext();
+  /// Removes jobs that have waited so long that the leader may have finished and forgotten them.
+  void RemoveExpired();
   void SendTo(const LeaderRecord& aLeader);
   void OnResponse(const LeaderRecord& aLeader, std::size_t aCount, std::error_code aError);
   void RetryLater();
--- a/packages/coordination/tests/StoredJobsTest.cpp
+++ b/packages/coordination/tests/StoredJobsTest.cpp
@@ -129,5 +129,23 @@
   EXPECT_EQ(*state, DispatchState::Cancelled);
 }
 
+// The notice waits in an instance that the leader can't hear, for longer than finished jobs are
+// kept.
+TEST_F(StoredJobsTest, NoticeThatArrivesAfterTheRetentionTimeDoesNotRunTheJobAgain)
+{
+  this->areNoticesLost = true;
+  this->SubmitMany(1);
+  for (int second = 0; second < 140; ++second) {
+    ASSERT_EQ(this->Submit(this->leader, "other" + std::to_string(second), 1),
+              SubmitOutcome::Accepted);
+    this->loop.RunFor(seconds(1));
+  }
+  this->areNoticesLost = false;
+  this->loop.RunFor(seconds(3));
+  for (const auto& [task, successes] : this->fleet.successes) {
+    EXPECT_EQ(successes, 1) << task.job;
+  }
+}
+
 } // namespace
 } // namespace daisydrift
