A job list that is read anew does not run a finished job again

Callers would see: a job that had completed runs a second time, on a quiet fleet, after one response of the store was lost or slow. Cause: after the retention time the leader forgot a finished job at once, but deleted its records only along with the next change of another job. Until then the definition is stored as open. Since each poll without a response leads to a read of the whole list, which adds what the leader does not know; a cancellation hands such a job over as well. StoredJobsTest.ListThatIsReadAnewAfterTheRetentionTimeDoesNotRunAJobAgain failed before: "startedRuns Which is: 2", `job_added source=reload known_after_ms=141096`. Change: the leader knows a finished job until the deletion of its records is stored.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -349,14 +349,14 @@
   auto retention =
     std::chrono::duration_cast<std::chrono::milliseconds>(this->env.settings.retention);
   WallTime oldest = this->env.loop.WallClockNow() - retention;
-  for (auto job = this->finished.begin(); job != this->finished.end();) {
-    if (job->second.finishedAt >= oldest || this->dispatcher->State(job->first)) {
-      ++job;
+  for (auto& [id, job] : this->finished) {
+    if (job.isExpired || job.finishedAt >= oldest || this->dispatcher->State(id)) {
       continue;
     }
-    this->cleanupRecords[DefinitionKey(prefix, job->first)] = "";
-    this->cleanupRecords[ProgressKey(prefix, job->first)] = "";
-    job = this->finished.erase(job);
+    job.isExpired = true;
+    this->cleanupRecords[DefinitionKey(prefix, id)] = "";
+    this->cleanupRecords[ProgressKey(prefix, id)] = "";
+    this->expiredJobs.push_back(id);
   }
 }
 
@@ -425,6 +425,7 @@
   if (!records.empty()) {
     records.merge(this->cleanupRecords);
     this->cleanupRecords.clear();
+    batch.expired = std::exchange(this->expiredJobs, {});
   }
   return records;
 }
@@ -448,6 +449,9 @@
     }
     this->cancellations.erase(waiting.first, waiting.second);
   }
+  for (const JobId& id : batch.expired) {
+    this->finished.erase(id);
+  }
   this->SendStarts(batch.starts);
   for (const ProcessedCompletions& completions : this->completionTracker.OnBatchStored(aBatch)) {
     this->workerPoller->Acknowledge(completions);
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -152,6 +152,8 @@
   {
     DispatchState state = DispatchState::Completed;
     WallTime finishedAt;
+    /// The deletion of the job's records is due or in flight.
+    bool isExpired = false;
   };
   /// Jobs whose final state is stored.
   std::unordered_map<JobId, FinishedJob> finished;
@@ -161,6 +163,8 @@
     std::set<JobId> jobs;
     std::vector<AttemptKey> starts;
     std::map<JobId, FinishedJob> finished;
+    /// Jobs whose records the batch deletes.
+    std::vector<JobId> expired;
   };
   std::map<std::uint64_t, BatchInFlight> batchesInFlight;
   /// Jobs with a record in flight, and jobs with changes that no batch contains yet.
@@ -171,6 +175,9 @@
   CompletionTracker completionTracker;
   /// Records for the next batch in addition to the jobs' progress; an empty value deletes the key.
   std::map<std::string, std::string> cleanupRecords;
+  /// Jobs whose records cleanupRecords deletes. They stay known until that is stored; otherwise a
+  /// list that is read anew would add them as new jobs.
+  std::vector<JobId> expiredJobs;
   std::multimap<JobId, std::function<void(std::error_code)>> cancellations;
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
--- a/packages/coordination/tests/StoredJobsTest.cpp
+++ b/packages/coordination/tests/StoredJobsTest.cpp
@@ -147,5 +147,23 @@
   }
 }
 
+// Without other work the records of a finished job are cleaned up late.
+TEST_F(StoredJobsTest, ListThatIsReadAnewAfterTheRetentionTimeDoesNotRunAJobAgain)
+{
+  this->SubmitMany(1);
+  this->loop.RunFor(seconds(140));
+  bool isWatchLost = true;
+  this->store.isWatchResponseLost = [&isWatchLost](const std::string& aPrefix) {
+    return isWatchLost && aPrefix == "daisydrift/jobs/";
+  };
+  this->loop.RunFor(seconds(4));
+  isWatchLost = false;
+  this->loop.RunFor(seconds(3));
+  EXPECT_EQ(this->fleet.startedRuns, 1U);
+  for (const auto& [task, successes] : this->fleet.successes) {
+    EXPECT_EQ(successes, 1) << task.job;
+  }
+}
+
 } // namespace
 } // namespace daisydrift
