A leader whose process was suspended during a round decides soon afterwards

Callers would see: nothing is started, stopped or retried for twice the time of a suspension, after the suspension itself. Cause: the pause after a round is twice the round's duration by the clock, which goes on during a suspension or while a container gets no processor time. A round takes up to a third of a busy leader's time, so a suspension often falls into one. ClusterTest.LeaderDecidesSoonAfterItsProcessWasSuspendedDuringARound failed before: after 0.9 s within a round a job is `job_added` but not started within 1.3 s. Change: the pause is 300 ms at most; rounds of up to 150 ms still leave two thirds of the time. Ruled out: processor time as the measure; a thread that waits for the processor delays calls as well.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -13,6 +13,8 @@
 /// number of waiting jobs: the rest of the time is for calls, without which the backlog can't
 /// shrink.
 constexpr int kRoundPauseFactor = 2;
+/// Longest time between two rounds: the process may have been suspended during the last one.
+constexpr std::chrono::milliseconds kMaxRoundPause{ 300 };
 /// Time between rounds without events, which handle retries, leases and throttling.
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
 /// Attempts to send a start command; a worker recognizes a repeated one. When all stay unanswered,
@@ -386,7 +388,8 @@
   }
   Duration duration = this->env.loop.Now() - now;
   this->maxRoundDuration = std::max(this->maxRoundDuration, duration);
-  this->roundPauseUntil = now + duration + duration * kRoundPauseFactor;
+  this->roundPauseUntil =
+    now + duration + std::min<Duration>(duration * kRoundPauseFactor, kMaxRoundPause);
   this->recordWriter->Flush();
 }
 
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -689,5 +689,29 @@
   }
 }
 
+/// Shorter than the lease of a leader.
+constexpr milliseconds kSuspension{ 900 };
+
+// A pause that follows the duration of the last round would be longer than the suspension.
+TEST_F(ClusterTest, LeaderDecidesSoonAfterItsProcessWasSuspendedDuringARound)
+{
+  this->fleet.runTime = seconds(20);
+  ASSERT_EQ(this->Submit(0, "long", 1), SubmitOutcome::Accepted);
+  this->loop.RunFor(seconds(1));
+  int stops = 0;
+  this->fleet.onStop = [this, &stops] {
+    if (++stops == 1) {
+      this->loop.Suspend(kSuspension);
+    }
+  };
+  EXPECT_FALSE(this->Cancel(0, "long"));
+  EXPECT_GE(stops, 1);
+  this->fleet.runTime = milliseconds(200);
+  ASSERT_EQ(this->Submit(0, "short", 1), SubmitOutcome::Accepted);
+  this->loop.RunFor(milliseconds(1300));
+  Result<DispatchState> state = this->State(0, "short");
+  EXPECT_TRUE(state && *state == DispatchState::Completed);
+}
+
 } // namespace
 } // namespace daisydrift
--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -282,6 +282,9 @@
                      Epoch aFencingToken,
                      std::function<void(std::error_code)> aDone)
 {
+  if (this->onStop) {
+    this->onStop();
+  }
   if (!this->IsReachable(aWorker.id)) {
     this->loop.After(kNoResponseTimeout, [aDone] { aDone(make_error_code(Errc::OutcomeUnknown)); });
     return;
--- a/packages/coordination/tests/FakeFleet.h
+++ b/packages/coordination/tests/FakeFleet.h
@@ -65,6 +65,8 @@
   std::function<std::uint32_t(const TaskName&)> gangSize;
   /// True for a poll that is carried out but whose response is lost; empty for none.
   std::function<bool(const WorkerId&)> isPollResponseLost;
+  /// Called when a stop command is sent; empty for none.
+  std::function<void()> onStop;
   /// Number of runs that were started, and violated invariants.
   std::size_t startedRuns = 0;
   std::vector<std::string> violations;
--- a/packages/coordination/tests/VirtualLoop.h
+++ b/packages/coordination/tests/VirtualLoop.h
@@ -21,6 +21,8 @@
   {
     this->actions.emplace(std::pair(this->now + aDelay, this->nextNumber++), std::move(aAction));
   }
+  /// Lets time pass within an action, as when the process is suspended.
+  void Suspend(Duration aTime) { this->now += aTime; }
   /// Runs all actions that are due within aTime.
   void RunFor(Duration aTime)
   {
@@ -32,7 +34,7 @@
       this->actions.erase(next);
       action();
     }
-    this->now = until;
+    this->now = std::max(this->now, until);
   }
 
 private:
