A leader whose event loop is late still acknowledges completions

Callers would see: a leader that is late once stays late, as its workers repeat their reports. Cause: since a poll acknowledges nothing when the worker's last report is older than 200 ms. The poll that acknowledges was sent in the next turn of the event loop; with turns of more than 200 ms it never did, and a worker with unacknowledged completions answers each poll at once with all of them. WorkerPollerTest.LeaderWithALateEventLoopStillAcknowledges failed before: number 3 is in no poll. Change: the poll that acknowledges is sent in the turn in which the report arrived.

--- a/packages/coordination/src/WorkerPoller.cpp
+++ b/packages/coordination/src/WorkerPoller.cpp
@@ -154,6 +154,9 @@
     poll.isWaitingForStore = true;
     // Renews the lease even if the store is slow.
     this->SchedulePoll(aWorker, this->settings.pollWait);
+  } else if (isAcknowledgementDue && !this->isStoreUnavailable) {
+    // In this turn of the event loop, however late the next one is.
+    this->Poll(aWorker);
   } else {
     this->SchedulePoll(aWorker,
                        this->isStoreUnavailable ? Duration(kOutagePollInterval) : Duration(0));
--- a/packages/coordination/tests/WorkerPollerTest.cpp
+++ b/packages/coordination/tests/WorkerPollerTest.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace daisydrift::coordination {
 namespace {
 
@@ -131,6 +133,22 @@
   EXPECT_EQ(this->gateway.acknowledged.back(), 0U);
 }
 
+// Its workers would otherwise repeat their reports at once, for as long as the leader is late.
+TEST_F(WorkerPollerTest, LeaderWithALateEventLoopStillAcknowledges)
+{
+  this->Respond(ReportOf(1, 3));
+  this->loop.RunFor(milliseconds(600));
+  this->poller.Acknowledge({ { kWorker, 1, 3 } });
+  for (int poll = 0; poll < 3; ++poll) {
+    auto respond = this->gateway.respond;
+    respond(ReportOf(1, 3));
+    this->loop.Suspend(milliseconds(300));
+    this->loop.RunFor(Duration(0));
+  }
+  std::vector<std::uint64_t>& acknowledged = this->gateway.acknowledged;
+  EXPECT_NE(std::find(acknowledged.begin(), acknowledged.end(), 3U), acknowledged.end());
+}
+
 TEST_F(WorkerPollerTest, AcknowledgementIsRepeatedAfterALostResponse)
 {
   this->Respond(ReportOf(1, 3));
