A leader of an earlier version is told of stored jobs too, and no call of many jobs is too long

Callers would see: during an upgrade, jobs that the leader learns of only by its poll, and thousands that wait in each instance. Cause: a leader that does not know "notices" rejects the call, and the same call was repeated without end; so was one that exceeded the peer's limit, as only payloads were counted. Change: the bytes of whole records are counted; after a rejection that leader gets one job a call, in the form of the earlier version, and a job that it rejects alone is given up with a line. Measured: StoredJobsTest.LeaderOfAnEarlierVersionGetsOneJobACall failed before: 0 of 5 completed.

--- a/packages/coordination/src/StoredJobNotifier.cpp
+++ b/packages/coordination/src/StoredJobNotifier.cpp
@@ -15,7 +15,7 @@
 constexpr std::chrono::milliseconds kMaxRetryDelay{ 500 };
 /// Bounds of one call, so that a leader can read it within a few turns of its event loop.
 constexpr std::size_t kMaxJobsPerCall = 64;
-constexpr std::size_t kMaxPayloadBytesPerCall = 128 * 1024;
+constexpr std::size_t kMaxBytesPerCall = 128 * 1024;
 /// Bounds the memory of an instance that reaches no leader for a long time.
 constexpr std::size_t kMaxWaitingJobs = 4096;
 /// A job waits for this part of the retention time at most: a leader that found it in the job list
@@ -72,17 +72,21 @@
 {
   TimePoint oldest = this->env.loop.Now() - this->env.settings.retention / kRetentionDivisor;
   while (!this->waiting.empty() && this->waiting.front().addedAt < oldest) {
-    // A leader that does not know the job finds it in the job list.
-    this->env.metrics.Count("notices_given_up_total");
-    LogLine(LogLevel::Warning, "notice_given_up")
-      .Add("job", this->waiting.front().definition.id)
-      .Add("waiting", this->waiting.size())
-      .Add("oldest_ms", this->env.loop.Now() - this->waiting.front().addedAt);
-    this->waitingIds.erase(this->waiting.front().definition.id);
-    this->waiting.pop_front();
+    this->GiveUpOldest();
   }
 }
 
+void StoredJobNotifier::GiveUpOldest()
+{
+  this->env.metrics.Count("notices_given_up_total");
+  LogLine(LogLevel::Warning, "notice_given_up")
+    .Add("job", this->waiting.front().definition.id)
+    .Add("waiting", this->waiting.size())
+    .Add("oldest_ms", this->env.loop.Now() - this->waiting.front().addedAt);
+  this->waitingIds.erase(this->waiting.front().definition.id);
+  this->waiting.pop_front();
+}
+
 void StoredJobNotifier::SendNext()
 {
   this->isBusy = false;
@@ -108,21 +112,23 @@
 void StoredJobNotifier::SendTo(const LeaderRecord& aLeader)
 {
   this->isBusy = true;
+  bool isSingle = aLeader.incarnation == this->singleJobLeader;
+  std::size_t maxJobs = isSingle ? 1 : kMaxJobsPerCall;
   json jobs = json::array();
-  std::size_t payloadBytes = 0;
+  std::size_t bytes = 0;
   for (const WaitingJob& job : this->waiting) {
-    payloadBytes += job.definition.payload.size();
-    if (jobs.size() >= kMaxJobsPerCall ||
-        (!jobs.empty() && payloadBytes > kMaxPayloadBytesPerCall)) {
+    json record = ToJson(job.definition);
+    bytes += record.dump().size();
+    if (jobs.size() >= maxJobs || (!jobs.empty() && bytes > kMaxBytesPerCall)) {
       break;
     }
-    jobs.push_back(ToJson(job.definition));
+    jobs.push_back(std::move(record));
   }
   std::size_t count = jobs.size();
   this->env.peers.Call(
     aLeader.endpoint,
-    "notices",
-    { { "jobs", std::move(jobs) } },
+    isSingle ? "notice" : "notices",
+    isSingle ? jobs[0] : json{ { "jobs", std::move(jobs) } },
     kNoticeTimeout,
     [this, alive = this->isAlive, aLeader, count](const Result<json>& aResponse) {
       if (*alive) {
@@ -150,6 +156,10 @@
     this->SendNext();
     return;
   }
+  if (aError == make_error_code(Errc::InvalidArgument)) {
+    this->OnRejected(aLeader);
+    return;
+  }
   this->env.metrics.Count("notices_failed_total{error=\"" + aError.message() + "\"}");
   if (!this->isUnanswered) {
     // One line for each row of failures.
@@ -165,6 +175,15 @@
   this->RetryLater();
 }
 
+void StoredJobNotifier::OnRejected(const LeaderRecord& aLeader)
+{
+  if (aLeader.incarnation == this->singleJobLeader) {
+    this->GiveUpOldest();
+  }
+  this->singleJobLeader = aLeader.incarnation;
+  this->SendNext();
+}
+
 void StoredJobNotifier::RetryLater()
 {
   this->isBusy = true;
--- a/packages/coordination/src/StoredJobNotifier.h
+++ b/packages/coordination/src/StoredJobNotifier.h
@@ -36,6 +36,10 @@
   void RemoveExpired();
   void SendTo(const LeaderRecord& aLeader);
   void OnResponse(const LeaderRecord& aLeader, std::size_t aCount, std::error_code aError);
+  /// The leader does not accept the call: it is of an earlier version, or the call is malformed.
+  void OnRejected(const LeaderRecord& aLeader);
+  /// Removes the oldest job, which the leader finds in the job list.
+  void GiveUpOldest();
   void RetryLater();
   /// Removes the aCount oldest jobs.
   void RemoveOldest(std::size_t aCount);
@@ -50,6 +54,8 @@
   bool isBusy = false;
   /// The last call failed.
   bool isUnanswered = false;
+  /// Incarnation of a leader that takes only one job a call.
+  std::string singleJobLeader;
   Duration retryDelay;
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -89,6 +89,10 @@
     this->loop.After(aTimeout, [aDone] { aDone(Errc::OutcomeUnknown); });
     return;
   }
+  if (this->isCallUnknown && this->isCallUnknown(aMethod)) {
+    this->loop.After(2 * kNetworkDelay, [aDone] { aDone(Errc::InvalidArgument); });
+    return;
+  }
   this->loop.After(kNetworkDelay, [this, aPeer, aMethod, aArguments, aDone] {
     auto found = this->instances.find(aPeer.port);
     if (found == this->instances.end()) {
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -32,6 +32,8 @@
   std::set<unsigned short> unresponsive;
   /// True for a call that is lost on the way; empty for none.
   std::function<bool(const std::string& aMethod)> isCallLost;
+  /// True for a call that the called instance does not know; empty for none.
+  std::function<bool(const std::string& aMethod)> isCallUnknown;
 };
 
 /// One instance behind proxies that cut off its process when it is killed.
--- a/packages/coordination/tests/StoredJobsTest.cpp
+++ b/packages/coordination/tests/StoredJobsTest.cpp
@@ -165,5 +165,20 @@
   }
 }
 
+// During an upgrade the leader may be of a version that takes one job a call.
+TEST_F(StoredJobsTest, LeaderOfAnEarlierVersionGetsOneJobACall)
+{
+  this->peers.isCallUnknown = [](const std::string& aMethod) { return aMethod == "notices"; };
+  this->store.isWatchResponseLost = [](const std::string& aPrefix) {
+    return aPrefix == "daisydrift/jobs/";
+  };
+  this->store.isPrefixUnavailable = [](const std::string& aPrefix) {
+    return aPrefix == "daisydrift/jobs/";
+  };
+  this->SubmitMany(5);
+  this->loop.RunFor(seconds(1) + kRunTime);
+  EXPECT_EQ(this->CountCompleted(), 5U);
+}
+
 } // namespace
 } // namespace daisydrift
