A large instance that the store refuses now and then does not take leadership from a small one

Callers would see: a recovery of the leader every few seconds while the store refuses large instances in turn. Cause: an instance counted as stable while its lease held, also when the store refused it for less than a second. Change: it accepts the offer of a leader that the store serves only if the store has served itself for 2 s. Measured: LeadershipHandoverTest.LargeInstanceThatTheStoreRefusesNowAndThenIsNotGivenLeadership failed before: 1 leads.

--- a/packages/coordination/include/daisydrift/coordination/HttpPeerTransport.h
+++ b/packages/coordination/include/daisydrift/coordination/HttpPeerTransport.h
@@ -5,8 +5,9 @@
 
 namespace daisydrift {
 
-/// Sends each call as `POST /METHOD` with a JSON body. Callers' queries, callers' changes of jobs and
-/// the calls of the group have connections of their own, so that many of one kind delay no other.
+/// Sends each call as `POST /METHOD` with a JSON body. Callers' queries, callers' changes of jobs
+/// and the calls of the group have connections of their own, so that many of one kind delay no
+/// other.
 class HttpPeerTransport : public PeerTransport
 {
 public:
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -374,8 +374,10 @@
     return;
   }
   if (aMethod == "succeed") {
-    aReply(
-      json{ { "stands", self.membership.AcceptHandover(aArguments.value("incarnation", "")) } });
+    Duration minAvailableTime(aArguments.value("min_available_us", Duration::rep(0)));
+    aReply(json{
+      { "stands",
+        self.membership.AcceptHandover(aArguments.value("incarnation", ""), minAvailableTime) } });
     return;
   }
   if (aMethod == "announce") {
--- a/packages/coordination/src/LeadershipHandover.cpp
+++ b/packages/coordination/src/LeadershipHandover.cpp
@@ -18,8 +18,9 @@
 constexpr std::size_t kMaxOffers = 5;
 /// Interval of the checks for a larger member.
 constexpr std::chrono::milliseconds kCheckInterval{ 1000 };
-/// Least time for which a leader leads, and for which its successor has been a member, so that
-/// leadership does not alternate with an instance that the store refuses again and again.
+/// Least time for which a leader leads, and for which its successor has been a member that the
+/// store serves, so that leadership does not alternate with an instance that the store refuses
+/// again and again.
 constexpr std::chrono::milliseconds kMinStableTime{ 2000 };
 /// Least difference of the campaign delays; some 40 thousandths of a core on the users' platform.
 constexpr std::chrono::milliseconds kMinDelayDifference{ 100 };
@@ -77,9 +78,10 @@
   this->membership.ProbeStore();
   this->loop.After(kConfirmationDelay, [this, alive = this->isAlive] {
     if (*alive) {
-      this->OfferLeadership(this->Candidates([](const MemberRecord&) { return true; }), 0, [this] {
-        return !this->membership.IsStoreAvailable();
-      });
+      this->OfferLeadership(this->Candidates([](const MemberRecord&) { return true; }),
+                            0,
+                            Duration(0),
+                            [this] { return !this->membership.IsStoreAvailable(); });
     }
   });
 }
@@ -107,12 +109,13 @@
     });
   if (!larger.empty()) {
     this->isOffering = true;
-    this->OfferLeadership(larger, 0, [] { return true; });
+    this->OfferLeadership(larger, 0, kMinStableTime, [] { return true; });
   }
 }
 
 void LeadershipHandover::OfferLeadership(const std::vector<SocketEndpoint>& aCandidates,
                                          std::size_t aNext,
+                                         Duration aMinAvailableTime,
                                          const std::function<bool()>& aIsWanted)
 {
   if (aNext >= aCandidates.size() || !this->IsLeading() || !aIsWanted()) {
@@ -122,9 +125,11 @@
   this->peers.Call(
     aCandidates[aNext],
     "succeed",
-    { { "incarnation", this->membership.Incarnation() } },
+    { { "incarnation", this->membership.Incarnation() },
+      { "min_available_us", aMinAvailableTime.count() } },
     kOfferTimeout,
-    [this, alive = this->isAlive, aCandidates, aNext, aIsWanted](const Result<json>& aResponse) {
+    [this, alive = this->isAlive, aCandidates, aNext, aMinAvailableTime, aIsWanted](
+      const Result<json>& aResponse) {
       if (!*alive) {
         return;
       }
@@ -135,15 +140,16 @@
         .Add("store_available", this->membership.IsStoreAvailable())
         .Add("error", aResponse ? std::error_code() : aResponse.Error());
       if (!isAccepted) {
-        this->OfferLeadership(aCandidates, aNext + 1, aIsWanted);
+        this->OfferLeadership(aCandidates, aNext + 1, aMinAvailableTime, aIsWanted);
         return;
       }
       // The member may lose the election or fail too.
-      this->loop.After(kOfferTimeout, [this, alive, aCandidates, aNext, aIsWanted] {
-        if (*alive) {
-          this->OfferLeadership(aCandidates, aNext + 1, aIsWanted);
-        }
-      });
+      this->loop.After(
+        kOfferTimeout, [this, alive, aCandidates, aNext, aMinAvailableTime, aIsWanted] {
+          if (*alive) {
+            this->OfferLeadership(aCandidates, aNext + 1, aMinAvailableTime, aIsWanted);
+          }
+        });
     });
 }
 
--- a/packages/coordination/src/LeadershipHandover.h
+++ b/packages/coordination/src/LeadershipHandover.h
@@ -38,9 +38,10 @@
   std::vector<SocketEndpoint> Candidates(
     const std::function<bool(const MemberRecord&)>& aIsCandidate) const;
   /// Offers leadership to the members one after another while this instance leads and aIsWanted
-  /// returns true.
+  /// returns true. A member accepts if the store has been available to it for aMinAvailableTime.
   void OfferLeadership(const std::vector<SocketEndpoint>& aCandidates,
                        std::size_t aNext,
+                       Duration aMinAvailableTime,
                        const std::function<bool()>& aIsWanted);
   void CheckForLargerMember();
 
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -138,6 +138,7 @@
                      aError != make_error_code(Errc::Overloaded);
   if (isAvailable != this->isStoreAvailable) {
     this->isStoreAvailable = isAvailable;
+    this->storeAvailableSince = this->loop.Now();
     LogLine(LogLevel::Warning, isAvailable ? "store_regained" : "store_lost").Add("error", aError);
   }
 }
@@ -529,11 +530,12 @@
   return this->loop.Now() - this->renewedAt < this->settings.membershipLease;
 }
 
-bool Membership::AcceptHandover(const std::string& aIncarnation)
+bool Membership::AcceptHandover(const std::string& aIncarnation, Duration aMinAvailableTime)
 {
-  bool canCampaign = this->isStoreAvailable && !this->isStopping && this->lease != 0 &&
-                     this->leader && this->leader->incarnation == aIncarnation &&
-                     this->leader->revision != 0;
+  bool isAvailable =
+    this->isStoreAvailable && this->loop.Now() - this->storeAvailableSince >= aMinAvailableTime;
+  bool canCampaign = isAvailable && !this->isStopping && this->lease != 0 && this->leader &&
+                     this->leader->incarnation == aIncarnation && this->leader->revision != 0;
   if (canCampaign) {
     this->Campaign();
   }
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -91,8 +91,9 @@
   bool IsLeaseValid() const;
   /// Renews the lease now, to detect whether the store is available.
   void ProbeStore();
-  /// Handles a leader's offer of leadership. True when this instance accepts and campaigns.
-  bool AcceptHandover(const std::string& aIncarnation);
+  /// Handles a leader's offer of leadership. True when this instance accepts and campaigns, which
+  /// it does only if the store has been available to it for aMinAvailableTime.
+  bool AcceptHandover(const std::string& aIncarnation, Duration aMinAvailableTime);
   /// Call when a call to the leader has failed: probes whether its process still runs.
   void SuspectLeader();
   /// Adopts a leader record from another instance unless it is older.
@@ -137,6 +138,7 @@
   bool isCampaigning = false;
   bool isProbing = false;
   bool isStoreAvailable = true;
+  TimePoint storeAvailableSince;
   std::optional<LeaderRecord> leader;
   TimePoint leaderSince;
   /// Revision of the leader key; 0 when it does not exist.
--- a/packages/coordination/tests/LeadershipHandoverTest.cpp
+++ b/packages/coordination/tests/LeadershipHandoverTest.cpp
@@ -37,6 +37,23 @@
   EXPECT_TRUE(this->fleet.violations.empty()) << this->fleet.violations[0];
 }
 
+// Each change of leader costs a recovery.
+TEST_F(LeadershipHandoverTest, LargeInstanceThatTheStoreRefusesNowAndThenIsNotGivenLeadership)
+{
+  this->StartInstance(0, kSmallInstanceDelay);
+  this->loop.RunFor(seconds(2));
+  this->StartInstance(1);
+  for (int round = 0; round < 10; ++round) {
+    this->processes[1]->store.isRefusingCalls = true;
+    this->loop.RunFor(milliseconds(350));
+    this->processes[1]->store.isRefusingCalls = false;
+    this->loop.RunFor(milliseconds(400));
+    EXPECT_EQ(this->LeaderNumber(), 0) << round;
+  }
+  this->loop.RunFor(seconds(5));
+  EXPECT_EQ(this->LeaderNumber(), 1);
+}
+
 TEST_F(LeadershipHandoverTest, LeadershipStaysAmongInstancesOfOneSize)
 {
   this->StartInstance(0, kSmallInstanceDelay);
