A submission is answered by its deadline while the store is silent

Callers would see: no answer to a submission during the first 1.5 s of a store that accepts calls and does not respond. Cause: the outcome was reported when the last of up to four parallel writes had timed out, whatever the caller's deadline. Evidence: CallerDeadlineTest.ASubmissionIsAnsweredInTimeWhileTheStoreIsSilent failed before: 1450 ms for a caller that waits for 400 ms. Change: at the deadline the outcome is unknown. A write that is carried out later is found in the job list by the leader. Measured: that test green.

--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -66,6 +66,9 @@
   }
   submission->deadline = this->env.loop.Now() + aTimeout;
   submission->done = std::move(aDone);
+  // The calls to the store and to the leader may end later than the caller waits.
+  this->env.loop.After(
+    aTimeout, [this, submission] { this->FinishSubmission(submission, SubmitOutcome::Unknown); });
   if (this->membership.IsStoreAvailable()) {
     this->StoreJob(submission);
   } else {
--- a/packages/coordination/tests/CallerDeadlineTest.cpp
+++ b/packages/coordination/tests/CallerDeadlineTest.cpp
@@ -1,4 +1,4 @@
-// Callers' requests are answered by their deadlines while the leader is silent.
+// Callers' requests are answered by their deadlines while the leader or the store is silent.
 
 #include "Cluster.h"
 
@@ -46,5 +46,29 @@
   }
 }
 
+// Guards against a caller that gets no answer: while the store was silent, the outcome was reported
+// only when all open writes had timed out.
+TEST_F(CallerDeadlineTest, ASubmissionIsAnsweredInTimeWhileTheStoreIsSilent)
+{
+  this->store.isSilent = true;
+  for (milliseconds timeout : { milliseconds(400), milliseconds(850), milliseconds(1850) }) {
+    JobDefinition job;
+    job.id = "late" + std::to_string(timeout.count());
+    job.queue = "queue";
+    job.team = "team";
+    job.steps.resize(1);
+    job.acceptedAt = this->loop.WallClockNow();
+    std::optional<SubmitOutcome> outcome;
+    TimePoint begin = this->loop.Now();
+    this->instances[this->follower]->Submit(
+      job, timeout, [&outcome](SubmitOutcome aOutcome) { outcome = aOutcome; });
+    while (!outcome) {
+      this->loop.RunFor(milliseconds(1));
+    }
+    EXPECT_LE((this->loop.Now() - begin) / milliseconds(1), timeout.count());
+    EXPECT_NE(*outcome, SubmitOutcome::Accepted);
+  }
+}
+
 } // namespace
 } // namespace daisydrift
