--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -58,11 +58,15 @@
   auto submission = std::make_shared<Submission>();
   submission->definition = aDefinition;
   if (const FleetConfig* config = this->env.config.Config()) {
-    // The leader may have a configuration without this queue, now or after its removal.
+    // The leader may have a configuration without this queue or team, now or after its removal.
     auto rules = config->policy.queues.find(aDefinition.queue);
     if (rules != config->policy.queues.end()) {
       submission->definition.rules = rules->second;
     }
+    auto teamRules = config->policy.teams.find(aDefinition.team);
+    if (teamRules != config->policy.teams.end()) {
+      submission->definition.teamRules = teamRules->second;
+    }
   }
   submission->deadline = this->env.loop.Now() + aTimeout;
   submission->done = std::move(aDone);
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -145,6 +145,20 @@
   return rules;
 }
 
+json ToJson(const TeamRules& aRules)
+{
+  return { { "version", aRules.version },
+           { "weight", aRules.weight },
+           { "ceiling", ToJson(aRules.ceiling) } };
+}
+
+TeamRules TeamRulesFromJson(const TeamName& aName, const json& aRecord)
+{
+  return {
+    aName, aRecord.at("weight"), ResourcesFromJson(aRecord.at("ceiling")), aRecord.at("version")
+  };
+}
+
 /// Runs a decoder that throws on malformed records.
 template<typename Decoder>
 auto Decode(const char* aKind, Decoder aDecoder) -> std::optional<decltype(aDecoder())>
@@ -172,6 +186,9 @@
   if (aDefinition.rules) {
     record["rules"] = ToJson(*aDefinition.rules);
   }
+  if (aDefinition.teamRules) {
+    record["team_rules"] = ToJson(*aDefinition.teamRules);
+  }
   if (aDefinition.occurrences > 0) {
     record["occurrences"] = aDefinition.occurrences;
     record["first_due_ms"] = aDefinition.firstDue.time_since_epoch().count();
@@ -190,6 +207,9 @@
       definition.rules = QueuePolicyFromJson(definition.queue, *rules);
     }
     definition.team = aRecord.at("team");
+    if (auto rules = aRecord.find("team_rules"); rules != aRecord.end()) {
+      definition.teamRules = TeamRulesFromJson(definition.team, *rules);
+    }
     definition.payload = aRecord.at("payload");
     definition.acceptedAt =
       WallTime(std::chrono::milliseconds(aRecord.at("accepted_ms").get<std::int64_t>()));
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -49,7 +49,11 @@
   if (aDocument.find(kWithoutQueue) == std::string::npos) {
     config.policy.queues["queue"] = queue;
   }
-  config.policy.teams["team"] = { "team", 1000, {} };
+  if (aDocument.find(kWithoutTeam) == std::string::npos) {
+    bool hasCeiling = aDocument.find(kWithCeiling) != std::string::npos;
+    Resources ceiling{ hasCeiling ? 2000 : 0, 0, 0 };
+    config.policy.teams["team"] = { "team", 1000, ceiling, config.version };
+  }
   return config;
 }
 } // namespace
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -11,6 +11,9 @@
 
 /// Ends a configuration document that has no queue; otherwise there is one, `queue`.
 inline constexpr const char* kWithoutQueue = " without queue";
+/// The same for the team `team`, and for its ceiling of two cores; otherwise it has no ceiling.
+inline constexpr const char* kWithoutTeam = " without team";
+inline constexpr const char* kWithCeiling = " with ceiling";
 
 /// Calls between the instances of one cluster.
 class InMemoryPeers : public PeerTransport
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -348,6 +348,29 @@
   this->ExpectAllCompleted({ "job" }, (leader + 1) % 3, seconds(9));
 }
 
+// Guards against a team that exceeds its ceiling, since only the former leader knew it.
+TEST_F(ClusterTest, JobsOfARemovedTeamKeepItsCeilingAfterAChangeOfLeader)
+{
+  this->store.Put("operators/config", std::string("2") + kWithCeiling);
+  this->loop.RunFor(milliseconds(500));
+  ASSERT_EQ(this->Submit(0, "job", 12), SubmitOutcome::Accepted);
+  this->store.Put("operators/config", std::string("3") + kWithoutTeam);
+  this->loop.RunFor(milliseconds(300));
+  int leader = this->LeaderNumber();
+  this->KillInstance(leader);
+  std::size_t mostRuns = 0;
+  for (int step = 0; step < 100; ++step) {
+    this->loop.RunFor(milliseconds(100));
+    std::size_t runs = 0;
+    for (int number = 0; number < 4; ++number) {
+      runs += this->fleet.CountRuns("w" + std::to_string(number));
+    }
+    mostRuns = std::max(mostRuns, runs);
+  }
+  EXPECT_EQ(mostRuns, 2U);
+  this->ExpectAllCompleted({ "job" }, (leader + 1) % 3, seconds(1));
+}
+
 TEST_F(ClusterTest, StoreOutageRefusesNewJobsAndKeepsAcceptedOnes)
 {
   ASSERT_EQ(this->Submit(0, "before", 4), SubmitOutcome::Accepted);
--- a/packages/coordination/tests/RecordCodecTest.cpp
+++ b/packages/coordination/tests/RecordCodecTest.cpp
@@ -9,13 +9,15 @@
 
 using std::chrono::milliseconds;
 
-TEST(RecordCodecTest, AJobDefinitionKeepsTheRulesOfItsQueue)
+TEST(RecordCodecTest, AJobDefinitionKeepsTheRulesOfItsQueueAndTeam)
 {
   JobDefinition job;
   job.id = "job";
   job.queue = "queue";
+  job.team = "team";
   job.rules = QueuePolicy{ "queue", "desk", 2, 4, 1.5, milliseconds(250), {}, 17 };
   job.rules->advice = AdvicePolicy{ milliseconds(120), milliseconds(3), milliseconds(4000) };
+  job.teamRules = TeamRules{ "team", 2.5, { 2000, 300, 4 }, 17 };
   job.steps.emplace_back();
   std::optional<JobDefinition> read =
     coordination::JobDefinitionFromJson(coordination::ToJson(job));
@@ -31,6 +33,13 @@
   EXPECT_EQ(read->rules->advice->baseTime, milliseconds(120));
   EXPECT_EQ(read->rules->advice->timePerWorker, milliseconds(3));
   EXPECT_EQ(read->rules->advice->validity, milliseconds(4000));
+  ASSERT_TRUE(read->teamRules);
+  EXPECT_EQ(read->teamRules->name, "team");
+  EXPECT_EQ(read->teamRules->weight, 2.5);
+  EXPECT_EQ(read->teamRules->ceiling.milliCores, 2000);
+  EXPECT_EQ(read->teamRules->ceiling.memoryMiB, 300);
+  EXPECT_EQ(read->teamRules->ceiling.accelerators, 4);
+  EXPECT_EQ(read->teamRules->version, 17U);
 }
 
 // Guards against accepted jobs that are lost in an upgrade.
@@ -43,6 +52,7 @@
   ASSERT_TRUE(job);
   EXPECT_EQ(job->queue, "queue");
   EXPECT_FALSE(job->rules);
+  EXPECT_FALSE(job->teamRules);
   ASSERT_EQ(job->steps.size(), 1U);
   EXPECT_EQ(job->steps[0].taskCount, 3U);
 }
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
@@ -89,6 +89,19 @@
   std::uint64_t version = 0;
 };
 
+/// Scheduling rules of one team.
+struct TeamRules
+{
+  TeamName name;
+  /// The team's share of a full fleet, and the jobs per second for which it is guaranteed timely
+  /// results. The dispatcher uses it as that rate: jobs above it rank last.
+  double weight = 1;
+  /// Most resources that the team's tasks may use at the same time; a resource with 0 has no limit.
+  Resources ceiling;
+  /// Version of the configuration that these rules are from.
+  std::uint64_t version = 0;
+};
+
 /// A job as accepted from its caller.
 struct JobDefinition
 {
@@ -99,6 +112,8 @@
   std::optional<QueuePolicy> rules;
   /// Empty for a job that was submitted without an API key to an open queue.
   TeamName team;
+  /// As `rules`, of the team; empty also for a job without a team.
+  std::optional<TeamRules> teamRules;
   /// Opaque data that is passed to the workers unchanged.
   std::string payload;
   std::vector<StepSpec> steps;
@@ -132,17 +147,6 @@
   auto operator<=>(const StepName&) const = default;
 };
 
-/// Scheduling rules of one team.
-struct TeamRules
-{
-  TeamName name;
-  /// The team's share of a full fleet, and the jobs per second for which it is guaranteed timely
-  /// results. The dispatcher uses it as that rate: jobs above it rank last.
-  double weight = 1;
-  /// Most resources that the team's tasks may use at the same time; a resource with 0 has no limit.
-  Resources ceiling;
-};
-
 /// Queue and team rules of one version of the configuration.
 struct FleetPolicy
 {
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -54,7 +54,7 @@
   Dispatcher& operator=(const Dispatcher&) = delete;
 
   /// Updates the queue and team rules. Rules of queues and teams that aPolicy omits stay in force,
-  /// as do newer rules of a queue that came with a job.
+  /// as do newer rules of a queue or team that came with a job.
   void SetPolicy(const FleetPolicy& aPolicy);
   /// Replaces the set of failure domains whose workers get no starts.
   void SetDrainedDomains(const std::set<FailureDomain>& aDomains);
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -48,7 +48,7 @@
     this->impl->AdoptRules(rules);
   }
   for (const auto& [name, rules] : aPolicy.teams) {
-    state.EnsureTeam(name).rules = rules;
+    state.EnsureTeam(name).AdoptRules(rules);
   }
 }
 
@@ -233,6 +233,9 @@
   job->criticalPaths = dispatch::CriticalPathsOf(aDefinition);
   if (!aDefinition.team.empty()) {
     job->team = &this->state.EnsureTeam(aDefinition.team);
+    if (aDefinition.teamRules) {
+      job->team->AdoptRules(*aDefinition.teamRules);
+    }
   }
   job->sequence = this->nextSequence++;
   Job& added = *job;
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -142,6 +142,14 @@
   /// Token bucket of the team's job rate, in jobs; refilled by rules.weight a second.
   double jobTokens = 0;
   TimePoint tokensRefilledAt;
+
+  /// Adopts rules of the team unless newer ones are known.
+  void AdoptRules(const TeamRules& aRules)
+  {
+    if (aRules.version >= this->rules.version) {
+      this->rules = aRules;
+    }
+  }
 };
 
 struct Job
