A large instance with single refused writes is given leadership

Callers would see: a small instance leads on under load, as long as writes of the large instances exceed the store's rate limit now and then. Cause: a large instance accepts the offer of a small leader if the store has served it for 2 s, and one refused call of any kind restarted that time. Evidence: LeadershipHandoverTest.LargeInstanceWithSingleRefusedWritesIsGivenLeadership, one refused write each 0.5 s, failed before: 0 leads after 5 s. Change: the time counts from the last failed renewal of the membership lease. Renewals are sent each 0.3 s, so an instance that the store refuses for that long is still not given leadership.

--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -138,7 +138,6 @@
                      aError != make_error_code(Errc::Overloaded);
   if (isAvailable != this->isStoreAvailable) {
     this->isStoreAvailable = isAvailable;
-    this->storeAvailableSince = this->loop.Now();
     LogLine(LogLevel::Warning, isAvailable ? "store_regained" : "store_lost").Add("error", aError);
   }
 }
@@ -200,6 +199,8 @@
     this->OnStoreResult(aError);
     if (!aError) {
       this->renewedAt = std::max(this->renewedAt, sentAt);
+    } else {
+      this->lastFailedRenewal = this->loop.Now();
     }
     // A lost response shows only after a timeout and is not a refusal.
     if (!this->isStoreAvailable && this->loop.Now() - sentAt < kMaxRefusalTime) {
@@ -532,8 +533,9 @@
 
 bool Membership::AcceptHandover(const std::string& aIncarnation, Duration aMinAvailableTime)
 {
+  // Other calls may be refused for the rate limit of all instances.
   bool isAvailable =
-    this->isStoreAvailable && this->loop.Now() - this->storeAvailableSince >= aMinAvailableTime;
+    this->isStoreAvailable && this->loop.Now() - this->lastFailedRenewal >= aMinAvailableTime;
   bool canCampaign = isAvailable && !this->isStopping && this->lease != 0 && this->leader &&
                      this->leader->incarnation == aIncarnation && this->leader->revision != 0;
   if (canCampaign) {
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -92,7 +92,7 @@
   /// Renews the lease now, to detect whether the store is available.
   void ProbeStore();
   /// Handles a leader's offer of leadership. True when this instance accepts and campaigns, which
-  /// it does only if the store has been available to it for aMinAvailableTime.
+  /// it does only if the store is available and no renewal has failed for aMinAvailableTime.
   bool AcceptHandover(const std::string& aIncarnation, Duration aMinAvailableTime);
   /// Call when a call to the leader has failed: probes whether its process still runs.
   void SuspectLeader();
@@ -138,7 +138,7 @@
   bool isCampaigning = false;
   bool isProbing = false;
   bool isStoreAvailable = true;
-  TimePoint storeAvailableSince;
+  TimePoint lastFailedRenewal;
   std::optional<LeaderRecord> leader;
   TimePoint leaderSince;
   /// Revision of the leader key; 0 when it does not exist.
--- a/packages/coordination/tests/LeadershipHandoverTest.cpp
+++ b/packages/coordination/tests/LeadershipHandoverTest.cpp
@@ -54,6 +54,32 @@
   EXPECT_EQ(this->LeaderNumber(), 1);
 }
 
+// Guards against a small leader that leads on while the large instances send more writes than the
+// store's rate limit allows: single refusals counted as if the store did not serve them.
+TEST_F(LeadershipHandoverTest, LargeInstanceWithSingleRefusedWritesIsGivenLeadership)
+{
+  this->StartInstance(0, kSmallInstanceDelay);
+  this->loop.RunFor(seconds(2));
+  this->StartInstance(1);
+  this->loop.RunFor(milliseconds(500));
+  for (int round = 0; round < 10 && this->LeaderNumber() == 0; ++round) {
+    bool isRefused = false;
+    this->store.commitFault = [&isRefused](const KeyValueTransaction& aTransaction) {
+      if (isRefused || aTransaction.puts.empty() ||
+          aTransaction.puts[0].key.rfind("daisydrift/jobs/", 0) != 0) {
+        return CommitFault::None;
+      }
+      isRefused = true;
+      return CommitFault::Refused;
+    };
+    ASSERT_EQ(this->Submit(1, "job" + std::to_string(round), 1), SubmitOutcome::Accepted);
+    EXPECT_TRUE(isRefused);
+    this->store.commitFault = nullptr;
+    this->loop.RunFor(milliseconds(500));
+  }
+  EXPECT_EQ(this->LeaderNumber(), 1);
+}
+
 TEST_F(LeadershipHandoverTest, LeadershipStaysAmongInstancesOfOneSize)
 {
   this->StartInstance(0, kSmallInstanceDelay);
