Calls between test instances end at their timeouts, and JobLifeTest checks that each request is answered

Cause: a call to a test instance that was killed before it answered never ended, so nothing after that was tested; and no test noticed a request that got no answer. The fault was the test's: the real transport has timeouts. Change: each call ends once, at its timeout with an unknown outcome. JobLifeTest fails if an instance that does not end leaves a submission, a query or a cancellation without an answer.

--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -1,5 +1,7 @@
 #include "Cluster.h"
 
+#include <utility>
+
 namespace daisydrift {
 
 using nlohmann::json;
@@ -88,23 +90,30 @@
                          Duration aTimeout,
                          std::function<void(const Result<json>&)> aDone)
 {
+  auto isOpen = std::make_shared<bool>(true);
+  auto finish = [isOpen, aDone](const Result<json>& aResponse) {
+    if (std::exchange(*isOpen, false)) {
+      aDone(aResponse);
+    }
+  };
+  // The called process may end before it has answered.
+  this->loop.After(aTimeout, [finish] { finish(Errc::OutcomeUnknown); });
   bool isLost = this->isCallLost && this->isCallLost(aMethod);
   if (isLost || this->unresponsive.count(aPeer.port) != 0) {
-    this->loop.After(aTimeout, [aDone] { aDone(Errc::OutcomeUnknown); });
     return;
   }
   if (this->isCallUnknown && this->isCallUnknown(aMethod)) {
-    this->loop.After(2 * kNetworkDelay, [aDone] { aDone(Errc::InvalidArgument); });
+    this->loop.After(2 * kNetworkDelay, [finish] { finish(Errc::InvalidArgument); });
     return;
   }
-  this->loop.After(kNetworkDelay, [this, aPeer, aMethod, aArguments, aDone] {
+  this->loop.After(kNetworkDelay, [this, aPeer, aMethod, aArguments, finish] {
     auto found = this->instances.find(aPeer.port);
     if (found == this->instances.end()) {
-      aDone(Errc::Unreachable);
+      finish(Errc::Unreachable);
       return;
     }
-    found->second->OnPeerCall(aMethod, aArguments, [this, aDone](const Result<json>& aResponse) {
-      this->loop.After(kNetworkDelay, [aDone, aResponse] { aDone(aResponse); });
+    found->second->OnPeerCall(aMethod, aArguments, [this, finish](const Result<json>& aResponse) {
+      this->loop.After(kNetworkDelay, [finish, aResponse] { finish(aResponse); });
     });
   });
 }
--- a/packages/coordination/tests/JobLifeTest.cpp
+++ b/packages/coordination/tests/JobLifeTest.cpp
@@ -1,5 +1,6 @@
 // Random histories of jobs of all kinds with faults at every hand-over: no accepted job is lost,
-// and none fails or is cancelled without cause. More histories:
+// none fails or is cancelled without cause, and each request to an instance that does not end is
+// answered. More histories:
 //   RC_PARAMS="seed=1 max_success=5000" build/packages/coordination/coordination_JobLifeTest
 
 #include "Cluster.h"
@@ -8,6 +9,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <array>
+#include <deque>
 
 namespace daisydrift {
 namespace {
@@ -107,6 +109,17 @@
     bool wasCancelAcknowledged = false;
   };
 
+  /// A request to an instance.
+  struct OpenRequest
+  {
+    std::string text;
+    const FakeProcess* process = nullptr;
+    bool isAnswered = false;
+  };
+
+  /// Notes a request about a job to an instance; the result is valid as long as this object.
+  OpenRequest& AddRequest(const char* aKind, const JobId& aJob, int aInstance);
+  void CheckRequestsAreAnswered();
   void Do(const Action& aAction);
   void SubmitJob(const Action& aAction, JobDefinition aJob);
   void Send(const Action& aAction, SubmittedJob& aJob);
@@ -123,6 +136,7 @@
   SubmittedJob* AnyJob(int aSelection);
 
   std::map<JobId, SubmittedJob> jobs;
+  std::deque<OpenRequest> requests;
   std::vector<std::string> faults;
   std::uint64_t configVersion = 1;
   std::size_t runs = 0;
@@ -169,6 +183,21 @@
   return &found->second;
 }
 
+JobLife::OpenRequest& JobLife::AddRequest(const char* aKind, const JobId& aJob, int aInstance)
+{
+  std::string text = std::string(aKind) + " of " + aJob + " at i" + std::to_string(aInstance);
+  return this->requests.emplace_back(OpenRequest{ text, this->processes[aInstance].get() });
+}
+
+void JobLife::CheckRequestsAreAnswered()
+{
+  for (const OpenRequest& request : this->requests) {
+    if (!request.isAnswered && request.process->state.isAlive) {
+      this->faults.push_back(request.text + " got no answer");
+    }
+  }
+}
+
 void JobLife::SubmitJob(const Action& aAction, JobDefinition aJob)
 {
   SubmittedJob& job = this->jobs[aJob.id];
@@ -185,8 +214,10 @@
     return;
   }
   ++aJob.notRefused; // A killed instance never answers.
+  OpenRequest& request = this->AddRequest("submission", aJob.definition.id, instance);
   this->instances[instance]->Submit(
-    aJob.definition, milliseconds(2500), [&aJob](SubmitOutcome aOutcome) {
+    aJob.definition, milliseconds(2500), [&aJob, &request](SubmitOutcome aOutcome) {
+      request.isAnswered = true;
       aJob.isAccepted = aJob.isAccepted || aOutcome == SubmitOutcome::Accepted;
       aJob.notRefused -= aOutcome == SubmitOutcome::Refused ? 1 : 0;
     });
@@ -195,10 +226,12 @@
 void JobLife::QueryJob(int aInstance, const SubmittedJob& aJob)
 {
   bool isAccepted = aJob.isAccepted;
+  OpenRequest& request = this->AddRequest("query", aJob.definition.id, aInstance);
   this->instances[aInstance]->Query(
     aJob.definition.id,
     milliseconds(2500),
-    [this, &aJob, isAccepted](const Result<DispatchState>& aState) {
+    [this, &aJob, &request, isAccepted](const Result<DispatchState>& aState) {
+      request.isAnswered = true;
       if (isAccepted && !aState && aState.Error() == make_error_code(Errc::NotFound)) {
         this->faults.push_back(aJob.definition.id + " was accepted and is not known");
       }
@@ -283,8 +316,10 @@
       int instance = this->AnyInstance(aAction.selection / 4);
       if (job != nullptr && instance >= 0) {
         job->wasCancelSent = true;
+        OpenRequest& request = this->AddRequest("cancellation", job->definition.id, instance);
         this->instances[instance]->Cancel(
-          job->definition.id, milliseconds(2500), [job](std::error_code aError) {
+          job->definition.id, milliseconds(2500), [job, &request](std::error_code aError) {
+            request.isAnswered = true;
             job->wasCancelAcknowledged = job->wasCancelAcknowledged || !aError;
           });
       }
@@ -516,6 +551,7 @@
       break;
     }
   }
+  this->CheckRequestsAreAnswered();
   for (const auto& [id, text] : missing) {
     RC_LOG() << id << ": " << text << std::endl;
   }
