A refused leader offers leadership to as many members as it can ask in its lease

Callers would see: no leader until the lease has ended when the store refuses most instances of a large group, the leader among them. Cause: it asked the first five members in the order of their campaign delays. Members that the store refuses too say no at once, so on 44 instances the offers ended after some milliseconds, without having reached one that the store serves. Evidence: LeadershipHandoverTest.RefusedLeaderFindsTheMemberThatTheStoreServes, 11 of 12 instances refused, failed before: the served one does not lead after 0.9 s; each row of offers had five. Change: offers are bounded by a time of 1 s instead of a number, also those to larger members. A plain refusal is counted in one line a row, leadership_offers_ended, instead of a line each. Measured: LeadershipHandoverTest 5 of 5, ClusterTest 27 of 27, JobLifeTest (default histories) green.

--- a/packages/coordination/src/LeadershipHandover.cpp
+++ b/packages/coordination/src/LeadershipHandover.cpp
@@ -14,8 +14,9 @@
 constexpr std::chrono::milliseconds kConfirmationDelay{ 60 };
 /// Response time limit of a member that is offered leadership.
 constexpr std::chrono::milliseconds kOfferTimeout{ 250 };
-/// Most members that are asked; after that many the lease is about to expire anyway.
-constexpr std::size_t kMaxOffers = 5;
+/// Time for which members are asked; after it the lease of a refused leader is about to expire
+/// anyway.
+constexpr std::chrono::milliseconds kMaxOfferTime{ 1000 };
 /// Interval of the checks for a larger member.
 constexpr std::chrono::milliseconds kCheckInterval{ 1000 };
 /// Least time for which a leader leads, and for which its successor has been a member that the
@@ -60,7 +61,6 @@
   std::stable_sort(members.begin(), members.end(), [](const auto* aLeft, const auto* aRight) {
     return aLeft->campaignDelay < aRight->campaignDelay;
   });
-  members.resize(std::min(members.size(), kMaxOffers));
   std::vector<SocketEndpoint> endpoints;
   endpoints.reserve(members.size());
   for (const MemberRecord* member : members) {
@@ -81,7 +81,10 @@
       this->OfferLeadership(this->Candidates([](const MemberRecord&) { return true; }),
                             0,
                             Duration(0),
-                            [this] { return !this->membership.IsStoreAvailable(); });
+                            [this, until = this->loop.Now() + kMaxOfferTime] {
+                              return this->loop.Now() < until &&
+                                     !this->membership.IsStoreAvailable();
+                            });
     }
   });
 }
@@ -109,7 +112,10 @@
     });
   if (!larger.empty()) {
     this->isOffering = true;
-    this->OfferLeadership(larger, 0, kMinStableTime, [] { return true; });
+    this->OfferLeadership(
+      larger, 0, kMinStableTime, [this, until = this->loop.Now() + kMaxOfferTime] {
+        return this->loop.Now() < until;
+      });
   }
 }
 
@@ -119,6 +125,11 @@
                                          const std::function<bool()>& aIsWanted)
 {
   if (aNext >= aCandidates.size() || !this->IsLeading() || !aIsWanted()) {
+    LogLine(LogLevel::Info, "leadership_offers_ended")
+      .Add("members", aNext)
+      .Add("of", aCandidates.size())
+      .Add("store_available", this->membership.IsStoreAvailable())
+      .Add("leads", this->IsLeading());
     this->isOffering = false;
     return;
   }
@@ -134,11 +145,14 @@
         return;
       }
       bool isAccepted = aResponse && aResponse->value("stands", false);
-      LogLine(LogLevel::Warning, "leadership_offered")
-        .Add("to", aCandidates[aNext].address)
-        .Add("taken", isAccepted)
-        .Add("store_available", this->membership.IsStoreAvailable())
-        .Add("error", aResponse ? std::error_code() : aResponse.Error());
+      if (isAccepted || !aResponse) {
+        // Plain refusals are only counted: each member of a large group may refuse.
+        LogLine(LogLevel::Warning, "leadership_offered")
+          .Add("to", aCandidates[aNext].address)
+          .Add("taken", isAccepted)
+          .Add("store_available", this->membership.IsStoreAvailable())
+          .Add("error", aResponse ? std::error_code() : aResponse.Error());
+      }
       if (!isAccepted) {
         this->OfferLeadership(aCandidates, aNext + 1, aMinAvailableTime, aIsWanted);
         return;
--- a/packages/coordination/tests/LeadershipHandoverTest.cpp
+++ b/packages/coordination/tests/LeadershipHandoverTest.cpp
@@ -80,6 +80,28 @@
   EXPECT_EQ(this->LeaderNumber(), 1);
 }
 
+// Guards against a group without a leader until the lease ends, while the store serves one of many.
+TEST_F(LeadershipHandoverTest, RefusedLeaderFindsTheMemberThatTheStoreServes)
+{
+  constexpr int kRefused = 11;
+  this->StartInstance(0);
+  this->loop.RunFor(seconds(2));
+  ASSERT_EQ(this->LeaderNumber(), 0);
+  for (int number = 1; number < kRefused; ++number) {
+    this->StartInstance(number);
+    this->loop.RunFor(milliseconds(10));
+  }
+  this->StartInstance(kRefused, kSmallInstanceDelay);
+  this->loop.RunFor(seconds(3));
+  ASSERT_EQ(this->LeaderNumber(), 0);
+  for (int number = 0; number < kRefused; ++number) {
+    this->processes[number]->store.isRefusingCalls = true;
+  }
+  // Covers the next renewal, its confirmation, the offers and an election; shorter than the lease.
+  this->loop.RunFor(milliseconds(900));
+  EXPECT_TRUE(this->instances[kRefused]->IsLeading());
+}
+
 TEST_F(LeadershipHandoverTest, LeadershipStaysAmongInstancesOfOneSize)
 {
   this->StartInstance(0, kSmallInstanceDelay);
