An instance that has not reached the store knows how old its configuration is

Callers saw: 404 or 401 for good from an instance that had just started, for a queue or key that the operators had added more than 2 s before.

Cause: RangeFollower took the time of its construction for the first confirmation. An instance that started while the store was slow got a configuration from another instance, and reported the age of its own process as the age of that configuration.

Change: before the first response there is no confirmation by the store.

Before, ConfigurationOfAnInstanceThatNeverReachedTheStoreIsAsOldAsItsSource had an age of 800 ms instead of more than 2300 ms and was confirmed. With the change it passes, as do the 14 test programs of coordination and CallerApiTest.

Conclusion: an instance refuses for good only by a configuration that is confirmed.

--- a/packages/coordination/src/ConfigFollower.cpp
+++ b/packages/coordination/src/ConfigFollower.cpp
@@ -91,10 +91,17 @@
   this->onChange();
 }
 
+Duration ConfigFollower::Age() const
+{
+  // An optional without a value is the smaller one.
+  std::optional<TimePoint> confirmedAt = std::max(this->range.ConfirmedAt(), this->peerConfirmedAt);
+  return confirmedAt ? std::min<Duration>(this->loop.Now() - *confirmedAt, kMaxAge) : kMaxAge;
+}
+
 void ConfigFollower::OnPeerConfirmed(std::uint64_t aVersion, TimePoint aTime)
 {
   if (this->config && aVersion == this->config->version) {
-    this->peerConfirmedAt = std::max(this->peerConfirmedAt, aTime);
+    this->peerConfirmedAt = std::max(this->peerConfirmedAt.value_or(aTime), aTime);
     this->OnConfirmed();
   }
 }
--- a/packages/coordination/src/ConfigFollower.h
+++ b/packages/coordination/src/ConfigFollower.h
@@ -29,11 +29,10 @@
   /// Adopts a configuration document, unless the current version is the same or newer. aSource
   /// names in the log where the document came from.
   void Adopt(const std::string& aDocument, const char* aSource);
-  /// Time since the configuration is known to have been the newest.
-  Duration Age() const
-  {
-    return this->loop.Now() - std::max(this->range.ConfirmedAt(), this->peerConfirmedAt);
-  }
+  /// Time since the configuration is known to have been the newest; kMaxAge if that is longer ago
+  /// or was never known.
+  Duration Age() const;
+  static constexpr std::chrono::hours kMaxAge{ 24 };
   /// Another instance knew at aTime that the version was the newest.
   void OnPeerConfirmed(std::uint64_t aVersion, TimePoint aTime);
   /// Reads the configuration and calls aDone with true once its age is at most
@@ -59,7 +58,7 @@
   /// Wave number of each key: a deletion carries only the key.
   std::map<std::string, std::uint64_t> waveNumbers;
   /// Latest time at which another instance knew that the version was the newest.
-  TimePoint peerConfirmedAt;
+  std::optional<TimePoint> peerConfirmedAt;
   /// Callbacks of the open calls of Confirm, by number.
   std::map<std::uint64_t, std::function<void(bool)>> confirmations;
   std::uint64_t nextConfirmation = 0;
--- a/packages/coordination/src/RangeFollower.cpp
+++ b/packages/coordination/src/RangeFollower.cpp
@@ -33,7 +33,7 @@
   , prefix(std::move(aPrefix))
   , maxWatchWait(aMaxWatchWait)
   , hooks(std::move(aHooks))
-  , confirmedAt(aLoop.Now())
+  , constructedAt(aLoop.Now())
 {
 }
 
@@ -190,7 +190,7 @@
       .Add("age_ms", this->Age());
   }
   this->isUnconfirmed = false;
-  this->confirmedAt = std::max(this->confirmedAt, aTime);
+  this->confirmedAt = std::max(this->confirmedAt.value_or(aTime), aTime);
   this->hooks.onConfirmed();
 }
 
--- a/packages/coordination/src/RangeFollower.h
+++ b/packages/coordination/src/RangeFollower.h
@@ -40,9 +40,13 @@
   void Refresh();
   void Stop();
 
-  /// A time at which what is known was the state of the store.
-  TimePoint ConfirmedAt() const { return this->confirmedAt; }
-  Duration Age() const { return this->loop.Now() - this->confirmedAt; }
+  /// A time at which what is known was the state of the store; nothing before the first response.
+  std::optional<TimePoint> ConfirmedAt() const { return this->confirmedAt; }
+  /// Time since then, or since the construction before the first response.
+  Duration Age() const
+  {
+    return this->loop.Now() - this->confirmedAt.value_or(this->constructedAt);
+  }
 
 private:
   struct PagedRead;
@@ -75,7 +79,8 @@
   TimePoint nextRead = TimePoint::max();
   /// Number of the timer for nextRead; those with lower numbers have been replaced.
   std::uint64_t readTimer = 0;
-  TimePoint confirmedAt;
+  TimePoint constructedAt;
+  std::optional<TimePoint> confirmedAt;
   /// MarkUnconfirmed has been called since the last confirmation.
   bool isUnconfirmed = false;
   bool isStopping = false;
--- a/packages/coordination/tests/ConfigFollowingTest.cpp
+++ b/packages/coordination/tests/ConfigFollowingTest.cpp
@@ -163,6 +163,24 @@
   EXPECT_FALSE(this->Confirm(refused).isConfirmed);
 }
 
+// Guards against final refusals by an instance that starts while the store is silent: it took the
+// time of its start for a confirmation of the configuration that it got from another instance.
+TEST_F(ConfigFollowingTest, ConfigurationOfAnInstanceThatNeverReachedTheStoreIsAsOldAsItsSource)
+{
+  int started = (this->LeaderNumber() + 1) % 3;
+  this->KillInstance(started);
+  this->store.isSilent = true;
+  this->loop.RunFor(milliseconds(1000));
+  this->PublishNextVersion();
+  this->loop.RunFor(milliseconds(1500));
+  this->StartInstance(started);
+  this->loop.RunFor(milliseconds(800));
+  ASSERT_NE(this->instances[started]->Config(), nullptr);
+  ASSERT_LT(this->instances[started]->Config()->version, this->published);
+  EXPECT_GT(this->instances[started]->ConfigAge(), milliseconds(2300));
+  EXPECT_FALSE(this->Confirm(started).isConfirmed);
+}
+
 /// A fault between two changes of the configuration.
 enum class FollowingFault
 {
