A test plays a cluster of the largest size, on machines that need time for messages

Callers would see: jobs that the leader learns of late and cancellations that are carried out late, at a size that no test had. Cause: tests had three instances, and no message cost anything. Change: LargeClusterTest, 44 instances (36 small), 350 workers, a burst of five times the traffic, a store that is silent for 4 s, for all or for the large machines only, and two instances that are killed in the burst. Bounds: a job known 3 s after its acceptance, 99.9 of 100 after 0.5 s, counted while its instance knows a leader that serves; a cancellation carried out within 3 s. The test cluster now has processor and transfer times for each machine, HttpPeerTransport's limits of open calls, time limits of calls between instances, calls to a paused process that wait, a store that is silent for one process, and faults of reads, leases and responses. The watch of InMemoryStore no longer reads its whole history. Times of scheduling rounds are not modelled, and the message times (100 us of a whole core, 20 us a kilobyte) are estimates.

--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -66,12 +66,13 @@
                          InMemoryPeers& aPeers,
                          Metrics& aMetrics,
                          const PlatformDecoders& aDecoders,
-                         const InstanceSettings& aSettings)
-  : state{ aLoop }
+                         const InstanceSettings& aSettings,
+                         const MachineSpeed& aSpeed)
+  : state{ aLoop, aSpeed }
   , loop(aLoop, this->state)
   , store(aStore, this->loop, this->state)
   , workers(aFleet, this->state)
-  , peers(aPeers, this->state)
+  , peers(aPeers, this->loop, this->state)
   , instance(this->loop,
              this->store,
              this->workers,
@@ -112,9 +113,20 @@
       finish(Errc::Unreachable);
       return;
     }
-    found->second->OnPeerCall(aMethod, aArguments, [this, finish](const Result<json>& aResponse) {
-      this->loop.After(kNetworkDelay, [finish, aResponse] { finish(aResponse); });
-    });
+    bool isResponseLost = this->isResponseLost && this->isResponseLost(aMethod);
+    auto serve = [this, instance = found->second, aMethod, aArguments, isResponseLost, finish] {
+      instance->OnPeerCall(
+        aMethod, aArguments, [this, isResponseLost, finish](const Result<json>& aResponse) {
+          if (!isResponseLost) {
+            this->loop.After(kNetworkDelay, [finish, aResponse] { finish(aResponse); });
+          }
+        });
+    };
+    ProcessState& process = *this->processes.at(aPeer.port);
+    if (process.onMessage) {
+      process.CountMessage(aMethod, aArguments.dump().size());
+    }
+    DeliverInTurn(process, process.speed.messageTime, serve, std::make_tuple());
   });
 }
 
@@ -131,7 +143,7 @@
 
 Cluster::~Cluster() = default;
 
-void Cluster::StartInstance(int aNumber, Duration aCampaignDelay)
+void Cluster::StartInstance(int aNumber, Duration aCampaignDelay, const MachineSpeed& aSpeed)
 {
   InstanceSettings settings;
   settings.campaignDelay = aCampaignDelay;
@@ -145,8 +157,9 @@
     ConfigFrom, ParseFakeWorker, "operators/config", "operators/drain/", "", nullptr, "", nullptr
   };
   auto process = std::make_unique<FakeProcess>(
-    this->loop, this->store, this->fleet, this->peers, this->metrics, decoders, settings);
+    this->loop, this->store, this->fleet, this->peers, this->metrics, decoders, settings, aSpeed);
   this->peers.instances[settings.peerEndpoint.port] = &process->instance;
+  this->peers.processes[settings.peerEndpoint.port] = &process->state;
   this->instances[aNumber] = &process->instance;
   process->instance.Start();
   this->processes[aNumber] = std::move(process);
@@ -155,6 +168,7 @@
 void Cluster::KillInstance(int aNumber)
 {
   this->peers.instances.erase(static_cast<unsigned short>(9000 + aNumber));
+  this->peers.processes.erase(static_cast<unsigned short>(9000 + aNumber));
   this->processes[aNumber]->state.isAlive = false;
   this->killed.push_back(std::move(this->processes[aNumber]));
   this->processes.erase(aNumber);
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -32,9 +32,13 @@
   VirtualLoop& loop;
   /// By port; a missing instance refuses connections, an unresponsive one never responds.
   std::map<unsigned short, Instance*> instances;
+  /// By port; calls wait while the called process is paused or busy.
+  std::map<unsigned short, ProcessState*> processes;
   std::set<unsigned short> unresponsive;
   /// True for a call that is lost on the way; empty for none.
   std::function<bool(const std::string& aMethod)> isCallLost;
+  /// True for a call that is carried out but whose response is lost; empty for none.
+  std::function<bool(const std::string& aMethod)> isResponseLost;
   /// True for a call that the called instance does not know; empty for none.
   std::function<bool(const std::string& aMethod)> isCallUnknown;
 };
@@ -48,7 +52,8 @@
               InMemoryPeers& aPeers,
               Metrics& aMetrics,
               const PlatformDecoders& aDecoders,
-              const InstanceSettings& aSettings);
+              const InstanceSettings& aSettings,
+              const MachineSpeed& aSpeed);
 
   ProcessState state;
   EventLoopProxy loop;
@@ -65,7 +70,9 @@
   ~Cluster() override;
 
   /// aCampaignDelay is longer for an instance with fewer cores.
-  void StartInstance(int aNumber, Duration aCampaignDelay = Duration(0));
+  void StartInstance(int aNumber,
+                     Duration aCampaignDelay = Duration(0),
+                     const MachineSpeed& aSpeed = {});
   /// Ends the process; connections to it are refused.
   void KillInstance(int aNumber);
   /// Number of the instance that considers itself the leader, or -1.
--- a/packages/coordination/tests/InMemoryStore.cpp
+++ b/packages/coordination/tests/InMemoryStore.cpp
@@ -1,5 +1,7 @@
 #include "InMemoryStore.h"
 
+#include <algorithm>
+
 namespace daisydrift {
 
 namespace {
@@ -17,7 +19,7 @@
   this->loop.After(this->responseTime, [this, aKey, aDone] {
     using ItemResult = Result<std::optional<KeyValueItem>>;
     auto found = this->items.find(aKey);
-    if (this->isSilent) {
+    if (this->isSilent || (this->isReadResponseLost && this->isReadResponseLost())) {
       this->LoseResponse(kLostResponseTimeout, aDone);
     } else if (this->isDown) {
       aDone(ItemResult(Errc::Unreachable));
@@ -33,7 +35,7 @@
                              std::function<void(const Result<KeyValuePage>&)> aDone)
 {
   this->loop.After(this->responseTime, [this, aPrefix, aAfter, aDone] {
-    if (this->isSilent) {
+    if (this->isSilent || (this->isReadResponseLost && this->isReadResponseLost())) {
       this->LoseResponse(kLostResponseTimeout, aDone);
       return;
     }
@@ -44,9 +46,11 @@
     KeyValuePage page;
     page.revision = this->revision;
     std::size_t bytes = 0;
-    for (const auto& [key, item] : this->items) {
-      if (key.rfind(aPrefix, 0) != 0 || key <= aAfter) {
-        continue;
+    for (auto next = this->items.upper_bound(std::max(aPrefix, aAfter)); next != this->items.end();
+         ++next) {
+      const auto& [key, item] = *next;
+      if (key.rfind(aPrefix, 0) != 0) {
+        break;
       }
       bytes += key.size() + item.value.size();
       bool isTooLong = this->maxResponseBytes > 0 && bytes > this->maxResponseBytes;
@@ -77,10 +81,15 @@
     KeyValueChanges changes;
     changes.revision = this->revision;
     std::size_t bytes = 0;
-    for (const KeyValueChange& change : this->history) {
-      if (change.revision > aAfterRevision && change.key.rfind(aPrefix, 0) == 0) {
-        changes.changes.push_back(change);
-        bytes += change.key.size() + (change.value ? change.value->size() : 0);
+    auto next = std::upper_bound(
+      this->history.begin(),
+      this->history.end(),
+      aAfterRevision,
+      [](std::uint64_t aLeft, const KeyValueChange& aRight) { return aLeft < aRight.revision; });
+    for (; next != this->history.end(); ++next) {
+      if (next->key.rfind(aPrefix, 0) == 0) {
+        changes.changes.push_back(*next);
+        bytes += next->key.size() + (next->value ? next->value->size() : 0);
       }
     }
     if (this->maxResponseBytes > 0 && bytes > this->maxResponseBytes) {
@@ -155,7 +164,11 @@
     std::uint64_t lease = this->nextLease++;
     this->leases[lease] = { aTimeToLive, this->loop.Now() + aTimeToLive };
     this->ExpireLease(lease);
-    aDone(lease);
+    if (this->isGrantResponseLost && this->isGrantResponseLost()) {
+      this->LoseResponse(kLostResponseTimeout, aDone);
+    } else {
+      aDone(lease);
+    }
   });
 }
 
@@ -192,6 +205,15 @@
       aDone(make_error_code(Errc::Unreachable));
     } else if (lease == this->leases.end()) {
       aDone(make_error_code(Errc::LeaseExpired));
+    } else if (this->isRenewalLate && this->isRenewalLate()) {
+      this->loop.After(this->lateDelay, [this, aLease] {
+        auto late = this->leases.find(aLease);
+        if (late != this->leases.end()) {
+          late->second.second = this->loop.Now() + late->second.first;
+        }
+      });
+      this->loop.After(kLostRenewalTimeout,
+                       [aDone] { aDone(make_error_code(Errc::OutcomeUnknown)); });
     } else {
       lease->second.second = this->loop.Now() + lease->second.first;
       if (this->isRenewalResponseLost && this->isRenewalResponseLost()) {
--- a/packages/coordination/tests/InMemoryStore.h
+++ b/packages/coordination/tests/InMemoryStore.h
@@ -57,6 +57,13 @@
   std::function<bool(const std::string&)> isPrefixUnavailable;
   /// True for a renewal that is applied but whose response is lost; empty for none.
   std::function<bool()> isRenewalResponseLost;
+  /// True for a read, of one key or a page, or a grant of a lease whose response is lost; empty for
+  /// none.
+  std::function<bool()> isReadResponseLost;
+  std::function<bool()> isGrantResponseLost;
+  /// True for a renewal that is applied `lateDelay` later and whose response is lost; empty for
+  /// none.
+  std::function<bool()> isRenewalLate;
   /// True for a watch whose response is lost; empty for none.
   std::function<bool(const std::string& aPrefix)> isWatchResponseLost;
   /// Most bytes of keys and values that arrive within the time limit of a call; 0 for no limit. A
