A start is not repeated after its run is over

Callers would see: two runs of a task at once (TWICE). Cause: a start command without a response is sent up to three times, also after the worker's report has ended the run and a new run was started elsewhere. A worker that has restarted since no longer recognizes the run and carries it out again. The leader does not notice the restart while the failure is being stored, since no poll is open then. Change: the leader repeats a start only while the attempt exists. Why it works: an attempt is removed once its run is known to be over, and run numbers are never reused, so nothing needs this start. Open: a start whose attempt still exists may reach a restarted worker; its run is the task's only one then.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -516,7 +516,10 @@
     return;
   }
   bool isRepeated = aAttempt > 1;
-  if (aResult == StartResult::Unknown && aAttempt < kStartAttempts) {
+  // A worker that has ended the run recognizes its start only until it restarts, so a run that is
+  // over is not started again.
+  bool isOver = this->dispatcher->JobOf(aCommand.attempt) == nullptr;
+  if (aResult == StartResult::Unknown && aAttempt < kStartAttempts && !isOver) {
     this->SendStart(aCommand, aAttempt + 1);
     return;
   }
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -499,5 +499,37 @@
   EXPECT_TRUE(state && *state == DispatchState::Completed);
 }
 
+// Guards against a second run of a task: the worker fails the run whose start got no response, and
+// forgets it with its restart before the start would be sent again.
+TEST_F(ClusterTest, StartOfARunThatIsOverIsNotSentToTheRestartedWorker)
+{
+  std::vector<WorkerId> started;
+  this->fleet.startFault = [&started](const StartCommand& aCommand) {
+    started.push_back(aCommand.worker);
+    return started.size() == 1 ? StartFault::ResponseLost : StartFault::None;
+  };
+  this->fleet.planRun = [&started](const StartCommand&) {
+    bool isFirst = started.size() == 1;
+    return std::pair(std::optional<Duration>(isFirst ? milliseconds(50) : milliseconds(2000)),
+                     isFirst ? RunOutcome::Failed : RunOutcome::Succeeded);
+  };
+  ASSERT_EQ(this->Submit(0, "job", 1), SubmitOutcome::Accepted);
+  while (started.empty()) {
+    this->loop.RunFor(milliseconds(1));
+  }
+  // No poll is open, so the leader does not notice the restart, while the failure is being stored.
+  this->store.responseTime = milliseconds(120);
+  this->loop.RunFor(milliseconds(140));
+  this->fleet.Kill(started[0]);
+  this->loop.RunFor(milliseconds(150));
+  this->fleet.Restart(started[0]);
+  this->loop.RunFor(seconds(4));
+  EXPECT_EQ(started.size(), 2U);
+  EXPECT_TRUE(this->fleet.violations.empty()) << this->fleet.violations[0];
+  Result<DispatchState> state = this->State(0, "job");
+  ASSERT_TRUE(state.HasValue());
+  EXPECT_EQ(*state, DispatchState::Completed);
+}
+
 } // namespace
 } // namespace daisydrift
