Random histories play more faults, and check each task and each instance

Change: JobLifeTest plays a removed team, a store that loses its history every 20 ms, lost reads, lost and late grants and renewals of leases, lost calls and responses between instances, an instance suspended for up to 7 s, a store that is silent for one instance, two leader changes in a row and a worker that restarts twice. At the end a final state must be the same at each instance, and a completed job must have a success of each task of each occurrence.

--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -49,6 +49,13 @@
 
 void FakeFleet::Restart(const WorkerId& aId)
 {
+  // The other members of a gang notice the loss. Ended here, before the worker forgets its runs.
+  std::map<TaskName, Run> lost = this->workers[aId].running;
+  for (const auto& [task, run] : lost) {
+    if (run.isMember) {
+      this->EndRun(aId, task, run.id, RunOutcome::GangBroken);
+    }
+  }
   std::int64_t incarnation = this->workers[aId].incarnation + 1;
   this->workers[aId] = {};
   this->workers[aId].incarnation = incarnation;
--- a/packages/coordination/tests/JobLifeTest.cpp
+++ b/packages/coordination/tests/JobLifeTest.cpp
@@ -47,12 +47,27 @@
   WorkerReplaced,
   RemoveQueue,
   AddQueue,
+  RemoveTeam,
+  CompactOften,
+  LostReads,
+  LostLeases,
+  PeerFaults,
+  LostPeerResponses,
+  PauseInstance,
+  InstanceStoreSilent,
+  KillTwoLeaders,
+  WorkerRebornTwice,
   Count
 };
 
 /// Time in which a worker's process ends and starts anew.
 constexpr milliseconds kRestartTime{ 150 };
 
+bool IsFinal(DispatchState aState)
+{
+  return aState != DispatchState::Queued && aState != DispatchState::Running;
+}
+
 /// One step of a history.
 struct Action
 {
@@ -125,6 +140,8 @@
   void Send(const Action& aAction, SubmittedJob& aJob);
   void QueryJob(int aInstance, const SubmittedJob& aJob);
   void RestartAfter(int aNumber, Duration aDelay);
+  /// Ends the process that leads next.
+  void KillNextLeader(Duration aRestartDelay, int aChecksLeft);
   void EndFaults();
   /// What the job lacks for a good end; empty for nothing.
   std::string Missing(SubmittedJob& aJob);
@@ -272,6 +289,19 @@
   });
 }
 
+void JobLife::KillNextLeader(Duration aRestartDelay, int aChecksLeft)
+{
+  constexpr milliseconds kCheckInterval{ 10 };
+  int leader = this->LeaderNumber();
+  if (leader >= 0) {
+    this->RestartAfter(leader, aRestartDelay);
+  } else if (aChecksLeft > 0) {
+    this->loop.After(kCheckInterval, [this, aRestartDelay, aChecksLeft] {
+      this->KillNextLeader(aRestartDelay, aChecksLeft - 1);
+    });
+  }
+}
+
 void JobLife::Do(const Action& aAction)
 {
   milliseconds length(aAction.lengthMs);
@@ -461,6 +491,73 @@
     case ActionKind::AddQueue:
       this->store.Put("operators/config", std::to_string(++this->configVersion));
       break;
+    case ActionKind::RemoveTeam:
+      this->store.Put("operators/config", std::to_string(++this->configVersion) + kWithoutTeam);
+      break;
+    case ActionKind::CompactOften:
+      for (milliseconds time(0); time < length; time += milliseconds(20)) {
+        this->loop.After(time, [this] { this->store.Compact(); });
+      }
+      break;
+    case ActionKind::LostReads:
+      this->store.isReadResponseLost = [oneIn, number = aAction.selection]() mutable {
+        return ++number % oneIn == 0;
+      };
+      this->loop.After(length, [this] { this->store.isReadResponseLost = nullptr; });
+      break;
+    case ActionKind::LostLeases: {
+      auto isLost = [oneIn, number = aAction.selection]() mutable { return ++number % oneIn == 0; };
+      this->store.lateDelay = length;
+      this->store.isGrantResponseLost = isLost;
+      this->store.isRenewalResponseLost = isLost;
+      this->store.isRenewalLate = isLost;
+      this->loop.After(length, [this] {
+        this->store.isGrantResponseLost = nullptr;
+        this->store.isRenewalResponseLost = nullptr;
+        this->store.isRenewalLate = nullptr;
+      });
+      break;
+    }
+    case ActionKind::PeerFaults:
+      this->peers.isCallLost = [oneIn, number = aAction.selection](const std::string&) mutable {
+        return ++number % oneIn == 0;
+      };
+      this->loop.After(length, [this] { this->peers.isCallLost = nullptr; });
+      break;
+    case ActionKind::LostPeerResponses:
+      this->peers.isResponseLost = [oneIn, number = aAction.selection](const std::string&) mutable {
+        return ++number % oneIn == 0;
+      };
+      this->loop.After(length, [this] { this->peers.isResponseLost = nullptr; });
+      break;
+    case ActionKind::PauseInstance:
+      if (int instance = this->AnyInstance(aAction.selection); instance >= 0) {
+        FakeProcess* process = this->processes[instance].get();
+        process->state.isPaused = true;
+        this->loop.After(2 * length, [process] { process->state.isPaused = false; });
+      }
+      break;
+    case ActionKind::InstanceStoreSilent:
+      if (int instance = this->AnyInstance(aAction.selection); instance >= 0) {
+        FakeProcess* process = this->processes[instance].get();
+        process->state.isStoreSilent = true;
+        this->loop.After(length, [process] { process->state.isStoreSilent = false; });
+      }
+      break;
+    case ActionKind::KillTwoLeaders:
+      // The next leader ends as soon as it has loaded the stored jobs.
+      if (leader >= 0) {
+        this->RestartAfter(leader, length);
+        this->KillNextLeader(length, 200);
+      }
+      break;
+    case ActionKind::WorkerRebornTwice:
+      this->fleet.Kill(worker);
+      this->loop.After(kRestartTime, [this, worker] { this->fleet.Restart(worker); });
+      this->loop.After(kRestartTime + length / 4, [this, worker] { this->fleet.Kill(worker); });
+      this->loop.After(2 * kRestartTime + length / 4,
+                       [this, worker] { this->fleet.Restart(worker); });
+      break;
     case ActionKind::Count:
       break;
   }
@@ -481,6 +578,12 @@
 {
   const JobDefinition& job = aJob.definition;
   Result<DispatchState> state = this->State(this->AnyInstance(0), job.id);
+  for (int number = 1; state && IsFinal(*state) && number < 3; ++number) {
+    Result<DispatchState> other = this->State(this->AnyInstance(number), job.id);
+    if (!other || *other != *state) {
+      return "its final state differs between instances";
+    }
+  }
   if (!state) {
     bool isUnknown = state.Error() == make_error_code(Errc::NotFound);
     return isUnknown && !aJob.isAccepted ? "" : "state unknown: " + state.Error().message();
@@ -508,7 +611,20 @@
              ? ""
              : "only " + std::to_string(working) + " tasks are at work";
   }
-  return *state == DispatchState::Completed ? "" : "not completed";
+  if (*state != DispatchState::Completed) {
+    return "not completed";
+  }
+  for (std::uint32_t occurrence = 0; occurrence < std::max(job.occurrences, 1U); ++occurrence) {
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+      for (std::uint32_t index = 0; index < job.steps[step].taskCount; ++index) {
+        auto successes = this->fleet.successes.find({ job.id, occurrence, step, index });
+        if (successes == this->fleet.successes.end() || successes->second == 0) {
+          return "completed without a success of each task";
+        }
+      }
+    }
+  }
+  return "";
 }
 
 void JobLife::Play(const std::vector<Action>& aActions)
