Leases on workers are bounded by their leader's last proof of leadership

Cause: a leader that the store no longer confirmed went on extending leases without a bound. A new leader that never learned of its end gave up runs on workers that it can't reach only after the longest lease that workers grant, 10 s, and even that was too soon for a leader that was cut off. Change: a leader knows the latest time at which it provably led (LeadershipConfirmation): by the store, or by more than half of the workers that `group/leases` names as voters accepting its polls. A lease ends 5 s after that time at most, on the worker's clock. A new leader that half of the voters have answered knows that no earlier one is confirmed after that moment (`earlier_leaders_ended source=fenced_by_workers`), and waits 5.15 s. Records without voters (earlier versions) mean the former wait. An election now has the condition that `group/leases` is unchanged.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -30,6 +30,11 @@
 constexpr std::chrono::milliseconds kEarlierLeaderInterval{ 100 };
 /// Delay before the record of the leaders' leases is written again.
 constexpr std::chrono::seconds kLeasesRetryDelay{ 1 };
+/// Most workers that confirm the leadership; bounds the size of the record that names them.
+constexpr std::size_t kMaxVoters = 400;
+/// Age of the last confirmation that is logged. Polls that wait, and watches, confirm within two
+/// seconds.
+constexpr std::chrono::milliseconds kUnconfirmedAge{ 2500 };
 /// Run numbers reserved for each task and term, so that the numbers of a later term are always
 /// higher.
 constexpr RunNumber kRunsPerTerm = 1000;
@@ -50,6 +55,8 @@
   : env(aEnvironment)
   , record(aRecord)
   , onTermEnded(std::move(aOnTermEnded))
+  , confirmation(aRecord.earlier.voters)
+  , leasesRevision(aRecord.revision)
 {
   this->dispatcher = std::make_unique<Dispatcher>(SettingsForTerm(this->env.settings, aRecord),
                                                   this->env.loop.Now());
@@ -59,17 +66,24 @@
     KeyValueTransaction::Condition{ this->env.settings.storePrefix + "group/leader",
                                     aRecord.revision },
     this->env.settings.storePrefix + "guards/" + std::to_string(aRecord.term) + "/",
-    RecordWriter::Hooks{ [this](std::uint64_t aBatch) { return this->TakeBatch(aBatch); },
-                         [this](std::uint64_t aBatch) { this->OnBatchStored(aBatch); },
-                         [this] { this->EndTerm("replaced_in_store"); } });
+    RecordWriter::Hooks{
+      [this](std::uint64_t aBatch) { return this->TakeBatch(aBatch); },
+      [this](std::uint64_t aBatch) { this->OnBatchStored(aBatch); },
+      [this] { this->EndTerm("replaced_in_store"); },
+      [this](TimePoint aSentAt) { this->confirmation.OnStoreConfirmed(aSentAt); } });
   this->workerPoller = std::make_unique<WorkerPoller>(
     this->env.loop,
     this->env.workers,
     *this->dispatcher,
     this->env.settings,
     aRecord.term,
-    WorkerPoller::Hooks{ [this] { this->ScheduleRound(); },
-                         [this] { this->EndTerm("fenced_by_worker"); } });
+    WorkerPoller::Hooks{
+      [this] { this->ScheduleRound(); },
+      [this] { this->EndTerm("fenced_by_worker"); },
+      [this](const WorkerId& aWorker, std::int64_t aIncarnation, TimePoint aSentAt) {
+        this->OnPollAccepted(aWorker, aIncarnation, aSentAt);
+      },
+      [this] { return this->ConfirmedAt(); } });
   this->maintenance = std::make_unique<MaintenanceController>(
     this->env.loop,
     this->env.store,
@@ -131,7 +145,41 @@
                   std::chrono::ceil<Duration>(dispatch.maxLease * (1 + dispatch.maxClockDrift)),
                 [this] { this->OnEarlierLeadersEnded("time"); });
     this->CheckEarlierLeader();
+  } else {
+    this->haveEarlierLeadersEnded = true;
+    this->longestLease = OwnLease(this->env.settings);
+  }
+}
+
+TimePoint Leader::ConfirmedAt()
+{
+  this->confirmation.OnStoreConfirmed(this->env.membership.LeadershipConfirmedAt());
+  return this->confirmation.ConfirmedAt();
+}
+
+void Leader::OnPollAccepted(const WorkerId& aWorker, std::int64_t aIncarnation, TimePoint aSentAt)
+{
+  this->confirmation.OnStoreConfirmed(this->env.membership.LeadershipConfirmedAt());
+  this->confirmation.OnPollAccepted(aWorker, aIncarnation, aSentAt, this->env.loop.Now());
+  if (!this->haveEarlierLeadersEnded && this->confirmation.HaveEarlierLeadersEnded()) {
+    this->OnEarlierLeadersEnded("fenced_by_workers");
+  }
+}
+
+void Leader::CheckConfirmation(TimePoint aNow)
+{
+  TimePoint confirmedAt = this->ConfirmedAt();
+  bool isUnconfirmed = aNow - confirmedAt > kUnconfirmedAge;
+  if (isUnconfirmed == this->unconfirmedSince.has_value()) {
+    return;
   }
+  TimePoint since = isUnconfirmed ? confirmedAt : *this->unconfirmedSince;
+  LogLine(LogLevel::Warning, isUnconfirmed ? "leadership_unconfirmed" : "leadership_confirmed")
+    .Add("term", this->record.term)
+    .Add("age_ms", aNow - since)
+    .Add("workers_accepting", this->confirmation.CountAccepted(aNow - kUnconfirmedAge))
+    .Add("voters", this->confirmation.CountVoters());
+  this->unconfirmedSince = isUnconfirmed ? std::optional(confirmedAt) : std::nullopt;
 }
 
 void Leader::CheckEarlierLeader()
@@ -181,28 +229,111 @@
   const InstanceSettings& settings = this->env.settings;
   Duration own = OwnLease(settings);
   // All leases of earlier leaders are over as well after that time.
-  this->StoreLeases(isByTime ? own : std::max(own, LongestLease(this->record.earlier, settings)));
+  this->longestLease = isByTime ? own : std::max(own, LongestLease(this->record.earlier, settings));
+  this->StoreLeases();
+}
+
+LeadershipConfirmation::Voters Leader::SelectVoters() const
+{
+  std::vector<WorkerId> workers = this->dispatcher->Workers();
+  // A worker known only from stored records, without an address, can't be polled.
+  std::erase_if(workers, [this](const WorkerId& aId) {
+    return this->dispatcher->FindWorker(aId)->endpoint.port == 0;
+  });
+  LeadershipConfirmation::Voters voters;
+  std::size_t count = std::min(workers.size(), kMaxVoters);
+  for (std::size_t index = 0; index < count; ++index) {
+    voters.insert(workers[index * workers.size() / count]);
+  }
+  return voters;
+}
+
+KeyValueTransaction::Put Leader::LeasesItemFor(const LeasesRecord& aRecord) const
+{
+  return LeasesItem(this->env.settings, this->record.term, aRecord.longest, true, aRecord.voters);
+}
+
+void Leader::StoreLeases()
+{
+  // Before the list of workers is loaded there are no voters, and polls prove nothing.
+  if (!this->haveEarlierLeadersEnded || !this->isRecovered || this->isStoringLeases) {
+    return;
+  }
+  LeasesRecord wanted{ this->longestLease, this->SelectVoters() };
+  if (this->storedLeases == wanted) {
+    return;
+  }
+  this->isStoringLeases = true;
+  this->confirmation.OnVotersSent(wanted.voters);
+  this->SendLeases(wanted);
 }
 
-void Leader::StoreLeases(Duration aLongest)
+void Leader::SendLeases(const LeasesRecord& aRecord)
 {
+  // The second condition keeps an attempt whose response was lost from replacing a newer record.
+  KeyValueTransaction::Put item = this->LeasesItemFor(aRecord);
   KeyValueTransaction transaction;
   transaction.conditions = { { this->env.settings.storePrefix + "group/leader",
-                               this->record.revision } };
-  transaction.puts = { LeasesItem(this->env.settings, this->record.term, aLongest, true) };
-  this->env.store.Commit(
-    transaction, [this, alive = this->isAlive, aLongest](const Result<std::uint64_t>& aRevision) {
-      if (!*alive || this->hasEnded || aRevision ||
-          aRevision.Error() == make_error_code(Errc::Conflict)) {
+                               this->record.revision },
+                             { item.key, this->leasesRevision } };
+  transaction.puts = { item };
+  this->env.store.Commit(transaction,
+                         [this, alive = this->isAlive, aRecord, sentAt = this->env.loop.Now()](
+                           const Result<std::uint64_t>& aRevision) {
+                           if (!*alive || this->hasEnded) {
+                             return;
+                           }
+                           if (aRevision) {
+                             this->confirmation.OnStoreConfirmed(sentAt);
+                             this->OnLeasesStored(aRecord, *aRevision);
+                           } else if (aRevision.Error() == make_error_code(Errc::Conflict)) {
+                             this->ResolveLeasesConflict(aRecord);
+                           } else {
+                             this->RetryLeases(aRecord, aRevision.Error());
+                           }
+                         });
+}
+
+void Leader::RetryLeases(const LeasesRecord& aRecord, std::error_code aError)
+{
+  LogLine(LogLevel::Warning, "leases_not_stored")
+    .Add("term", this->record.term)
+    .Add("error", aError);
+  this->After(kLeasesRetryDelay, [this, aRecord] { this->SendLeases(aRecord); });
+}
+
+void Leader::ResolveLeasesConflict(const LeasesRecord& aRecord)
+{
+  KeyValueTransaction::Put item = this->LeasesItemFor(aRecord);
+  this->env.store.Read(
+    item.key,
+    [this, alive = this->isAlive, aRecord, item](const Result<std::optional<KeyValueItem>>& aItem) {
+      if (!*alive || this->hasEnded) {
         return;
       }
-      LogLine(LogLevel::Warning, "leases_not_stored")
-        .Add("term", this->record.term)
-        .Add("error", aRevision.Error());
-      this->After(kLeasesRetryDelay, [this, aLongest] { this->StoreLeases(aLongest); });
+      if (!aItem) {
+        this->RetryLeases(aRecord, aItem.Error());
+      } else if (*aItem && (*aItem)->value == item.value) {
+        this->OnLeasesStored(aRecord, (*aItem)->revision);
+      } else {
+        // While another instance leads, the condition on the leader key keeps failing.
+        this->leasesRevision = *aItem ? (*aItem)->revision : 0;
+        this->RetryLeases(aRecord, make_error_code(Errc::Conflict));
+      }
     });
 }
 
+void Leader::OnLeasesStored(const LeasesRecord& aRecord, std::uint64_t aRevision)
+{
+  this->leasesRevision = aRevision;
+  this->storedLeases = aRecord;
+  this->isStoringLeases = false;
+  this->confirmation.OnVotersStored();
+  if (this->storedLeases->longest != this->longestLease) {
+    this->StoreLeases();
+  }
+}
+
 void Leader::ApplyWorker(const std::string& aKey, const std::optional<std::string>& aValue)
 {
   std::optional<WorkerListing> listing =
@@ -294,9 +425,11 @@
   std::optional<TimePoint> oldestBatchStart = this->recordWriter->OldestBatchStart();
   this->workerPoller->SetStoreUnavailable(oldestBatchStart &&
                                           now - *oldestBatchStart > kStoreUnavailableAfter);
+  this->CheckConfirmation(now);
   if (now >= this->nextSummary) {
     this->nextSummary = now + kSummaryInterval;
     this->LogSummary(now);
+    this->StoreLeases();
   }
   if (now >= this->nextPurge) {
     this->nextPurge = now + kPurgeInterval;
@@ -487,7 +620,7 @@
 {
   const WorkerListing* worker = this->dispatcher->FindWorker(aCommand.worker);
   std::optional<std::chrono::milliseconds> lease =
-    this->dispatcher->ExtendWorkerLease(aCommand.worker, this->env.loop.Now());
+    this->dispatcher->ExtendWorkerLease(aCommand.worker, this->ConfirmedAt());
   if (worker == nullptr || !lease) {
     this->OnStartResult(
       aCommand, aAttempt, aAttempt == 1 ? StartResult::NotSent : StartResult::Unknown, false);
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -76,10 +76,33 @@
   void ReadNextPage(const PagedRead& aRead);
   /// Asks the previous leader's process, until it answers, whether its term has ended.
   void CheckEarlierLeader();
-  /// No earlier leader extends leases any more.
+  /// No earlier leader extends leases any more beyond the longest one.
   void OnEarlierLeadersEnded(const char* aSource);
-  /// Stores that no earlier leader extends leases, and the longest lease that may be in force.
-  void StoreLeases(Duration aLongest);
+  /// What the record of the leaders' leases says of this term.
+  struct LeasesRecord
+  {
+    /// Longest lease that may be in force.
+    Duration longest{ 0 };
+    LeadershipConfirmation::Voters voters;
+    bool operator==(const LeasesRecord&) const = default;
+  };
+  /// Stores that no earlier leader extends leases, the longest lease that may be in force, and the
+  /// voters, unless that is stored or another leader may be at work.
+  void StoreLeases();
+  void SendLeases(const LeasesRecord& aRecord);
+  void OnLeasesStored(const LeasesRecord& aRecord, std::uint64_t aRevision);
+  /// Handles a failed condition: an earlier attempt was applied, another instance leads, or the
+  /// record was removed.
+  void ResolveLeasesConflict(const LeasesRecord& aRecord);
+  void RetryLeases(const LeasesRecord& aRecord, std::error_code aError);
+  KeyValueTransaction::Put LeasesItemFor(const LeasesRecord& aRecord) const;
+  /// The workers that are to confirm this leadership.
+  LeadershipConfirmation::Voters SelectVoters() const;
+  /// Latest time at which this leader is known to have led.
+  TimePoint ConfirmedAt();
+  void OnPollAccepted(const WorkerId& aWorker, std::int64_t aIncarnation, TimePoint aSentAt);
+  /// Logs when leadership was last confirmed long ago, and when it is confirmed again.
+  void CheckConfirmation(TimePoint aNow);
   void LoadProgress();
   void LoadDefinitions();
   void LoadWorkers();
@@ -128,6 +151,14 @@
   std::unique_ptr<MaintenanceController> maintenance;
   bool isRecovered = false;
   bool haveEarlierLeadersEnded = false;
+  LeadershipConfirmation confirmation;
+  /// Time of the last confirmation before the log said that there is none; empty otherwise.
+  std::optional<TimePoint> unconfirmedSince;
+  /// Longest lease on workers that may be in force, for the record of the leaders' leases.
+  Duration longestLease{ 0 };
+  std::optional<LeasesRecord> storedLeases;
+  std::uint64_t leasesRevision = 0;
+  bool isStoringLeases = false;
   bool hasEnded = false;
   bool isRoundScheduled = false;
   /// Used only during recovery.
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -146,6 +146,7 @@
     .Add("finished_jobs", this->finished.size())
     .Add("workers", this->dispatcher->Workers().size());
   this->maintenance->SetWaves(this->env.config.Waves());
+  this->StoreLeases();
   this->PollJobChanges();
   this->Tick();
 }
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -31,6 +31,23 @@
 /// A leader elected more recently may not know of its election yet, so it is not probed.
 constexpr std::chrono::milliseconds kElectionSettleTime{ 400 };
 
+/// The voters of a stored record; empty when it has none, as those of earlier versions.
+std::optional<std::set<WorkerId>> VotersFromJson(const json& aRecord)
+{
+  auto found = aRecord.find("voters");
+  if (found == aRecord.end() || !found->is_array()) {
+    return std::nullopt;
+  }
+  std::set<WorkerId> voters;
+  for (const json& id : *found) {
+    if (!id.is_string()) {
+      return std::nullopt;
+    }
+    voters.insert(id.get<std::string>());
+  }
+  return voters;
+}
+
 std::string EndpointText(const SocketEndpoint& aEndpoint)
 {
   return aEndpoint.address + ":" + std::to_string(aEndpoint.port);
@@ -40,11 +57,15 @@
 KeyValueTransaction::Put LeasesItem(const InstanceSettings& aSettings,
                                     Epoch aTerm,
                                     Duration aLongestLease,
-                                    bool aHaveEarlierEnded)
+                                    bool aHaveEarlierEnded,
+                                    const std::optional<std::set<WorkerId>>& aVoters)
 {
   json record{ { "term", aTerm },
                { "longest_us", aLongestLease.count() },
                { "earlier_ended", aHaveEarlierEnded } };
+  if (aVoters) {
+    record["voters"] = *aVoters;
+  }
   return { aSettings.storePrefix + "group/" + kLeasesKey, record.dump(), 0 };
 }
 
@@ -118,7 +139,7 @@
             [this](const KeyValueChange& aChange) {
               this->ApplyChange(aChange.key, aChange.value, aChange.revision);
             },
-            [] {},
+            [this] { this->OnRangeConfirmed(); },
             [this](std::error_code aError) { this->OnStoreResult(aError); } })
 {
 }
@@ -218,9 +239,12 @@
 {
   std::map<std::string, MemberRecord> former = std::exchange(this->members, {});
   std::string leaderKey = this->prefix + kLeaderKey;
+  std::string leasesKey = this->prefix + kLeasesKey;
   bool hasLeader = false;
+  bool hasLeases = false;
   for (const KeyValueItem& item : aItems) {
     hasLeader = hasLeader || item.key == leaderKey;
+    hasLeases = hasLeases || item.key == leasesKey;
     this->ApplyChange(item.key, item.value, item.revision);
   }
   for (auto& [name, member] : this->members) {
@@ -230,6 +254,9 @@
     }
   }
   this->isLoaded = true;
+  if (!hasLeases) {
+    this->ApplyChange(leasesKey, std::nullopt, 0);
+  }
   if (!hasLeader) {
     this->ApplyChange(leaderKey, std::nullopt, 0);
   }
@@ -254,6 +281,8 @@
     this->leasesTerm = isValid ? record->value("term", Epoch(0)) : 0;
     this->longestLease = Duration(isValid ? record->value("longest_us", Duration::rep(0)) : 0);
     this->haveEarlierEnded = isValid && record->value("earlier_ended", false);
+    this->voters = isValid ? VotersFromJson(*record) : std::nullopt;
+    this->leasesRevision = aValue ? aRevision : 0;
     return;
   }
   if (relativeKey == kLeaderKey) {
@@ -270,7 +299,7 @@
     bool isOwn = found && found->incarnation == this->incarnation;
     if (isOwn && found->term > this->lastHeldTerm) {
       // Elected by a transaction that was applied late.
-      this->BecomeLeader(*found);
+      this->BecomeLeader(*found, TimePoint());
     } else if (isOwn && found->term == this->lastLostTerm) {
       // The record of this instance's ended term is still stored; a new election replaces it.
       this->Campaign();
@@ -376,34 +405,50 @@
     std::max(OwnLease(this->settings), LongestLease(record.earlier, this->settings));
   KeyValueTransaction transaction;
   transaction.conditions = { { this->prefix + kLeaderKey, this->leaderRevision },
-                             { this->prefix + kTermKey, this->termRevision } };
-  transaction.puts = { { this->prefix + kLeaderKey, ToJson(record).dump(), this->lease },
-                       { this->prefix + kTermKey, json(record.term).dump(), 0 },
-                       LeasesItem(this->settings, record.term, longest, record.term == 1) };
-  this->store.Commit(transaction, [this, record](const Result<std::uint64_t>& aRevision) {
-    this->isCampaigning = false;
-    if (aRevision) {
-      LeaderRecord elected = record;
-      elected.revision = *aRevision;
-      this->BecomeLeader(elected);
-    } else if (aRevision.Error() == make_error_code(Errc::OutcomeUnknown)) {
-      this->ConfirmElection(record);
-    } else if (aRevision.Error() == make_error_code(Errc::LeaseExpired)) {
-      this->lease = 0;
-      this->AcquireLease();
-    } else {
-      // After a conflict there may be no leader either: the key may have been removed meanwhile,
-      // while this campaign kept another from starting.
-      this->loop.After(kStoreRetryDelay, [this] {
-        if (!this->leader) {
-          this->Campaign();
-        }
-      });
-    }
-  });
+                             { this->prefix + kTermKey, this->termRevision },
+                             // The leader may have stored other voters meanwhile.
+                             { this->prefix + kLeasesKey, this->leasesRevision } };
+  transaction.puts = {
+    { this->prefix + kLeaderKey, ToJson(record).dump(), this->lease },
+    { this->prefix + kTermKey, json(record.term).dump(), 0 },
+    LeasesItem(this->settings, record.term, longest, record.term == 1, record.earlier.voters)
+  };
+  this->store.Commit(
+    transaction, [this, record, sentAt = this->loop.Now()](const Result<std::uint64_t>& aRevision) {
+      this->isCampaigning = false;
+      if (aRevision) {
+        LeaderRecord elected = record;
+        elected.revision = *aRevision;
+        this->BecomeLeader(elected, sentAt);
+      } else if (aRevision.Error() == make_error_code(Errc::OutcomeUnknown)) {
+        this->ConfirmElection(record);
+      } else if (aRevision.Error() == make_error_code(Errc::LeaseExpired)) {
+        this->lease = 0;
+        this->AcquireLease();
+      } else {
+        // After a conflict there may be no leader either: the key may have been removed meanwhile,
+        // while this campaign kept another from starting.
+        this->loop.After(kStoreRetryDelay, [this] {
+          if (!this->leader) {
+            this->Campaign();
+          }
+        });
+      }
+    });
+}
+
+void Membership::OnRangeConfirmed()
+{
+  bool isLeading = this->leader && this->leader->incarnation == this->incarnation &&
+                   this->leader->term == this->lastHeldTerm && this->leaderRevision != 0 &&
+                   this->leaderRevision == this->leader->revision;
+  if (isLeading) {
+    this->leadershipConfirmedAt =
+      std::max(this->leadershipConfirmedAt, this->range.ConfirmedAt().value_or(TimePoint()));
+  }
 }
 
-void Membership::BecomeLeader(const LeaderRecord& aElected)
+void Membership::BecomeLeader(const LeaderRecord& aElected, TimePoint aConfirmedAt)
 {
   if (aElected.term <= this->lastHeldTerm) {
     return; // Already known from another source.
@@ -412,6 +457,8 @@
   this->leaderRevision = aElected.revision;
   this->term = aElected.term;
   this->termRevision = aElected.revision;
+  this->leasesRevision = aElected.revision;
+  this->leadershipConfirmedAt = aConfirmedAt;
   this->SetLeader(aElected);
   this->hooks.onElected(aElected);
 }
@@ -422,12 +469,14 @@
   if (this->term == 0) {
     known.longestLease = OwnLease(this->settings);
     known.haveEndedButLast = true;
+    known.voters.emplace();
     return known;
   }
   // A leader of a version without this record changes only the term.
   if (this->leasesTerm == this->term) {
     known.longestLease = this->longestLease;
     known.haveEndedButLast = this->haveEarlierEnded;
+    known.voters = this->voters;
   }
   if (this->lastLeader && this->lastLeader->term == this->term) {
     known.name = this->lastLeader->name;
@@ -440,7 +489,8 @@
 void Membership::ConfirmElection(const LeaderRecord& aRecord)
 {
   this->store.Read(
-    this->prefix + kLeaderKey, [this, aRecord](const Result<std::optional<KeyValueItem>>& aItem) {
+    this->prefix + kLeaderKey,
+    [this, aRecord, sentAt = this->loop.Now()](const Result<std::optional<KeyValueItem>>& aItem) {
       if (!aItem) {
         this->loop.After(kStoreRetryDelay, [this, aRecord] { this->ConfirmElection(aRecord); });
         return;
@@ -448,7 +498,7 @@
       if (*aItem && (*aItem)->value == ToJson(aRecord).dump()) {
         LeaderRecord elected = aRecord;
         elected.revision = (*aItem)->revision;
-        this->BecomeLeader(elected);
+        this->BecomeLeader(elected, sentAt);
       } else if (!this->leader) {
         // There is no record, or the one of this instance's ended term.
         this->CampaignAfterDelay();
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace daisydrift::coordination {
 
@@ -16,6 +17,9 @@
   Duration longestLease{ 0 };
   /// None of them extends leases any more, except perhaps the last one.
   bool haveEndedButLast = false;
+  /// Workers of which more than half must accept a leader's polls to prove its leadership; empty
+  /// when an earlier leader may extend leases without a proof, as earlier versions do.
+  std::optional<std::set<WorkerId>> voters;
   /// The last one; its incarnation is empty when it is not known.
   std::string name;
   SocketEndpoint endpoint;
@@ -83,6 +87,8 @@
   const std::string& Incarnation() const { return this->incarnation; }
   /// Last term in which this instance led; 0 for none.
   Epoch LastHeldTerm() const { return this->lastHeldTerm; }
+  /// Latest time at which the store has shown that this instance leads with that term.
+  TimePoint LeadershipConfirmedAt() const { return this->leadershipConfirmedAt; }
   /// Tracks from the result of a store call whether the store is available.
   void OnStoreResult(std::error_code aError);
   /// True when the store has answered the last call.
@@ -116,8 +122,11 @@
   void ConfirmElection(const LeaderRecord& aRecord);
   /// The leaders until now.
   EarlierLeaders KnownLeaders() const;
-  /// Starts this instance's leadership with that record.
-  void BecomeLeader(const LeaderRecord& aElected);
+  /// Starts this instance's leadership with that record, which was in the store at aConfirmedAt or
+  /// later.
+  void BecomeLeader(const LeaderRecord& aElected, TimePoint aConfirmedAt);
+  /// The range of the group has been read or watched.
+  void OnRangeConfirmed();
   void ProbeLeader(int aAttemptsLeft);
   /// Asks the members with the shortest campaign delays, all shorter than this one's, to probe the
   /// leader as well, so that one of them takes over.
@@ -145,13 +154,17 @@
   std::uint64_t leaderRevision = 0;
   Epoch term = 0;
   std::uint64_t termRevision = 0;
-  /// Stored for the leaders up to leasesTerm: their longest lease, and whether all but the last
-  /// have ended.
+  /// Stored for the leaders up to leasesTerm: their longest lease, whether all but the last have
+  /// ended, and their voters.
   Duration longestLease{ 0 };
   bool haveEarlierEnded = false;
+  std::optional<std::set<WorkerId>> voters;
   Epoch leasesTerm = 0;
+  /// Revision of that record; 0 when it does not exist.
+  std::uint64_t leasesRevision = 0;
   /// The last leader that was known.
   std::optional<LeaderRecord> lastLeader;
+  TimePoint leadershipConfirmedAt;
   /// Last term in which this instance led, and the last one that ended without Resign.
   Epoch lastHeldTerm = 0;
   Epoch lastLostTerm = 0;
@@ -159,12 +172,14 @@
   RangeFollower range;
 };
 
-/// The record of the longest lease that leaders up to aTerm have asked for, and of whether all
-/// before aTerm have ended. It outlives the leaders' own records.
+/// The record of the longest lease that leaders up to aTerm have asked for, of whether all before
+/// aTerm have ended, and of the voters that leaders up to aTerm may count. It outlives the leaders'
+/// own records.
 KeyValueTransaction::Put LeasesItem(const InstanceSettings& aSettings,
                                     Epoch aTerm,
                                     Duration aLongestLease,
-                                    bool aHaveEarlierEnded);
+                                    bool aHaveEarlierEnded,
+                                    const std::optional<std::set<WorkerId>>& aVoters);
 
 /// Lease on workers that an instance asks for when it leads.
 Duration OwnLease(const InstanceSettings& aSettings);
--- a/packages/coordination/src/RecordWriter.cpp
+++ b/packages/coordination/src/RecordWriter.cpp
@@ -146,10 +146,15 @@
 void RecordWriter::Send(const BatchPart& aPart)
 {
   this->store.Commit(aPart.transaction,
-                     [this, alive = this->isAlive, aPart](const Result<std::uint64_t>& aRevision) {
-                       if (*alive && !*aPart.isStored) {
-                         this->OnResponse(aPart, aRevision);
+                     [this, alive = this->isAlive, aPart, sentAt = this->loop.Now()](
+                       const Result<std::uint64_t>& aRevision) {
+                       if (!*alive || *aPart.isStored) {
+                         return;
                        }
+                       if (aRevision) {
+                         this->hooks.onLeadershipConfirmed(sentAt);
+                       }
+                       this->OnResponse(aPart, aRevision);
                      });
   // A repeated attempt fails on the guard key if an earlier one was applied.
   this->loop.After(kHedgeDelay, [this, alive = this->isAlive, aPart] {
--- a/packages/coordination/src/RecordWriter.h
+++ b/packages/coordination/src/RecordWriter.h
@@ -33,6 +33,8 @@
     std::function<void(std::uint64_t aBatch)> onBatchStored;
     /// Another instance leads.
     std::function<void()> onLeadershipLost;
+    /// This instance led when a transaction that was sent at aSentAt was applied.
+    std::function<void(TimePoint aSentAt)> onLeadershipConfirmed;
   };
 
   RecordWriter(EventLoop& aLoop,
--- a/packages/coordination/src/WorkerPoller.cpp
+++ b/packages/coordination/src/WorkerPoller.cpp
@@ -101,7 +101,7 @@
   bool mayHaveRestarted = !poll.hasAnswered || now - poll.answeredAt > kMaxUnwatchedTime;
   request.lastCompletion = mayHaveRestarted ? 0 : poll.acknowledged;
   poll.sentAcknowledgement = request.lastCompletion;
-  request.lease = this->dispatcher.ExtendWorkerLease(aWorker, now);
+  request.lease = this->dispatcher.ExtendWorkerLease(aWorker, this->hooks.confirmedAt());
   // The first poll must not wait: it raises the fencing token.
   request.wait = request.lease && !this->isStoreUnavailable ? this->MaxPollWait(now) : Duration(0);
   this->gateway.Poll(
@@ -148,6 +148,7 @@
     poll.acknowledged = 0;
   }
   this->dispatcher.OnReport(aWorker, *aReport, aSentAt, now);
+  this->hooks.onAccepted(aWorker, aReport->incarnation, aSentAt);
   bool hasNewCompletions = this->dispatcher.LastCompletion(aWorker) > poll.acknowledged;
   bool isAcknowledgementDue = poll.sentAcknowledgement < poll.acknowledged;
   if (hasNewCompletions && !this->isStoreUnavailable && !isAcknowledgementDue) {
--- a/packages/coordination/src/WorkerPoller.h
+++ b/packages/coordination/src/WorkerPoller.h
@@ -20,6 +20,11 @@
     std::function<void()> onUpdate;
     /// The worker has seen a higher fencing token.
     std::function<void()> onFenced;
+    /// The worker has accepted a poll that was sent at aSentAt; the dispatcher knows its report.
+    std::function<void(const WorkerId& aWorker, std::int64_t aIncarnation, TimePoint aSentAt)>
+      onAccepted;
+    /// Returns the latest time at which this leader is known to have led.
+    std::function<TimePoint()> confirmedAt;
   };
 
   WorkerPoller(EventLoop& aLoop,
--- a/packages/dispatch/include/daisydrift/dispatch.h
+++ b/packages/dispatch/include/daisydrift/dispatch.h
@@ -4,3 +4,4 @@
 #include "daisydrift/dispatch/DispatchSettings.h"
 #include "daisydrift/dispatch/DispatchTypes.h"
 #include "daisydrift/dispatch/Dispatcher.h"
+#include "daisydrift/dispatch/LeadershipConfirmation.h"
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -67,8 +67,9 @@
 
   /// Adds a worker that the platform's directory lists, or updates its entry.
   void ListWorker(const WorkerListing& aListing);
-  /// No earlier leader extends leases from now on. Without this call they are assumed to have begun
-  /// no lease after the start of the term, but to have asked for the longest that workers grant.
+  /// No earlier leader extends leases beyond the longest one from now on. Without this call they
+  /// are assumed to have begun no lease after the start of the term, but to have asked for the
+  /// longest that workers grant.
   void OnEarlierLeadersEnded(TimePoint aNow);
   /// The directory no longer lists the worker. Its runs stay counted until their lease expires.
   void UnlistWorker(const WorkerId& aWorker);
@@ -79,10 +80,12 @@
                 TimePoint aNow);
   /// A poll failed. aNeverSent is true when no connection could be made.
   void OnPollFailed(const WorkerId& aWorker, bool aNeverSent, TimePoint aNow);
-  /// Extends the worker's lease for a poll or command sent at aNow. Returns the new lease end on
-  /// the worker's clock; empty before the worker's first report and while it is unresponsive.
+  /// Extends the worker's lease for a poll or command that is sent now. aConfirmedAt is the latest
+  /// time at which this leader is known to have led, not in the future; the lease ends at most its
+  /// duration later, or when an earlier call has said. Returns the lease end on the worker's clock;
+  /// empty before the worker's first report and while it is unresponsive.
   std::optional<std::chrono::milliseconds> ExtendWorkerLease(const WorkerId& aWorker,
-                                                             TimePoint aNow);
+                                                             TimePoint aConfirmedAt);
   /// Highest number of that worker's processed completions; 0 for an unknown worker.
   std::uint64_t LastCompletion(const WorkerId& aWorker) const;
   /// Workers that are listed or may have active runs.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -160,7 +160,7 @@
 }
 
 std::optional<std::chrono::milliseconds> Dispatcher::ExtendWorkerLease(const WorkerId& aWorker,
-                                                                       TimePoint aNow)
+                                                                       TimePoint aConfirmedAt)
 {
   Worker* worker = this->impl->state.FindWorker(aWorker);
   // Extending the lease of an unresponsive worker would delay the time at which its runs are known
@@ -171,9 +171,13 @@
   using Milliseconds = std::chrono::milliseconds;
   const DispatchSettings& settings = this->impl->settings;
   Duration lease = std::min(settings.lease, settings.maxLease);
-  // The least time that has passed on the worker's clock, so that the lease is never longer there.
-  auto passed = std::chrono::duration_cast<Duration>((aNow - worker->reportedAt) /
-                                                     (1 + settings.maxClockDrift));
+  // The worker's clock at the confirmation, or less, so that the lease is never longer there.
+  // Before the report the clock has advanced by no more than ours, after it by no less than the
+  // drift allows. A report that arrives late has an older clock, which only shortens the lease.
+  Duration passed = aConfirmedAt - worker->reportedAt;
+  if (passed > Duration(0)) {
+    passed = std::chrono::duration_cast<Duration>(passed / (1 + settings.maxClockDrift));
+  }
   auto end = worker->clock + std::chrono::duration_cast<Milliseconds>(passed + lease);
   worker->sentLeaseEnd = std::max(worker->sentLeaseEnd, end);
   worker->maxLeaseEnd = std::max(worker->maxLeaseEnd, worker->sentLeaseEnd);
--- a/packages/dispatch/tests/WorkerRulesTest.cpp
+++ b/packages/dispatch/tests/WorkerRulesTest.cpp
@@ -202,6 +202,25 @@
   EXPECT_LT(this->now - begin, kMaxTargetViolation);
 }
 
+// Guards against a lease that outlives the time for which a later leader waits: it ends at most its
+// duration after the leader's last confirmation, on a clock that may be slow.
+TEST_F(WorkerRulesTest, ALeaseEndsItsDurationAfterTheLastConfirmation)
+{
+  this->AddWorker("w1");
+  this->Advance(seconds(10));
+  this->Report("w1", {});
+  milliseconds lease = std::chrono::duration_cast<milliseconds>(this->settings.lease);
+  auto end = [this](Duration aConfirmation) {
+    return *this->dispatcher.ExtendWorkerLease("w1", this->now + aConfirmation);
+  };
+  EXPECT_LE(end(-seconds(20)), this->workerClock) << "confirmed too long ago for any lease";
+  EXPECT_EQ(end(-seconds(2)), this->workerClock + lease - seconds(2));
+  EXPECT_EQ(end(-seconds(3)), this->workerClock + lease - seconds(2)) << "never shortened";
+  EXPECT_EQ(end(Duration(0)), this->workerClock + lease);
+  milliseconds slowSecond(980);
+  EXPECT_EQ(end(seconds(1)), this->workerClock + lease + slowSecond);
+}
+
 /// Workers that would grant leases of 10 s; leaders have asked for 5 s.
 class RestoredRunTest : public WorkerRulesTest
 {
