EarlierLeaders names what it says, and a comment stands above its test

Cause: a fresh reader stumbled over haveEndedButLast, and a comment on a partial outage stood above another test. Change: haveAllButLastEnded; the comment is above LeaderRefusedByTheStoreHandsOverLeadership. The stored name is unchanged. Measured: nothing; names and comments only.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -185,7 +185,8 @@
 void Leader::CheckEarlierLeader()
 {
   const EarlierLeaders& earlier = this->record.earlier;
-  if (this->haveEarlierLeadersEnded || !earlier.haveEndedButLast || earlier.incarnation.empty()) {
+  if (this->haveEarlierLeadersEnded || !earlier.haveAllButLastEnded ||
+      earlier.incarnation.empty()) {
     return;
   }
   if (earlier.name == this->record.name) {
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -87,7 +87,7 @@
            { "term", aLeader.term },
            { "earlier",
              { { "longest_us", aLeader.earlier.longestLease.count() },
-               { "ended_but_last", aLeader.earlier.haveEndedButLast },
+               { "ended_but_last", aLeader.earlier.haveAllButLastEnded },
                { "name", aLeader.earlier.name },
                { "endpoint", EndpointText(aLeader.earlier.endpoint) },
                { "incarnation", aLeader.earlier.incarnation } } } };
@@ -110,7 +110,7 @@
   }
   if (earlier.is_object()) {
     leader.earlier.longestLease = Duration(earlier.value("longest_us", Duration::rep(0)));
-    leader.earlier.haveEndedButLast = earlier.value("ended_but_last", false);
+    leader.earlier.haveAllButLastEnded = earlier.value("ended_but_last", false);
   }
   return leader;
 }
@@ -468,14 +468,14 @@
   EarlierLeaders known;
   if (this->term == 0) {
     known.longestLease = OwnLease(this->settings);
-    known.haveEndedButLast = true;
+    known.haveAllButLastEnded = true;
     known.voters.emplace();
     return known;
   }
   // A leader of a version without this record changes only the term.
   if (this->leasesTerm == this->term) {
     known.longestLease = this->longestLease;
-    known.haveEndedButLast = this->haveEarlierEnded;
+    known.haveAllButLastEnded = this->haveEarlierEnded;
     known.voters = this->voters;
   }
   if (this->lastLeader && this->lastLeader->term == this->term) {
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -16,7 +16,7 @@
   /// Longest lease on workers that they have asked for; 0 when that is not known.
   Duration longestLease{ 0 };
   /// None of them extends leases any more, except perhaps the last one.
-  bool haveEndedButLast = false;
+  bool haveAllButLastEnded = false;
   /// Workers of which more than half must accept a leader's polls to prove its leadership; empty
   /// when an earlier leader may extend leases without a proof, as earlier versions do.
   std::optional<std::set<WorkerId>> voters;
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -80,8 +80,6 @@
   this->ExpectAllCompleted({ "job" }, other, seconds(6));
 }
 
-// Guards against a partial outage in which the store refuses only the leader's calls: there was no
-// leader until the lease had expired.
 // Guards against a group that learns of its leader's end only when a watch has timed out.
 TEST_F(ClusterTest, ExpiredLeaderIsReplacedInTimeWhileWatchResponsesAreLost)
 {
@@ -93,6 +91,8 @@
   EXPECT_EQ(this->metrics.CounterValue("terms_total"), 2U);
 }
 
+// Guards against a partial outage in which the store refuses only the leader's calls: there was no
+// leader until the lease had expired.
 TEST_F(ClusterTest, LeaderRefusedByTheStoreHandsOverLeadership)
 {
   int leader = this->LeaderNumber();
