--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -12,10 +12,13 @@
 options=${5:+--$5}
 run_one() {
   local seed=$1 folder=$build/soak/$1
+  shift
+  # A regression seed may have options of its own.
+  local own=${*:---seconds $seconds $options}
   rm -rf "$folder"
   mkdir -p "$folder"
   if "$build/bin/daisydrift-soak" --program "$build/bin/daisydriftd" --folder "$folder" --seed "$seed" \
-    --seconds "$seconds" $options > "$folder/events.log" 2>&1; then
+    $own > "$folder/events.log" 2>&1; then
     grep event=soak_ended "$folder/events.log"
     rm -rf "$folder"
   else
@@ -26,5 +29,8 @@
 }
 export -f run_one
 export build seconds options
-{ grep -oE '^[0-9]+' platform/soak/regression-seeds.txt; seq "$first" $((first + count - 1)); } |
-  xargs -P 3 -I{} bash -c 'run_one {}'
+{
+  # xargs would join a line that ends with a blank with the next one.
+  sed -nE 's/^([0-9]+) (\[([^]]*)\])?.*/\1 \3/; s/ $//; /^[0-9]/p' platform/soak/regression-seeds.txt
+  seq "$first" $((first + count - 1))
+} | xargs -P 3 -L 1 bash -c 'run_one "$@"' run_one
