--- a/packages/coordination/src/LeaderLeases.cpp
+++ b/packages/coordination/src/LeaderLeases.cpp
@@ -3,6 +3,8 @@
 
 #include "Leader.h"
 
+#include <nlohmann/json.hpp>
+
 #include <string_view>
 
 namespace daisydrift::coordination {
