--- a/packages/coordination/src/ConfigExchange.cpp
+++ b/packages/coordination/src/ConfigExchange.cpp
@@ -18,12 +18,14 @@
                                const Membership& aMembership,
                                ConfigFollower& aConfig,
                                const InstanceSettings& aSettings,
+                               Metrics& aMetrics,
                                std::function<void(const LeaderRecord&)> aOnLeader)
   : loop(aLoop)
   , peers(aPeers)
   , membership(aMembership)
   , config(aConfig)
   , settings(aSettings)
+  , metrics(aMetrics)
   , onLeader(std::move(aOnLeader))
 {
 }
@@ -106,6 +108,8 @@
     answer = { { "version", current->version }, { "age_us", this->config.Age().count() } };
     if (aArguments.value("version", std::uint64_t(0)) != current->version) {
       answer["document"] = current->document;
+      this->metrics.Count("config_documents_sent_total");
+      this->metrics.Count("config_document_bytes_sent_total", current->document.size());
     }
   }
   if (this->membership.Leader()) {
--- a/packages/coordination/src/ConfigExchange.h
+++ b/packages/coordination/src/ConfigExchange.h
@@ -20,6 +20,7 @@
                  const Membership& aMembership,
                  ConfigFollower& aConfig,
                  const InstanceSettings& aSettings,
+                 Metrics& aMetrics,
                  std::function<void(const LeaderRecord&)> aOnLeader);
 
   void Start();
@@ -42,6 +43,7 @@
   const Membership& membership;
   ConfigFollower& config;
   const InstanceSettings& settings;
+  Metrics& metrics;
   std::function<void(const LeaderRecord&)> onLeader;
   std::size_t openFetches = 0;
   bool wasLeaderAskedLast = false;
--- a/packages/coordination/src/ConfigFollower.cpp
+++ b/packages/coordination/src/ConfigFollower.cpp
@@ -44,6 +44,7 @@
     .Add("version", this->config->version)
     .Add("source", aSource)
     .Add("age_ms", this->Age())
+    .Add("bytes", this->config->document.size())
     .Add("queues", this->config->policy.queues.size())
     .Add("teams", this->config->policy.teams.size());
   this->metrics.Set("config_version", static_cast<double>(this->config->version));
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -117,6 +117,7 @@
                    this->membership,
                    this->config,
                    this->settings,
+                   aMetrics,
                    [this](const LeaderRecord& aLeader) { this->UpdateLeader(aLeader); })
   , handover(aLoop, aPeers, this->membership, this->settings)
   , environment{ aLoop,    aStore,         aWorkers,       aMachines,        aAdvice,     aPeers,
--- a/packages/http/include/daisydrift/http/HttpClient.h
+++ b/packages/http/include/daisydrift/http/HttpClient.h
@@ -18,6 +18,9 @@
 /// OutcomeUnknown (sending began, but no complete response arrived).
 using HttpCallback = std::function<void(const Result<HttpResponse>&)>;
 
+/// Called with the number of bytes of each part of a response that arrives.
+using HttpProgressHook = std::function<void(std::size_t)>;
+
 /// Keeps a pool of connections for each endpoint. A connection carries one request at a time and is
 /// reused afterwards; it is closed when a request on it fails. Requests beyond the connection limit
 /// of an endpoint are queued first in, first out; the time in the queue counts against their
@@ -35,7 +38,8 @@
   void Send(const SocketEndpoint& aEndpoint,
             HttpRequest aRequest,
             Duration aTimeout,
-            HttpCallback aDone);
+            HttpCallback aDone,
+            HttpProgressHook aOnProgress = {});
   /// Closes the idle connections to aEndpoint, for example when it is no longer used.
   void CloseIdleConnections(const SocketEndpoint& aEndpoint);
 
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -23,6 +23,7 @@
   HttpRequest request;
   TimePoint deadline;
   HttpCallback done;
+  HttpProgressHook onProgress;
   bool isQueued = true;
 };
 
@@ -138,6 +139,9 @@
   /// Returns false when the bytes are malformed or exceed the response.
   bool Consume(const char* aData, std::size_t aSize)
   {
+    if (this->currentRequest->onProgress) {
+      this->currentRequest->onProgress(aSize);
+    }
     std::size_t consumed = this->parser.Consume(aData, aSize);
     return this->parser.Error() == http::ParseError::None && consumed == aSize;
   }
@@ -261,7 +265,8 @@
 void HttpClient::Send(const SocketEndpoint& aEndpoint,
                       HttpRequest aRequest,
                       Duration aTimeout,
-                      HttpCallback aDone)
+                      HttpCallback aDone,
+                      HttpProgressHook aOnProgress)
 {
   auto found = this->pools.find(aEndpoint);
   if (found == this->pools.end()) {
@@ -270,8 +275,8 @@
     found = this->pools.emplace(aEndpoint, std::move(pool)).first;
   }
   Pool& pool = *found->second;
-  auto pending = std::make_shared<PendingRequest>(
-    PendingRequest{ std::move(aRequest), this->loop.Now() + aTimeout, std::move(aDone) });
+  auto pending = std::make_shared<PendingRequest>(PendingRequest{
+    std::move(aRequest), this->loop.Now() + aTimeout, std::move(aDone), std::move(aOnProgress) });
   pool.pendingRequests.push_back(pending);
   this->StartPendingRequests(pool);
   if (pending->isQueued) {
