A response that keeps arriving is waited for, and nothing is read again beside it

Callers saw: queries about accepted jobs without an answer in time (LOST), 503 and 504, for as long as the configuration stayed large: an instance behind a link of 10 Mbit/s never got it, and its link was full. Cause: a call had a fixed time limit, whatever the size of its response. A read of the configuration that needs 1.1 s was given up after 0.9 s, thrown away and repeated from the start, up to four at once. Why it works: one transfer has the link to itself and is not cut, so its time is its size by the rate of the link; a dead connection shows no progress and is replaced after 0.3 s as before. Ruled out: longer fixed limits, which are again too short for the next size and delay the end of each outage.

--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -59,7 +59,8 @@
                              } else {
                                next.onDone(next.revision);
                              }
-                           });
+                           },
+                           {});
 }
 
 void Leader::LoadProgress()
@@ -183,7 +184,8 @@
         }
       }
       this->After(this->env.settings.listPollInterval, [this] { this->PollJobChanges(); });
-    });
+    },
+    {});
 }
 
 void Leader::ReloadDefinitions()
@@ -254,7 +256,8 @@
         }
       }
       this->After(this->env.settings.listPollInterval, [this] { this->PollWorkerChanges(); });
-    });
+    },
+    {});
 }
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/RangeFollower.cpp
+++ b/packages/coordination/src/RangeFollower.cpp
@@ -44,11 +44,25 @@
 
 void RangeFollower::Refresh()
 {
-  if (!this->isReadStep) {
+  if (!this->isReadStep && !this->IsReceiving()) {
     this->Restart();
   }
 }
 
+bool RangeFollower::IsReceiving() const
+{
+  return this->lastProgress && this->loop.Now() - *this->lastProgress < kLateResponse;
+}
+
+std::function<void()> RangeFollower::ProgressHook()
+{
+  return [this, sentInStep = this->step] {
+    if (sentInStep == this->step) {
+      this->lastProgress = this->loop.Now();
+    }
+  };
+}
+
 void RangeFollower::Stop()
 {
   this->isStopping = true;
@@ -65,6 +79,7 @@
   this->stepBegan = this->loop.Now();
   this->isReadStep = aIsRead;
   this->openReads = 0;
+  this->lastProgress.reset();
   this->nextRead = TimePoint::max();
   if (aIsRead) {
     this->SendRead();
@@ -82,6 +97,10 @@
   this->loop.After(aTime - this->loop.Now(), [this, timer = ++this->readTimer] {
     if (timer == this->readTimer) {
       this->nextRead = TimePoint::max();
+      if (this->IsReceiving()) {
+        this->ScheduleRead(*this->lastProgress + kLateResponse);
+        return;
+      }
       this->MarkUnconfirmed(this->isReadStep ? "read" : "watch",
                             make_error_code(Errc::DeadlineExceeded),
                             this->stepBegan);
@@ -105,7 +124,9 @@
 {
   std::string after = aRead->items.empty() ? "" : aRead->items.back().key;
   this->store.ReadPage(
-    this->prefix, after, [this, aRead, isFirst = after.empty()](const Result<KeyValuePage>& aPage) {
+    this->prefix,
+    after,
+    [this, aRead, isFirst = after.empty()](const Result<KeyValuePage>& aPage) {
       if (aRead->step != this->step) {
         return;
       }
@@ -129,7 +150,8 @@
       this->hooks.onReadResult({});
       this->hooks.onRead(aRead->items);
       this->Confirm(aRead->sentAt);
-    });
+    },
+    this->ProgressHook());
 }
 
 void RangeFollower::SendWatch()
@@ -156,7 +178,8 @@
       // A watch without a change shows the state at the end of its wait.
       bool hasWaited = aChanges->changes.empty() && this->loop.Now() - sentAt >= this->maxWatchWait;
       this->Confirm(hasWaited ? sentAt + this->maxWatchWait : sentAt);
-    });
+    },
+    this->ProgressHook());
 }
 
 void RangeFollower::OnFailure(const char* aCall, std::error_code aError, TimePoint aSentAt)
--- a/packages/coordination/src/RangeFollower.h
+++ b/packages/coordination/src/RangeFollower.h
@@ -10,7 +10,8 @@
 /// Reads all keys with a prefix, then watches them. A call whose response is late is not waited
 /// for: the keys are read again beside it, and the first response counts. So a dead connection
 /// delays a change by aMaxWatchWait and some 0.3 s at most, and the end of an outage is noticed
-/// within some 0.3 s.
+/// within some 0.3 s. A response that is arriving is not late, however long it is: a second read
+/// would only take a part of the link from it.
 class RangeFollower
 {
 public:
@@ -36,9 +37,11 @@
 
   /// Reads the keys; ignores the responses of all calls sent before.
   void Restart();
-  /// Reads the keys now, unless a read is in flight.
+  /// Reads the keys now, unless a read is in flight or a response is arriving.
   void Refresh();
   void Stop();
+  /// True while a response is arriving that will confirm the range.
+  bool IsReceiving() const;
 
   /// A time at which what is known was the state of the store; nothing before the first response.
   std::optional<TimePoint> ConfirmedAt() const { return this->confirmedAt; }
@@ -56,6 +59,8 @@
   void SendRead();
   void SendPageRead(const std::shared_ptr<PagedRead>& aRead);
   void SendWatch();
+  /// Hook of a call for the parts of its response.
+  std::function<void()> ProgressHook();
   /// Sends a read at that time, unless a confirmation or an earlier scheduled read comes first.
   void ScheduleRead(TimePoint aTime);
   void OnFailure(const char* aCall, std::error_code aError, TimePoint aSentAt);
@@ -76,6 +81,8 @@
   TimePoint stepBegan;
   bool isReadStep = false;
   std::size_t openReads = 0;
+  /// When a part of a response in this wait arrived last.
+  std::optional<TimePoint> lastProgress;
   TimePoint nextRead = TimePoint::max();
   /// Number of the timer for nextRead; those with lower numbers have been replaced.
   std::uint64_t readTimer = 0;
--- a/packages/coordination/tests/InMemoryStore.cpp
+++ b/packages/coordination/tests/InMemoryStore.cpp
@@ -32,7 +32,8 @@
 
 void InMemoryStore::ReadPage(const std::string& aPrefix,
                              const std::string& aAfter,
-                             std::function<void(const Result<KeyValuePage>&)> aDone)
+                             std::function<void(const Result<KeyValuePage>&)> aDone,
+                             std::function<void()>) // Responses arrive in one part.
 {
   this->loop.After(this->responseTime, [this, aPrefix, aAfter, aDone] {
     if (this->isSilent || (this->isReadResponseLost && this->isReadResponseLost())) {
@@ -67,9 +68,10 @@
 void InMemoryStore::Watch(const std::string& aPrefix,
                           std::uint64_t aAfterRevision,
                           Duration aWait,
-                          std::function<void(const Result<KeyValueChanges>&)> aDone)
+                          std::function<void(const Result<KeyValueChanges>&)> aDone,
+                          std::function<void()> aOnProgress)
 {
-  this->loop.After(kWatchStep, [this, aPrefix, aAfterRevision, aWait, aDone] {
+  this->loop.After(kWatchStep, [this, aPrefix, aAfterRevision, aWait, aDone, aOnProgress] {
     if (this->isSilent || (this->isWatchResponseLost && this->isWatchResponseLost(aPrefix))) {
       this->LoseResponse(aWait + kLostWatchTimeout, aDone);
       return;
@@ -97,7 +99,7 @@
       return;
     }
     if (changes.changes.empty() && aWait > kWatchStep) {
-      this->Watch(aPrefix, aAfterRevision, aWait - kWatchStep, aDone);
+      this->Watch(aPrefix, aAfterRevision, aWait - kWatchStep, aDone, aOnProgress);
     } else {
       aDone(changes);
     }
--- a/packages/coordination/tests/InMemoryStore.h
+++ b/packages/coordination/tests/InMemoryStore.h
@@ -33,11 +33,13 @@
             std::function<void(const Result<std::optional<KeyValueItem>>&)> aDone) override;
   void ReadPage(const std::string& aPrefix,
                 const std::string& aAfter,
-                std::function<void(const Result<KeyValuePage>&)> aDone) override;
+                std::function<void(const Result<KeyValuePage>&)> aDone,
+                std::function<void()> aOnProgress) override;
   void Watch(const std::string& aPrefix,
              std::uint64_t aAfterRevision,
              Duration aWait,
-             std::function<void(const Result<KeyValueChanges>&)> aDone) override;
+             std::function<void(const Result<KeyValueChanges>&)> aDone,
+             std::function<void()> aOnProgress) override;
   void Commit(const KeyValueTransaction& aTransaction,
               std::function<void(const Result<std::uint64_t>&)> aDone) override;
   void GrantLease(Duration aTimeToLive,
--- a/packages/coordination/tests/ProcessProxies.h
+++ b/packages/coordination/tests/ProcessProxies.h
@@ -225,30 +225,36 @@
   }
   void ReadPage(const std::string& aPrefix,
                 const std::string& aAfter,
-                std::function<void(const Result<KeyValuePage>&)> aDone) override
+                std::function<void(const Result<KeyValuePage>&)> aDone,
+                std::function<void()> aOnProgress) override
   {
     if (this->ShouldForward(aDone)) {
       this->store.ReadPage(aPrefix,
                            aAfter,
                            this->UnlessCutOff(AfterTransfer(
-                             this->process, std::move(aDone), "page", [](const auto& aPage) {
-                               return CountBytes(aPage.items);
-                             })));
+                             this->process,
+                             std::move(aDone),
+                             "page",
+                             [](const auto& aPage) { return CountBytes(aPage.items); })),
+                           std::move(aOnProgress));
     }
   }
   void Watch(const std::string& aPrefix,
              std::uint64_t aAfterRevision,
              Duration aWait,
-             std::function<void(const Result<KeyValueChanges>&)> aDone) override
+             std::function<void(const Result<KeyValueChanges>&)> aDone,
+             std::function<void()> aOnProgress) override
   {
     if (this->ShouldForward(aDone)) {
       this->store.Watch(aPrefix,
                         aAfterRevision,
                         aWait,
                         this->UnlessCutOff(AfterTransfer(
-                          this->process, std::move(aDone), "changes", [](const auto& aChanges) {
-                            return CountBytes(aChanges.changes);
-                          })));
+                          this->process,
+                          std::move(aDone),
+                          "changes",
+                          [](const auto& aChanges) { return CountBytes(aChanges.changes); })),
+                        std::move(aOnProgress));
     }
   }
   void Commit(const KeyValueTransaction& aTransaction,
--- a/packages/coordination/tests/RangeFollowerTest.cpp
+++ b/packages/coordination/tests/RangeFollowerTest.cpp
@@ -36,16 +36,18 @@
   }
   void ReadPage(const std::string&,
                 const std::string& aAfter,
-                std::function<void(const Result<KeyValuePage>&)> aDone) override
+                std::function<void(const Result<KeyValuePage>&)> aDone,
+                std::function<void()> aOnProgress) override
   {
-    this->reads.push_back({ aAfter, std::move(aDone) });
+    this->reads.push_back({ aAfter, std::move(aDone), std::move(aOnProgress) });
   }
   void Watch(const std::string&,
              std::uint64_t aAfterRevision,
              Duration,
-             std::function<void(const Result<KeyValueChanges>&)> aDone) override
+             std::function<void(const Result<KeyValueChanges>&)> aDone,
+             std::function<void()> aOnProgress) override
   {
-    this->watches.push_back({ aAfterRevision, std::move(aDone) });
+    this->watches.push_back({ aAfterRevision, std::move(aDone), std::move(aOnProgress) });
   }
   void Commit(const KeyValueTransaction&,
               std::function<void(const Result<std::uint64_t>&)>) override
@@ -58,11 +60,13 @@
   {
     std::string after;
     std::function<void(const Result<KeyValuePage>&)> respond;
+    std::function<void()> progress;
   };
   struct OpenWatch
   {
     std::uint64_t after;
     std::function<void(const Result<KeyValueChanges>&)> respond;
+    std::function<void()> progress;
   };
   std::vector<PageRead> reads;
   std::vector<OpenWatch> watches;
@@ -135,6 +139,36 @@
   EXPECT_EQ(this->confirmations, 2);
 }
 
+// Guards against reads beside a long response, which take their part of the link from it.
+TEST_F(RangeFollowerTest, LongResponseIsNotReadAgainWhileItArrives)
+{
+  for (int part = 0; part < 50; ++part) {
+    this->loop.RunFor(milliseconds(100));
+    this->store.reads[0].progress();
+    this->follower.Refresh();
+  }
+  EXPECT_EQ(this->store.reads.size(), 1U);
+  this->store.reads[0].respond(Page(10, { Item("range/a", "1") }));
+  EXPECT_THAT(this->seen, ElementsAre("read", "range/a=1"));
+  this->loop.RunFor(kWatchWait);
+  for (int part = 0; part < 50; ++part) {
+    this->store.watches[0].progress();
+    this->follower.Refresh();
+    this->loop.RunFor(milliseconds(100));
+  }
+  EXPECT_EQ(this->store.reads.size(), 1U);
+}
+
+TEST_F(RangeFollowerTest, ResponseThatStopsArrivingIsReplaced)
+{
+  this->loop.RunFor(milliseconds(250));
+  this->store.reads[0].progress();
+  EXPECT_TRUE(this->follower.IsReceiving());
+  this->loop.RunFor(milliseconds(310));
+  EXPECT_FALSE(this->follower.IsReceiving());
+  EXPECT_EQ(this->store.reads.size(), 2U);
+}
+
 TEST_F(RangeFollowerTest, SilentStoreHoldsFewCallsAndIsReadSoonAfterItResponds)
 {
   this->store.reads[0].respond(Page(10, {}));
--- a/packages/http/include/daisydrift/http/HttpClient.h
+++ b/packages/http/include/daisydrift/http/HttpClient.h
@@ -21,6 +21,18 @@
 /// Called with the number of bytes of each part of a response that arrives.
 using HttpProgressHook = std::function<void(std::size_t)>;
 
+/// Time limits of a request whose response may be long. The time that a response takes depends on
+/// its size and on the link, so only a response that has stopped arriving is given up.
+struct HttpTimeLimits
+{
+  /// From Send until the response begins.
+  Duration response;
+  /// Between two parts of a response that has begun.
+  Duration silence;
+  /// From Send until the response is complete.
+  Duration total;
+};
+
 /// Keeps a pool of connections for each endpoint. A connection carries one request at a time and is
 /// reused afterwards; it is closed when a request on it fails. Requests beyond the connection limit
 /// of an endpoint are queued first in, first out; the time in the queue counts against their
@@ -38,6 +50,11 @@
   void Send(const SocketEndpoint& aEndpoint,
             HttpRequest aRequest,
             Duration aTimeout,
+            HttpCallback aDone);
+  /// As above; aDone is called when the first of the limits has passed, at the latest.
+  void Send(const SocketEndpoint& aEndpoint,
+            HttpRequest aRequest,
+            const HttpTimeLimits& aLimits,
             HttpCallback aDone,
             HttpProgressHook aOnProgress = {});
   /// Closes the idle connections to aEndpoint, for example when it is no longer used.
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -21,7 +21,8 @@
 struct HttpClient::PendingRequest
 {
   HttpRequest request;
-  TimePoint deadline;
+  TimePoint sentAt;
+  HttpTimeLimits limits;
   HttpCallback done;
   HttpProgressHook onProgress;
   bool isQueued = true;
@@ -41,26 +42,23 @@
 class HttpClient::Connection : public RefCounted<Connection>
 {
 public:
-  Connection(Pool& aPool, asio::io_context& aContext)
-    : pool(&aPool)
-    , socket(aContext)
-    , timer(aContext)
+  Connection(Pool& aPool, AsioLoop& aLoop)
+    : loop(aLoop)
+    , pool(&aPool)
+    , socket(aLoop.Context())
+    , timer(aLoop.Context())
     , parser(MessageParser::Kind::Response, kMaxResponseHeaderBytes, kMaxResponseBodyBytes)
   {
   }
 
-  void StartExchange(std::shared_ptr<PendingRequest> aPending, Duration aTimeout)
+  void StartExchange(std::shared_ptr<PendingRequest> aPending)
   {
     this->currentRequest = std::move(aPending);
     this->parser.Reset();
-    this->timer.expires_after(aTimeout);
-    this->timer.async_wait(
-      [self = Ref<Connection>(this), id = ++this->exchangeNumber](std::error_code aError) {
-        if (!aError && id == self->exchangeNumber) {
-          self->hasTimedOut = true;
-          self->Fail();
-        }
-      });
+    ++this->exchangeNumber;
+    const PendingRequest& pending = *this->currentRequest;
+    this->deadline = pending.sentAt + std::min(pending.limits.response, pending.limits.total);
+    this->WaitForDeadline();
     if (this->socket.is_open()) {
       this->Write();
     } else {
@@ -84,6 +82,24 @@
   }
 
 private:
+  /// Fails the exchange when its deadline has passed, which each part of the response changes.
+  void WaitForDeadline()
+  {
+    this->timer.expires_after(std::max<Duration>(this->deadline - this->loop.Now(), Duration(0)));
+    this->timer.async_wait(
+      [self = Ref<Connection>(this), id = this->exchangeNumber](std::error_code aError) {
+        if (aError || id != self->exchangeNumber) {
+          return;
+        }
+        if (self->loop.Now() < self->deadline) {
+          self->WaitForDeadline();
+          return;
+        }
+        self->hasTimedOut = true;
+        self->Fail();
+      });
+  }
+
   void Connect()
   {
     std::error_code error;
@@ -139,8 +155,15 @@
   /// Returns false when the bytes are malformed or exceed the response.
   bool Consume(const char* aData, std::size_t aSize)
   {
-    if (this->currentRequest->onProgress) {
-      this->currentRequest->onProgress(aSize);
+    const PendingRequest& pending = *this->currentRequest;
+    TimePoint formerDeadline = this->deadline;
+    this->deadline =
+      std::min(this->loop.Now() + pending.limits.silence, pending.sentAt + pending.limits.total);
+    if (this->deadline < formerDeadline) {
+      this->WaitForDeadline(); // A later deadline is noticed when the timer for this one expires.
+    }
+    if (pending.onProgress) {
+      pending.onProgress(aSize);
     }
     std::size_t consumed = this->parser.Consume(aData, aSize);
     return this->parser.Error() == http::ParseError::None && consumed == aSize;
@@ -232,12 +255,14 @@
   bool IsUnusable() const { return this->isUnusable; }
 
 private:
+  AsioLoop& loop;
   Pool* pool;
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
   MessageParser parser;
   std::shared_ptr<PendingRequest> currentRequest;
   std::uint64_t exchangeNumber = 0;
+  TimePoint deadline;
   std::string output;
   std::array<char, http::kReadBufferBytes> input;
   bool wasSent = false;
@@ -265,6 +290,17 @@
 void HttpClient::Send(const SocketEndpoint& aEndpoint,
                       HttpRequest aRequest,
                       Duration aTimeout,
+                      HttpCallback aDone)
+{
+  this->Send(aEndpoint,
+             std::move(aRequest),
+             HttpTimeLimits{ aTimeout, aTimeout, aTimeout },
+             std::move(aDone));
+}
+
+void HttpClient::Send(const SocketEndpoint& aEndpoint,
+                      HttpRequest aRequest,
+                      const HttpTimeLimits& aLimits,
                       HttpCallback aDone,
                       HttpProgressHook aOnProgress)
 {
@@ -276,11 +312,11 @@
   }
   Pool& pool = *found->second;
   auto pending = std::make_shared<PendingRequest>(PendingRequest{
-    std::move(aRequest), this->loop.Now() + aTimeout, std::move(aDone), std::move(aOnProgress) });
+    std::move(aRequest), this->loop.Now(), aLimits, std::move(aDone), std::move(aOnProgress) });
   pool.pendingRequests.push_back(pending);
   this->StartPendingRequests(pool);
   if (pending->isQueued) {
-    this->loop.After(aTimeout, [alive = this->isAlive, &pool, pending] {
+    this->loop.After(aLimits.response, [alive = this->isAlive, &pool, pending] {
       if (*alive && pending->isQueued) {
         auto& queue = pool.pendingRequests;
         queue.erase(std::find(queue.begin(), queue.end(), pending));
@@ -303,7 +339,7 @@
       connection = aPool.idleConnections.back();
       aPool.idleConnections.pop_back();
     } else if (aPool.openConnections < this->maxConnections) {
-      connection = Ref<Connection>(new Connection(aPool, this->loop.Context()));
+      connection = Ref<Connection>(new Connection(aPool, this->loop));
       ++aPool.openConnections;
     } else {
       return;
@@ -311,8 +347,7 @@
     std::shared_ptr<PendingRequest> next = std::move(aPool.pendingRequests.front());
     aPool.pendingRequests.pop_front();
     next->isQueued = false;
-    Duration timeLeft = std::max(next->deadline - this->loop.Now(), Duration(0));
-    connection->StartExchange(std::move(next), timeLeft);
+    connection->StartExchange(std::move(next));
   }
 }
 
--- a/packages/http/tests/HttpTest.cpp
+++ b/packages/http/tests/HttpTest.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <random>
 #include <thread>
 
@@ -38,10 +39,14 @@
   }
 
   Result<HttpResponse> Call(HttpRequest aRequest, Duration aTimeout = seconds(20))
+  {
+    return this->Call(std::move(aRequest), HttpTimeLimits{ aTimeout, aTimeout, aTimeout });
+  }
+  Result<HttpResponse> Call(HttpRequest aRequest, const HttpTimeLimits& aLimits)
   {
     std::optional<Result<HttpResponse>> result;
     this->client.Send(
-      this->endpoint, std::move(aRequest), aTimeout, [&](const Result<HttpResponse>& aResponse) {
+      this->endpoint, std::move(aRequest), aLimits, [&](const Result<HttpResponse>& aResponse) {
         result = aResponse;
         this->loop.Stop();
       });
@@ -368,6 +373,75 @@
   EXPECT_NE(this->Receive(socket, error).find("answer"), std::string::npos);
 }
 
+/// A server of one response, whose body arrives in parts with a pause before each.
+class SlowServer
+{
+public:
+  /// @param aSentParts Parts that are sent, of the aParts that the response has.
+  SlowServer(std::size_t aParts, std::size_t aSentParts, milliseconds aPause)
+    : acceptor(this->context, { asio::ip::make_address_v4("127.0.0.1"), 0 })
+    , thread([this, aParts, aSentParts, aPause] {
+      asio::ip::tcp::socket socket = this->acceptor.accept();
+      std::array<char, 1000> request;
+      socket.read_some(asio::buffer(request));
+      std::error_code error; // The client may give up the response.
+      std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aParts) + "\r\n\r\n";
+      asio::write(socket, asio::buffer(head), error);
+      for (std::size_t part = 0; part < aSentParts; ++part) {
+        std::this_thread::sleep_for(aPause);
+        asio::write(socket, asio::buffer("x", 1), error);
+      }
+      socket.read_some(asio::buffer(request), error); // Until the client closes the connection.
+    })
+  {
+  }
+  ~SlowServer() { this->thread.join(); }
+  SlowServer(const SlowServer&) = delete;
+  SlowServer& operator=(const SlowServer&) = delete;
+  SocketEndpoint Endpoint() const
+  {
+    return { "127.0.0.1", this->acceptor.local_endpoint().port() };
+  }
+
+private:
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor;
+  std::thread thread;
+};
+
+// Guards against a limit on the whole of a response whose length is not known.
+TEST_F(HttpTest, ResponseIsWaitedForAsLongAsItArrives)
+{
+  constexpr std::size_t kParts = 12;
+  SlowServer server(kParts, kParts, milliseconds(100));
+  this->endpoint = server.Endpoint();
+  // Each pause is far shorter than the limits, all together are longer.
+  HttpTimeLimits limits{ milliseconds(1000), milliseconds(1000), seconds(60) };
+  Result<HttpResponse> response = this->Call({ "GET", "/long", {}, "" }, limits);
+  ASSERT_TRUE(response) << response.Error().message();
+  EXPECT_EQ(response->body, std::string(kParts, 'x'));
+  this->client.CloseIdleConnections(this->endpoint);
+}
+
+TEST_F(HttpTest, ResponseThatStopsArrivingIsGivenUp)
+{
+  SlowServer server(3, 2, milliseconds(1));
+  this->endpoint = server.Endpoint();
+  HttpTimeLimits limits{ seconds(1000), milliseconds(100), seconds(1000) };
+  Result<HttpResponse> response = this->Call({ "GET", "/long", {}, "" }, limits);
+  EXPECT_EQ(response.Error(), make_error_code(Errc::OutcomeUnknown));
+}
+
+TEST_F(HttpTest, ResponseThatArrivesForTooLongIsGivenUp)
+{
+  SlowServer server(1000000, 30, milliseconds(20));
+  this->endpoint = server.Endpoint();
+  HttpTimeLimits limits{ seconds(1000), seconds(1000), milliseconds(200) };
+  Result<HttpResponse> response = this->Call({ "GET", "/long", {}, "" }, limits);
+  EXPECT_EQ(response.Error(), make_error_code(Errc::OutcomeUnknown));
+}
+
 TEST(EndpointTest, ParsesAddressAndPort)
 {
   SocketEndpoint endpoint;
