--- a/packages/coordination/src/ConfigExchange.h
+++ b/packages/coordination/src/ConfigExchange.h
@@ -20,11 +20,14 @@
                  const Membership& aMembership,
                  ConfigFollower& aConfig,
                  const InstanceSettings& aSettings,
+                 Metrics& aMetrics,
                  std::function<void(const LeaderRecord&)> aOnLeader);
 
   void Start();
-  /// Asks an instance for its configuration if the version differs, for the age of it, and for the
-  /// leader. A failed call is logged, not repeated.
+  /// Asks an instance for the version of its configuration, the age of it and the leader, and then
+  /// for the document if it is newer. Does nothing while an earlier call is open or while the store
+  /// sends the configuration: a second copy would only delay the first. A failed call is logged,
+  /// not repeated.
   void Fetch(const SocketEndpoint& aPeer);
   /// True when the configuration should be confirmed by another instance.
   bool IsDue() const { return this->config.Age() > this->settings.maxConfigAge / 2; }
@@ -33,6 +36,8 @@
 
 private:
   void FetchWhenDue();
+  void FetchDocument(const SocketEndpoint& aPeer);
+  void LogFailure(const SocketEndpoint& aPeer, std::error_code aError) const;
   void OnAnswer(const nlohmann::json& aAnswer, TimePoint aSentAt);
   /// The instance to ask next: the leader and one of the other members by turns.
   std::optional<SocketEndpoint> NextPeer();
@@ -42,8 +47,9 @@
   const Membership& membership;
   ConfigFollower& config;
   const InstanceSettings& settings;
+  Metrics& metrics;
   std::function<void(const LeaderRecord&)> onLeader;
-  std::size_t openFetches = 0;
+  bool isFetching = false;
   bool wasLeaderAskedLast = false;
   /// The member that was asked last.
   std::string lastMember;
