A message between daemons is given up for silence, not for its length

On a link on which the document takes longer, it was given up before its end, what had arrived was thrown away, and the next heartbeat began it from the start. Heartbeats whose responses were behind a long reply on the same connection counted as missed, and two of them closed the connection with all its calls. Change: TimeLimitedStream limits the time between two parts of a message (5 s) and, generously, the whole (60 s); FetchConfig has both limits too; a heartbeat during which bytes arrive is not counted as missed. TcpRelay can limit its rate. PeerChannelPool::CloseConnections ends a transfer when a daemon stops. Ruled out: a limit that grows with the size, since the receiver doesn't know the size of a reply; no limit at all, since a peer that sends a byte now and then would hold a connection for good. Measured: rpc_PeerChannelFaultTest, 1 MB at 400 KB/s. Conclusion: a configuration or forwarded reply crosses any link that carries 17 KB/s or more of it.

--- a/packages/rpc/include/daisydrift/rpc/PeerChannel.h
+++ b/packages/rpc/include/daisydrift/rpc/PeerChannel.h
@@ -23,8 +23,10 @@
   std::chrono::milliseconds connectTimeout{ 2000 };
   /// Largest message in either direction; must not exceed the server's limit.
   std::size_t maxMessageBytes = 4'000'000;
+  /// The next part of a message must be sent or received within this time.
+  std::chrono::milliseconds silenceTimeout{ 5000 };
   /// A message must be sent or received within this time once its transfer has begun.
-  std::chrono::milliseconds messageTimeout{ 5000 };
+  std::chrono::milliseconds messageTimeout{ 60'000 };
   /// The next call replaces a connection that has been unused for this long. Shorter than the
   /// server's idle timeout, so that a call does not race with the server closing the connection.
   std::chrono::milliseconds idleTimeout{ 20'000 };
@@ -47,7 +49,8 @@
 ///
 /// A connection may become permanently unresponsive while new ones work. Therefore two consecutive
 /// heartbeats without a response close the connection, and its running calls fail with
-/// OutcomeUnknown. Any other call that times out only retires the connection: the next call opens a
+/// OutcomeUnknown. A heartbeat during which bytes arrive is not counted: its response may be behind
+/// a long one. Any other call that times out only retires the connection: the next call opens a
 /// new one, and calls still running on the old one may finish, because the slow call may have been
 /// slow by itself.
 class PeerChannel
@@ -61,12 +64,22 @@
   PeerResult<HeartbeatReply> SendHeartbeat(const Heartbeat& aHeartbeat,
                                            std::chrono::milliseconds aTimeout);
   PeerResult<CallReply> SendCall(const Call& aCall, std::chrono::milliseconds aTimeout);
-  PeerResult<ConfigReply> FetchConfig(std::chrono::milliseconds aTimeout);
+  /// Fails after aSilence without a byte from the peer, or after aTimeout in all. The document may
+  /// be as large as a store value, so the time that it takes depends on the link.
+  PeerResult<ConfigReply> FetchConfig(std::chrono::milliseconds aSilence,
+                                      std::chrono::milliseconds aTimeout);
+  PeerResult<ConfigReply> FetchConfig(std::chrono::milliseconds aTimeout)
+  {
+    return this->FetchConfig(aTimeout, aTimeout);
+  }
   PeerResult<ForwardedReply> ForwardRequest(const ForwardedRequest& aRequest,
                                             std::chrono::milliseconds aTimeout);
   PeerResult<SuccessorAck> NotifySuccessor(const SuccessorNotice& aNotice,
                                            std::chrono::milliseconds aTimeout);
 
+  /// Closes the connection in use, if any; its running calls fail. Waits for the event loop only.
+  void CloseConnection();
+
   /// Address of the peer.
   const Endpoint& Address() const { return this->endpoint; }
   PeerTraffic Traffic() const;
--- a/packages/rpc/include/daisydrift/rpc/PeerChannelPool.h
+++ b/packages/rpc/include/daisydrift/rpc/PeerChannelPool.h
@@ -19,6 +19,8 @@
   std::shared_ptr<PeerChannel> GetOrCreate(const Endpoint& aEndpoint);
   /// Removes the channels to endpoints that are not listed, such as those of replaced instances.
   void Retain(const std::vector<Endpoint>& aEndpoints);
+  /// Closes the open connections; their running calls fail. The channels stay usable.
+  void CloseConnections();
 
 private:
   std::shared_ptr<RpcEventLoop> loop;
--- a/packages/rpc/include/daisydrift/rpc/PeerServer.h
+++ b/packages/rpc/include/daisydrift/rpc/PeerServer.h
@@ -33,9 +33,13 @@
   std::size_t maxMessageBytes = 4'000'000;
   /// A connection that is not authenticated within this time is closed.
   std::chrono::milliseconds authenticationTimeout{ 5000 };
+  /// The next part of a message must arrive within this time, and the peer must read the next part
+  /// of a reply within it; otherwise the connection is closed.
+  std::chrono::milliseconds silenceTimeout{ 5000 };
   /// A message must be complete within this time after its first byte, and the peer must read a
-  /// reply within it; otherwise the connection is closed.
-  std::chrono::milliseconds messageTimeout{ 5000 };
+  /// reply within it; otherwise the connection is closed. The largest message takes half of it on a
+  /// link of 1 Mbit/s.
+  std::chrono::milliseconds messageTimeout{ 60'000 };
   /// A connection on which no message begins for this long is closed. Twice the maximum request
   /// timeout (30 s), so that a running call is never interrupted.
   std::chrono::milliseconds idleTimeout{ 60'000 };
--- a/packages/rpc/src/ClientConnection.h
+++ b/packages/rpc/src/ClientConnection.h
@@ -21,6 +21,8 @@
   wire::Peer::Client& Peer() { return this->peer; }
   /// Closes the connection; all its calls fail.
   void Close() { this->stream->Abort(); }
+  /// When the last bytes arrived.
+  kj::TimePoint LastArrival() const { return this->stream->LastArrival(); }
   /// Resolves when the connection has ended.
   kj::Promise<void> WhenDisconnected() { return this->network.onDisconnect(); }
 
--- a/packages/rpc/src/PeerChannel.cpp
+++ b/packages/rpc/src/PeerChannel.cpp
@@ -35,11 +35,13 @@
 PeerResult<Reply> Run(EventLoopThread& aLoop,
                       PeerChannelImpl& aImpl,
                       bool aIsHeartbeat,
+                      std::chrono::milliseconds aSilence,
                       std::chrono::milliseconds aTimeout,
                       typename TypedCall<Reply>::Exchange aExchange)
 {
   assert(!aLoop.IsCurrent());
-  auto call = std::make_shared<TypedCall<Reply>>(aIsHeartbeat, aTimeout, std::move(aExchange));
+  auto call =
+    std::make_shared<TypedCall<Reply>>(aIsHeartbeat, aSilence, aTimeout, std::move(aExchange));
   std::future<PeerResult<Reply>> result = call->Future();
   // The reference is moved, so that the call is destroyed on the event loop's thread.
   aLoop.Post([impl = &aImpl, call = std::move(call)] { impl->StartCall(call); });
@@ -67,6 +69,14 @@
   });
 }
 
+void PeerChannel::CloseConnection()
+{
+  this->loop->Thread().RunSync([this]() -> kj::Promise<void> {
+    this->impl->CloseConnection();
+    return kj::READY_NOW;
+  });
+}
+
 PeerResult<HeartbeatReply> PeerChannel::SendHeartbeat(const Heartbeat& aHeartbeat,
                                                       std::chrono::milliseconds aTimeout)
 {
@@ -74,6 +84,7 @@
                              *this->impl,
                              true,
                              aTimeout,
+                             aTimeout,
                              [&aHeartbeat](ClientConnection& aConnection) {
                                auto request = aConnection.Peer().heartbeatRequest();
                                Encode(aHeartbeat, request.initHeartbeat());
@@ -86,20 +97,29 @@
   if (EstimateMessageBytes(aCall) > this->maxMessageBytes) {
     return { Errc::InvalidArgument, PeerFailure::ErrorReply };
   }
-  return Run<CallReply>(
-    this->loop->Thread(), *this->impl, false, aTimeout, [&aCall](ClientConnection& aConnection) {
-      auto request = aConnection.Peer().callRequest();
-      Encode(aCall, request.initCall());
-      return Exchange<CallReply>(kj::mv(request));
-    });
+  return Run<CallReply>(this->loop->Thread(),
+                        *this->impl,
+                        false,
+                        aTimeout,
+                        aTimeout,
+                        [&aCall](ClientConnection& aConnection) {
+                          auto request = aConnection.Peer().callRequest();
+                          Encode(aCall, request.initCall());
+                          return Exchange<CallReply>(kj::mv(request));
+                        });
 }
 
-PeerResult<ConfigReply> PeerChannel::FetchConfig(std::chrono::milliseconds aTimeout)
+PeerResult<ConfigReply> PeerChannel::FetchConfig(std::chrono::milliseconds aSilence,
+                                                 std::chrono::milliseconds aTimeout)
 {
-  return Run<ConfigReply>(
-    this->loop->Thread(), *this->impl, false, aTimeout, [](ClientConnection& aConnection) {
-      return Exchange<ConfigReply>(aConnection.Peer().fetchConfigRequest());
-    });
+  return Run<ConfigReply>(this->loop->Thread(),
+                          *this->impl,
+                          false,
+                          aSilence,
+                          aTimeout,
+                          [](ClientConnection& aConnection) {
+                            return Exchange<ConfigReply>(aConnection.Peer().fetchConfigRequest());
+                          });
 }
 
 PeerResult<ForwardedReply> PeerChannel::ForwardRequest(const ForwardedRequest& aRequest,
@@ -108,23 +128,31 @@
   if (EstimateMessageBytes(aRequest) > this->maxMessageBytes) {
     return { Errc::InvalidArgument, PeerFailure::ErrorReply };
   }
-  return Run<ForwardedReply>(
-    this->loop->Thread(), *this->impl, false, aTimeout, [&aRequest](ClientConnection& aConnection) {
-      auto request = aConnection.Peer().forwardRequestRequest();
-      Encode(aRequest, request.initRequest());
-      return Exchange<ForwardedReply>(kj::mv(request));
-    });
+  return Run<ForwardedReply>(this->loop->Thread(),
+                             *this->impl,
+                             false,
+                             aTimeout,
+                             aTimeout,
+                             [&aRequest](ClientConnection& aConnection) {
+                               auto request = aConnection.Peer().forwardRequestRequest();
+                               Encode(aRequest, request.initRequest());
+                               return Exchange<ForwardedReply>(kj::mv(request));
+                             });
 }
 
 PeerResult<SuccessorAck> PeerChannel::NotifySuccessor(const SuccessorNotice& aNotice,
                                                       std::chrono::milliseconds aTimeout)
 {
-  return Run<SuccessorAck>(
-    this->loop->Thread(), *this->impl, false, aTimeout, [&aNotice](ClientConnection& aConnection) {
-      auto request = aConnection.Peer().successorRequest();
-      Encode(aNotice, request.initNotice());
-      return Exchange<SuccessorAck>(kj::mv(request));
-    });
+  return Run<SuccessorAck>(this->loop->Thread(),
+                           *this->impl,
+                           false,
+                           aTimeout,
+                           aTimeout,
+                           [&aNotice](ClientConnection& aConnection) {
+                             auto request = aConnection.Peer().successorRequest();
+                             Encode(aNotice, request.initNotice());
+                             return Exchange<SuccessorAck>(kj::mv(request));
+                           });
 }
 
 PeerTraffic PeerChannel::Traffic() const
--- a/packages/rpc/src/PeerChannelImpl.cpp
+++ b/packages/rpc/src/PeerChannelImpl.cpp
@@ -3,6 +3,8 @@
 #include "Handshake.h"
 #include "TcpConnect.h"
 
+#include <algorithm>
+
 namespace daisydrift {
 
 namespace {
@@ -32,8 +34,10 @@
     this->EnsureConnected().then([this, aCall] { return this->Send(aCall); }).then([] {
       return true;
     });
-  kj::Promise<bool> timedOut =
-    this->loop.Timer().afterDelay(ToKj(aCall->timeout)).then([] { return false; });
+  kj::Promise<void> timeout = aCall->silence == aCall->timeout
+                                ? this->loop.Timer().afterDelay(ToKj(aCall->timeout))
+                                : this->AwaitTimeout(aCall, this->loop.Timer().now());
+  kj::Promise<bool> timedOut = timeout.then([] { return false; });
   this->tasks.add(
     replied.exclusiveJoin(kj::mv(timedOut))
       .then(
@@ -45,6 +49,20 @@
         [this, aCall](kj::Exception&& aException) { this->OnException(*aCall, aException); }));
 }
 
+kj::Promise<void> PeerChannelImpl::AwaitTimeout(const std::shared_ptr<PendingCall>& aCall,
+                                                kj::TimePoint aStart)
+{
+  kj::TimePoint now = this->loop.Timer().now();
+  kj::TimePoint last = aCall->connection ? aCall->connection->LastArrival() : aStart;
+  kj::TimePoint deadline =
+    std::min(aStart + ToKj(aCall->timeout), std::max(aStart, last) + ToKj(aCall->silence));
+  if (now >= deadline) {
+    return kj::READY_NOW;
+  }
+  return this->loop.Timer().atTime(deadline).then(
+    [this, aCall, aStart] { return this->AwaitTimeout(aCall, aStart); });
+}
+
 bool PeerChannelImpl::IsUsable()
 {
   if (!this->current) {
@@ -102,6 +120,7 @@
 kj::Promise<void> PeerChannelImpl::Authenticate(kj::Own<kj::AsyncIoStream> aStream)
 {
   StreamTimeouts timeouts{ ToKj(this->options.connectTimeout),
+                           ToKj(this->options.silenceTimeout),
                            ToKj(this->options.messageTimeout),
                            nullptr };
   auto stream =
@@ -141,6 +160,7 @@
   }
   ClientConnection* connection = this->current.get();
   aCall->connection = kj::addRef(*connection);
+  aCall->sentAt = this->loop.Timer().now();
   ++connection->callsInFlight;
   connection->lastUsed = this->loop.Timer().now();
   kj::Own<ClientConnection> keepAlive = kj::addRef(*connection);
@@ -164,6 +184,10 @@
     this->Retire(*aCall.connection);
     return;
   }
+  if (aCall.connection->LastArrival() > aCall.sentAt) {
+    aCall.connection->missedHeartbeats = 0;
+    return;
+  }
   if (++aCall.connection->missedHeartbeats >= this->options.maxMissedHeartbeats) {
     LogLine(LogLevel::Warning, "peer_connection_silent").Add("peer", ToString(this->endpoint));
     this->Retire(*aCall.connection);
@@ -194,6 +218,14 @@
   }
 }
 
+void PeerChannelImpl::CloseConnection()
+{
+  if (this->current) {
+    this->current->Close();
+    this->current = nullptr;
+  }
+}
+
 void PeerChannelImpl::Retire(const ClientConnection& aConnection)
 {
   if (this->current.get() == &aConnection) {
--- a/packages/rpc/src/PeerChannelImpl.h
+++ b/packages/rpc/src/PeerChannelImpl.h
@@ -18,6 +18,9 @@
   /// Starts a call; it finishes within its timeout.
   void StartCall(const std::shared_ptr<PendingCall>& aCall);
 
+  /// Closes the connection in use, if any; its calls fail.
+  void CloseConnection();
+
   const ByteCounts& Counts() const { return this->counts; }
   std::uint64_t Connections() const { return this->connections; }
 
@@ -39,6 +42,8 @@
   void OnException(PendingCall& aCall, const kj::Exception& aException);
   /// Excludes a connection from new calls; its running calls continue.
   void Retire(const ClientConnection& aConnection);
+  /// Resolves when one of the two limits of the call has passed.
+  kj::Promise<void> AwaitTimeout(const std::shared_ptr<PendingCall>& aCall, kj::TimePoint aStart);
   bool IsUsable();
   void taskFailed(kj::Exception&& aException) override; // NOLINT(readability-identifier-naming)
 
--- a/packages/rpc/src/PeerChannelPool.cpp
+++ b/packages/rpc/src/PeerChannelPool.cpp
@@ -20,6 +20,14 @@
   return channel;
 }
 
+void PeerChannelPool::CloseConnections()
+{
+  std::lock_guard lock(this->mutex);
+  for (const auto& [endpoint, channel] : this->channels) {
+    channel->CloseConnection();
+  }
+}
+
 void PeerChannelPool::Retain(const std::vector<Endpoint>& aEndpoints)
 {
   // Declared before the lock, so that the channels are closed after it is released: closing waits
--- a/packages/rpc/src/PendingCall.h
+++ b/packages/rpc/src/PendingCall.h
@@ -14,8 +14,9 @@
 class PendingCall
 {
 public:
-  PendingCall(bool aIsHeartbeat, Duration aTimeout)
+  PendingCall(bool aIsHeartbeat, Duration aSilence, Duration aTimeout)
     : isHeartbeat(aIsHeartbeat)
+    , silence(aSilence)
     , timeout(aTimeout)
   {
   }
@@ -27,9 +28,14 @@
   virtual void Fail(std::error_code aError, PeerFailure aFailure) = 0;
 
   const bool isHeartbeat;
+  /// The call fails when no byte has arrived on its connection for this long, and after `timeout`
+  /// in all.
+  const Duration silence;
   const Duration timeout;
   /// Set when the call is sent over a connection.
   kj::Own<ClientConnection> connection;
+  /// When the call was sent over the connection.
+  kj::TimePoint sentAt = kj::origin<kj::TimePoint>();
 };
 
 /// A call of one method. The caller owns the request and waits until the call has finished.
@@ -40,8 +46,8 @@
   /// Sends the encoded request and decodes the response.
   using Exchange = std::function<kj::Promise<PeerResult<Reply>>(ClientConnection&)>;
 
-  TypedCall(bool aIsHeartbeat, Duration aTimeout, Exchange aExchange)
-    : PendingCall(aIsHeartbeat, aTimeout)
+  TypedCall(bool aIsHeartbeat, Duration aSilence, Duration aTimeout, Exchange aExchange)
+    : PendingCall(aIsHeartbeat, aSilence, aTimeout)
     , exchange(std::move(aExchange))
   {
   }
--- a/packages/rpc/src/ServerConnection.cpp
+++ b/packages/rpc/src/ServerConnection.cpp
@@ -15,6 +15,7 @@
 StreamTimeouts ToStreamTimeouts(const PeerServerOptions& aOptions)
 {
   return { ToKj(aOptions.authenticationTimeout),
+           ToKj(aOptions.silenceTimeout),
            ToKj(aOptions.messageTimeout),
            ToKj(aOptions.idleTimeout) };
 }
--- a/packages/rpc/src/TimeLimitedStream.h
+++ b/packages/rpc/src/TimeLimitedStream.h
@@ -22,15 +22,18 @@
   /// From the start of the connection until the first call of BeginMessage, which follows
   /// authentication.
   kj::Duration authentication;
-  /// For one message after its first byte has arrived, and for each write.
+  /// Between two parts of a message that is read or written. The time that a message takes depends
+  /// on its size and on the link, so only one that has stopped is given up.
+  kj::Duration silence;
+  /// For one message after its first byte, and for each write.
   kj::Duration message;
   /// For the first byte of a message; null for no timeout.
   kj::Maybe<kj::Duration> idle;
 };
 
-/// Wraps a socket: fails a read or write that exceeds its timeout, and counts bytes. A failed read
-/// or write ends the RPC session that uses the stream, which closes the connection. Only for use on
-/// the event loop's thread.
+/// Wraps a socket: fails a read or write that stops or exceeds its timeout, and counts bytes. A
+/// failed read or write ends the RPC session that uses the stream, which closes the connection.
+/// Only for use on the event loop's thread.
 class TimeLimitedStream final : public kj::AsyncIoStream
 {
 public:
@@ -43,6 +46,8 @@
   void BeginMessage() { this->isAtMessageStart = true; }
   /// Fails all pending and later reads and writes.
   void Abort();
+  /// When the last bytes arrived; the start of the connection before that.
+  kj::TimePoint LastArrival() const { return this->lastArrival; }
 
   kj::Promise<size_t> tryRead(void* aBuffer, size_t aMinBytes, size_t aMaxBytes) override;
   kj::Promise<void> write(const void* aBuffer, size_t aSize) override;
@@ -54,7 +59,12 @@
 
 private:
   kj::Promise<size_t> ReadRemainder(void* aBuffer, size_t aMinBytes, size_t aMaxBytes);
-  kj::Promise<void> WithTimeout(kj::Promise<void> aWrite);
+  kj::Promise<void> WriteChunk(kj::Promise<void> aWrite, kj::TimePoint aDeadline);
+  /// Writes the pieces from aIndex, of the first one the bytes from aOffset, in chunks.
+  kj::Promise<void> WriteChunks(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> aPieces,
+                                size_t aIndex,
+                                size_t aOffset,
+                                kj::TimePoint aDeadline);
   kj::Exception AbortedException() const;
 
   kj::Own<kj::AsyncIoStream> inner;
@@ -62,6 +72,7 @@
   StreamTimeouts timeouts;
   ByteCounts& counts;
   kj::TimePoint readDeadline;
+  kj::TimePoint lastArrival;
   bool isAtMessageStart = false;
   bool isAborted = false;
   kj::Canceler canceler;
--- a/packages/rpc/tests/PeerChannelFaultTest.cpp
+++ b/packages/rpc/tests/PeerChannelFaultTest.cpp
@@ -206,6 +206,76 @@
   gate.Open();
 }
 
+/// Document of the largest size of a store value, over a link on which it takes 2.5 s.
+constexpr std::size_t kDocumentBytes = 1'000'000;
+constexpr std::size_t kSlowBytesPerSecond = 400'000;
+
+// Guards against a transfer that is given up although it makes progress, so that a peer behind a
+// slow link never gets the configuration.
+TEST(PeerChannelFault, DocumentThatTakesLongerThanTheSilenceTimeoutArrives)
+{
+  PeerServerOptions serverOptions{ .secret = "s3cret" };
+  serverOptions.silenceTimeout = 1s;
+  Fixture fixture(serverOptions);
+  fixture.service.config = [] { return ConfigReply{ 7, std::string(kDocumentBytes, 'c') }; };
+  TcpRelay relay(fixture.server.Address());
+  relay.LimitRateToClients(kSlowBytesPerSecond);
+  PeerChannelOptions options = ValidOptions();
+  options.silenceTimeout = 1s;
+  PeerChannel channel(fixture.loop, relay.Address(), options);
+  auto config = channel.FetchConfig(1s, kHangTimeout);
+  ASSERT_TRUE(config);
+  EXPECT_EQ(config->bytes.size(), kDocumentBytes);
+  EXPECT_EQ(channel.Traffic().connections, 1u);
+}
+
+// Guards against heartbeats that close a connection, and so fail its calls, because their responses
+// are behind a long one.
+TEST(PeerChannelFault, HeartbeatsBehindALongReplyDoNotCloseTheConnection)
+{
+  Fixture fixture;
+  Gate gate;
+  fixture.service.call = [&](const Call&) {
+    gate.Pass();
+    return CallReply{ 200, "", std::string(kDocumentBytes, 'c'), {} };
+  };
+  TcpRelay relay(fixture.server.Address());
+  relay.LimitRateToClients(kSlowBytesPerSecond);
+  PeerChannel channel(fixture.loop, relay.Address(), ValidOptions());
+  PeerResult<CallReply> reply(Errc::Unreachable, PeerFailure::None);
+  std::thread caller([&] { reply = channel.SendCall(MakeCall("x"), kHangTimeout); });
+  ASSERT_TRUE(gate.WaitForArrivals(1));
+  std::uint64_t receivedBefore = channel.Traffic().bytesReceived;
+  gate.Open();
+  while (channel.Traffic().bytesReceived == receivedBefore) {
+    std::this_thread::sleep_for(1ms);
+  }
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_FALSE(channel.SendHeartbeat(MakeHeartbeat(), 300ms));
+  }
+  caller.join();
+  ASSERT_TRUE(reply);
+  EXPECT_EQ(reply->body.size(), kDocumentBytes);
+  EXPECT_TRUE(channel.SendHeartbeat(MakeHeartbeat(), kHangTimeout));
+  EXPECT_EQ(channel.Traffic().connections, 1u);
+}
+
+// Guards against a peer that keeps a call alive for good without a reply of its own.
+TEST(PeerChannelFault, FetchFromASilentPeerFailsAfterTheSilenceTimeout)
+{
+  Fixture fixture;
+  Gate gate;
+  fixture.service.config = [&] {
+    gate.Pass();
+    return ConfigReply{ 1, "{}" };
+  };
+  auto channel = fixture.Channel();
+  auto config = channel->FetchConfig(100ms, std::chrono::milliseconds(24h));
+  EXPECT_EQ(config.Error(), Errc::OutcomeUnknown);
+  EXPECT_EQ(config.Failure(), PeerFailure::Unresponsive);
+  gate.Open();
+}
+
 TEST(PeerChannelFault, PeerThatDiesDuringACallLeavesItsOutcomeUnknownAndThenRefusesConnections)
 {
   Fixture fixture;
--- a/packages/standins/include/daisydrift/standins/TcpRelay.h
+++ b/packages/standins/include/daisydrift/standins/TcpRelay.h
@@ -22,6 +22,9 @@
   /// Stops reading from the target on the currently open connections, until they are reset or the
   /// relay stops: to the target, the client appears not to read.
   void StopReadingFromTarget();
+  /// Forwards at most this many bytes a second from the target to each client from now on, as over
+  /// a slow link.
+  void LimitRateToClients(std::size_t aBytesPerSecond);
   /// Resets all open connections, on both sides.
   void ResetAll();
   /// Sends bytes to the target on the newest connection, as if the client had sent them.
--- a/packages/standins/src/TcpRelay.cpp
+++ b/packages/standins/src/TcpRelay.cpp
@@ -1,5 +1,6 @@
 #include "daisydrift/standins/TcpRelay.h"
 
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -10,6 +11,9 @@
 
 namespace {
 
+/// Bytes that a rate limit lets through at once.
+constexpr std::size_t kLimitedPartBytes = 4096;
+
 /// Connection of a client and the matching connection to the target.
 struct RelayedConnection
 {
@@ -47,7 +51,7 @@
         break;
       }
       if (!aConnection->isDropping) {
-        aTo.Send(bytes);
+        this->Send(aTo, bytes, isClient ? 0 : this->bytesPerSecond.load());
       }
     }
     if (!aConnection->isDropping) {
@@ -55,6 +59,24 @@
     }
   }
 
+  /// Sends aBytes at a rate of at most aBytesPerSecond; 0 means no limit.
+  static void Send(RawConnection& aTo, std::string_view aBytes, std::size_t aBytesPerSecond)
+  {
+    if (aBytesPerSecond == 0) {
+      aTo.Send(aBytes);
+      return;
+    }
+    while (!aBytes.empty()) {
+      std::string_view part = aBytes.substr(0, kLimitedPartBytes);
+      std::this_thread::sleep_for(
+        std::chrono::microseconds(part.size() * 1'000'000 / aBytesPerSecond));
+      if (!aTo.Send(part)) {
+        return;
+      }
+      aBytes.remove_prefix(part.size());
+    }
+  }
+
   void Relay(RawConnection& aClient)
   {
     auto connection = std::make_shared<RelayedConnection>();
@@ -91,6 +113,7 @@
   }
 
   Endpoint target;
+  std::atomic<std::size_t> bytesPerSecond{ 0 };
   mutable std::mutex mutex;
   std::condition_variable changed;
   std::vector<std::shared_ptr<RelayedConnection>> connections;
@@ -132,6 +155,11 @@
     [](RelayedConnection& aConnection) { aConnection.isTargetReadPaused = true; });
 }
 
+void TcpRelay::LimitRateToClients(std::size_t aBytesPerSecond)
+{
+  this->state->bytesPerSecond = aBytesPerSecond;
+}
+
 void TcpRelay::ResetAll()
 {
   this->state->ForEachOpen([](RelayedConnection& aConnection) {
