A configuration in the store crosses an instance's link once

Cause: after a watch that already carried the new document, it was read again. A document that could not be read was read again at most once a second, for as long as it stayed. A key of another writer that begins like the configuration's ended each watch at once, and each time the document was read: a loop without a pause, on each instance. Change: the document is taken from the watch; the watch continues after the store's revision, and after a document that can't be read, which confirms nothing and is logged once with its revision. ConfigHolder knows whether the store delivers the configuration (WantsPeerDocument). Ruled out: a watch without values, since the store's interface has none.

--- a/packages/daemon/src/ConfigFollower.cpp
+++ b/packages/daemon/src/ConfigFollower.cpp
@@ -4,6 +4,8 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+
 namespace daisydrift {
 
 namespace {
@@ -57,13 +59,15 @@
   bool isCurrent = false;
   while (!this->isStopping) {
     // A failed watch may have missed a change, so the document is read again after it.
-    bool isSuccess = isCurrent ? this->WatchOnce() : this->Read();
-    isCurrent = isSuccess;
-    if (isSuccess) {
-      this->delay.Reset();
-      this->onConfirmed();
-    } else {
+    isCurrent = isCurrent ? this->WatchOnce() : this->Read();
+    if (!isCurrent) {
+      this->holder.OnStoreFailed();
       std::this_thread::sleep_for(this->delay.Next());
+      continue;
+    }
+    this->delay.Reset();
+    if (this->isReadable) {
+      this->onConfirmed();
     }
   }
 }
@@ -74,20 +78,14 @@
   Result<StoreEntry> entry = this->store.Get(kConfigKey, kReadTimeout);
   this->onStoreCall(entry.Error(), sentAt);
   if (entry.Error() == Errc::NotFound) {
+    this->isReadable = true;
     this->holder.OnStoreDocument({}, sentAt);
     return true;
   }
   if (!entry) {
     return false;
   }
-  this->lastRevision = entry->revision;
-  Findings findings;
-  std::optional<ConfigDocument> document = ParseConfig(entry->value, kConfigKey, findings);
-  if (!document) {
-    LogLine(LogLevel::Error, "configuration_unreadable").Add("findings", findings.ToText());
-    return false;
-  }
-  this->holder.OnStoreDocument(std::move(*document), sentAt);
+  this->Take(*entry, sentAt);
   return true;
 }
 
@@ -99,11 +97,39 @@
   if (!result) {
     return false;
   }
-  if (result->changes.empty()) {
-    this->holder.OnStoreUnchanged(sentAt);
+  // Past the revisions of other keys with the prefix, which would end each watch at once.
+  this->lastRevision = std::max(this->lastRevision, result->revision);
+  for (const StoreEntry& change : result->changes) {
+    if (change.key != kConfigKey) {
+      continue;
+    }
+    if (change.revision == 0) {
+      return this->Read();
+    }
+    // The change carries the document, so it does not have to cross the link a second time.
+    this->Take(change, sentAt);
     return true;
   }
-  return this->Read();
+  if (this->isReadable) {
+    this->holder.OnStoreUnchanged(sentAt);
+  }
+  return true;
+}
+
+void ConfigFollower::Take(const StoreEntry& aEntry, TimePoint aSentAt)
+{
+  this->lastRevision = std::max(this->lastRevision, aEntry.revision);
+  Findings findings;
+  std::optional<ConfigDocument> document = ParseConfig(aEntry.value, kConfigKey, findings);
+  this->isReadable = document.has_value();
+  if (!document) {
+    LogLine(LogLevel::Error, "configuration_unreadable")
+      .Add("revision", aEntry.revision)
+      .Add("findings", findings.ToText());
+    this->holder.OnStoreFailed();
+    return;
+  }
+  this->holder.OnStoreDocument(std::move(*document), aSentAt);
 }
 
 } // namespace daisydrift
--- a/packages/daemon/src/ConfigFollower.h
+++ b/packages/daemon/src/ConfigFollower.h
@@ -34,18 +34,25 @@
 
 private:
   void Run();
-  /// Reads the document once. Returns false when the store call failed or the document is
-  /// unreadable.
+  /// Reads the document once. Returns false when the store call failed.
   bool Read();
-  /// Waits for a change once and reads the document if there is one. Returns false on failure.
+  /// Waits for a change once and takes the document from it. Returns false when the store call
+  /// failed.
   bool WatchOnce();
+  /// Takes the document that a call sent at aSentAt returned. One that can't be read is not read
+  /// again: the watch continues from its revision.
+  void Take(const StoreEntry& aEntry, TimePoint aSentAt);
 
   Store& store;
   ConfigHolder& holder;
   const Clock& clock;
   std::function<void(std::error_code, TimePoint)> onStoreCall;
   std::function<void()> onConfirmed;
+  /// The watch waits for changes after this revision.
   Revision lastRevision = 0;
+  /// False while the newest document in the store can't be read; nothing confirms the configuration
+  /// in the meantime.
+  bool isReadable = true;
   RetryDelay delay;
   std::atomic<bool> isStopping{ false };
   std::thread thread;
--- a/packages/daemon/src/ConfigHolder.cpp
+++ b/packages/daemon/src/ConfigHolder.cpp
@@ -29,6 +29,7 @@
     bool isConfirmed = aDocument.version >= this->freshness.Version();
     this->confirmedAt = isConfirmed ? std::max(this->confirmedAt, aSentAt) : this->confirmedAt;
     this->isKnown = true;
+    this->hasStoreFailed = false;
   }
   if (isNew) {
     this->Adopt(std::move(aDocument));
@@ -38,10 +39,23 @@
 void ConfigHolder::OnStoreUnchanged(TimePoint aSentAt)
 {
   std::lock_guard lock(this->mutex);
+  this->hasStoreFailed = false;
   this->freshness.OnWatchUnchanged(aSentAt);
   this->confirmedAt = std::max(this->confirmedAt, aSentAt);
 }
 
+void ConfigHolder::OnStoreFailed()
+{
+  std::lock_guard lock(this->mutex);
+  this->hasStoreFailed = true;
+}
+
+bool ConfigHolder::WantsPeerDocument(ConfigVersion aVersion) const
+{
+  std::lock_guard lock(this->mutex);
+  return this->hasStoreFailed && aVersion > this->view->Document().version;
+}
+
 void ConfigHolder::OnPeerDocument(ConfigDocument aDocument)
 {
   bool isNew = false;
--- a/packages/daemon/src/ConfigHolder.h
+++ b/packages/daemon/src/ConfigHolder.h
@@ -31,6 +31,12 @@
   void OnStoreDocument(ConfigDocument aDocument, TimePoint aSentAt);
   /// A watch sent at aSentAt ended without a change.
   void OnStoreUnchanged(TimePoint aSentAt);
+  /// A call for the configuration failed, or returned a document that can't be read. Until the
+  /// store responds again, newer documents of other instances are wanted.
+  void OnStoreFailed();
+  /// Returns true when a document of aVersion should be fetched from another instance: it is newer,
+  /// and the store does not deliver it.
+  bool WantsPeerDocument(ConfigVersion aVersion) const;
   /// Takes the document of another instance.
   void OnPeerDocument(ConfigDocument aDocument);
   /// Evidence at aSince shows that all seats are cut off from the store, so no edit can have been
@@ -57,6 +63,7 @@
   Ref<const ConfigView> view;
   TimePoint confirmedAt;
   bool isKnown = false;
+  bool hasStoreFailed = false;
 };
 
 } // namespace daisydrift
