A lagging daemon fetches the configuration from one peer at a time

Cause: each heartbeat's reply with a newer version started a fetch of the whole document, from up to six peers at once, also while the store was delivering it. Each had 2 s in all and was thrown away; the next heartbeat began it again. Heartbeats waited for the fetches. The peer that was asked encoded its document for each request. A failed fetch is logged. The document is encoded once a version. Ruled out: parts of the document with a resumption point, which needs a protocol between versions of the program. Measured: daemon_MembershipConfigTest, two peers, each behind 300 KB/s, 900 KB. Before: version 0 after 60 s and 60 fetches begun; now version 5 after 3.1 s with 1 fetch, and both peers got 2 heartbeats or more. daemon_FleetTest, daemon_LeaderChangeTest, daemon_ProgramTest pass. The processor time saved by encoding once was not measured.

--- a/packages/daemon/src/ConfigView.h
+++ b/packages/daemon/src/ConfigView.h
@@ -3,6 +3,8 @@
 
 #include "daisydrift/config.h"
 
+#include <mutex>
+
 namespace daisydrift {
 
 /// A configuration document with an index of its API keys.
@@ -23,9 +25,18 @@
       aKey, std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now()));
   }
 
+  /// The document as text. It is encoded once, since each instance that lags asks for it.
+  const std::string& Encoded() const
+  {
+    std::call_once(this->isEncoded, [this] { this->encoded = EncodeConfig(this->document); });
+    return this->encoded;
+  }
+
 private:
   ConfigDocument document;
   KeyIndex keys;
+  mutable std::once_flag isEncoded;
+  mutable std::string encoded;
 };
 
 } // namespace daisydrift
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -94,6 +94,7 @@
     , config(this->clock)
     , loop(std::make_shared<RpcEventLoop>())
     , channels(this->loop, ChannelOptions(this->secrets))
+    , configChannels(this->loop, ChannelOptions(this->secrets))
     , peerServer(this->loop, *this, ServerOptions(this->secrets))
   {
   }
@@ -144,6 +145,7 @@
   ConfigHolder config;
   std::shared_ptr<RpcEventLoop> loop;
   PeerChannelPool channels;
+  PeerChannelPool configChannels;
   std::unique_ptr<RequestRouter> router;
   std::unique_ptr<LeaderRunner> leader;
   std::unique_ptr<Membership> membership;
@@ -269,6 +271,7 @@
                                                   std::move(hooks),
                                                   this->store,
                                                   this->channels,
+                                                  this->configChannels,
                                                   this->config,
                                                   this->clock,
                                                   this->metrics);
@@ -453,7 +456,7 @@
 Result<ConfigReply> Daemon::Impl::OnFetchConfig()
 {
   Ref<const ConfigView> view = this->config.View();
-  return ConfigReply{ view->Document().version, EncodeConfig(view->Document()) };
+  return ConfigReply{ view->Document().version, view->Encoded() };
 }
 
 Result<SuccessorAck> Daemon::Impl::OnSuccessor(const SuccessorNotice& aNotice)
--- a/packages/daemon/src/Membership.cpp
+++ b/packages/daemon/src/Membership.cpp
@@ -18,7 +18,11 @@
 /// are sent within the time for which evidence is valid (kMaxEvidenceAge, 5 s).
 constexpr std::chrono::milliseconds kHeartbeatInterval{ 2000 };
 constexpr std::chrono::milliseconds kHeartbeatTimeout{ 900 };
-constexpr std::chrono::milliseconds kFetchTimeout{ 2000 };
+/// Limits for the transfer of a configuration from a peer: without a byte, and in all.
+constexpr std::chrono::milliseconds kFetchSilence{ 2000 };
+constexpr std::chrono::milliseconds kFetchTimeout{ 60'000 };
+/// Interval at which a stop closes the connection of a fetch, which may be connecting.
+constexpr std::chrono::milliseconds kFetchStopInterval{ 20 };
 constexpr std::size_t kHeartbeatThreads = 8;
 constexpr std::chrono::milliseconds kInitialClaimDelay{ 100 };
 constexpr std::chrono::milliseconds kMaxClaimDelay{ 1000 };
@@ -61,6 +65,7 @@
                        MembershipHooks aHooks,
                        Store& aStore,
                        PeerChannelPool& aChannels,
+                       PeerChannelPool& aConfigChannels,
                        ConfigHolder& aConfig,
                        const Clock& aClock,
                        Metrics& aMetrics)
@@ -68,6 +73,7 @@
   , hooks(std::move(aHooks))
   , store(aStore)
   , channels(aChannels)
+  , configChannels(aConfigChannels)
   , config(aConfig)
   , clock(aClock)
   , metrics(aMetrics)
@@ -89,6 +95,7 @@
   , claimDelay(kInitialClaimDelay, kMaxClaimDelay, SeedOf(this->options.instance))
   , reachability(SeedOf(this->options.instance))
   , heartbeatPool(std::make_unique<asio::thread_pool>(kHeartbeatThreads))
+  , configPool(std::make_unique<asio::thread_pool>(1))
 {
 }
 
@@ -122,6 +129,11 @@
     this->heartbeatThread.join();
   }
   this->heartbeatPool->join();
+  while (this->isFetchingConfig) {
+    this->configChannels.CloseConnections();
+    std::this_thread::sleep_for(kFetchStopInterval);
+  }
+  this->configPool->join();
   std::lock_guard lock(this->rolesMutex);
   this->seatUsableUntil = 0;
   if (aIsClean) {
@@ -397,6 +409,7 @@
     }
   }
   this->channels.Retain(used);
+  this->configChannels.Retain(used);
 }
 
 void Membership::SendHeartbeats()
@@ -483,22 +496,41 @@
       known = { aPeer.rpc, aReply.highestEpoch };
     }
   }
-  if (aReply.configVersion > this->config.Version()) {
+  if (this->config.WantsPeerDocument(aReply.configVersion)) {
     this->FetchConfigFrom(aPeer.rpc);
   }
 }
 
 void Membership::FetchConfigFrom(const Endpoint& aEndpoint)
 {
-  PeerResult<ConfigReply> reply = this->channels.GetOrCreate(aEndpoint)->FetchConfig(kFetchTimeout);
-  if (!reply) {
+  if (this->shouldThreadsStop || this->isFetchingConfig.exchange(true)) {
     return;
   }
+  asio::post(*this->configPool, [this, aEndpoint] {
+    PeerResult<ConfigReply> reply =
+      this->configChannels.GetOrCreate(aEndpoint)->FetchConfig(kFetchSilence, kFetchTimeout);
+    if (reply) {
+      this->TakeConfigOfPeer(aEndpoint, *reply);
+    } else {
+      LogLine(LogLevel::Warning, "config_fetch_failed")
+        .Add("peer", ToString(aEndpoint))
+        .Add("error", reply.Error());
+    }
+    this->isFetchingConfig = false;
+  });
+}
+
+void Membership::TakeConfigOfPeer(const Endpoint& aEndpoint, const ConfigReply& aReply)
+{
   Findings findings;
-  std::optional<ConfigDocument> document = ParseConfig(reply->bytes, "peer", findings);
-  if (document) {
-    this->config.OnPeerDocument(std::move(*document));
+  std::optional<ConfigDocument> document = ParseConfig(aReply.bytes, "peer", findings);
+  if (!document) {
+    LogLine(LogLevel::Error, "configuration_unreadable")
+      .Add("peer", ToString(aEndpoint))
+      .Add("findings", findings.ToText());
+    return;
   }
+  this->config.OnPeerDocument(std::move(*document));
 }
 
 void Membership::SendSuccessorNotices(const PeerInfo& aPeer)
--- a/packages/daemon/src/Membership.h
+++ b/packages/daemon/src/Membership.h
@@ -60,6 +60,7 @@
              MembershipHooks aHooks,
              Store& aStore,
              PeerChannelPool& aChannels,
+             PeerChannelPool& aConfigChannels,
              ConfigHolder& aConfig,
              const Clock& aClock,
              Metrics& aMetrics);
@@ -122,7 +123,10 @@
                       HeartbeatResult aForLeader,
                       TimePoint aSentAt);
   void ProcessHeartbeatReply(const PeerInfo& aPeer, const Heartbeat& aReply, TimePoint aSentAt);
+  /// Fetches the configuration from a peer on a thread of its own, unless a fetch is running:
+  /// several copies at once would only share the link.
   void FetchConfigFrom(const Endpoint& aEndpoint);
+  void TakeConfigOfPeer(const Endpoint& aEndpoint, const ConfigReply& aReply);
   void SendSuccessorNotices(const PeerInfo& aPeer);
   void ProbePredecessors();
   /// Returns the earlier holders of this instance's roles that are not known to have stopped.
@@ -137,6 +141,8 @@
   MembershipHooks hooks;
   Store& store;
   PeerChannelPool& channels;
+  /// Connections for the configuration only, so that heartbeats don't wait behind it.
+  PeerChannelPool& configChannels;
   ConfigHolder& config;
   const Clock& clock;
   Metrics& metrics;
@@ -176,6 +182,8 @@
   std::atomic<bool> isStopping{ false };
   std::atomic<bool> shouldThreadsStop{ false };
   std::unique_ptr<asio::thread_pool> heartbeatPool;
+  std::atomic<bool> isFetchingConfig{ false };
+  std::unique_ptr<asio::thread_pool> configPool;
   std::thread roleThread;
   std::thread heartbeatThread;
 };
