A value that the store takes crosses a slow link with its first call

Cause: the time limit of a call ran from the moment at which its body was in the system's buffer, whatever the body's size. A response, in contrast, had no limit as long as a byte arrived now and then, and held the calling thread. Change: the time until the response is longer by what the request's body takes at 64 KB/s, and a response as a whole has the timeout and what its body takes at that rate. Requests to upstreams keep their caller's deadline alone. Ruled out: the system's count of unsent bytes as progress, since a relay on the way hides it. Measured: external_SlowLinkTest, 500 KB at 250 KB/s, timeout 500 ms. Before, the write failed after 0.56 s with "outcome unknown", and a response of 100 bytes that took 5 s was waited for; reads of 500 KB passed before too, since their limit is one of silence. Now all three pass, and so do AdapterFaultTest, StoreContractTest, UpstreamContractTest and WorkerContractTest.

--- a/packages/external/src/HttpConnections.cpp
+++ b/packages/external/src/HttpConnections.cpp
@@ -1,5 +1,8 @@
 #include "HttpConnections.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace daisydrift {
 
 namespace {
@@ -9,6 +12,16 @@
 /// of seat checks (2 s).
 constexpr std::chrono::milliseconds kMaxConnectTime{ 1500 };
 constexpr std::size_t kMaxIdleConnectionsPerEndpoint = 8;
+/// Half a megabit a second: a body that takes longer on its link is given up.
+constexpr std::uint64_t kSlowestLinkBytesPerSecond = 64'000;
+
+/// Time that a body may take on the slowest link.
+std::chrono::milliseconds TransferAllowance(std::uint64_t aBytes)
+{
+  // No body exceeds some tens of megabytes, so a size claimed beyond it changes nothing.
+  constexpr std::uint64_t kMaxBytes = 64'000'000;
+  return std::chrono::milliseconds(std::min(aBytes, kMaxBytes) * 1000 / kSlowestLinkBytesPerSecond);
+}
 
 std::error_code ErrorFromTransport(httplib::Error aError)
 {
@@ -60,7 +73,8 @@
 
 HttpOutcome HttpConnections::Exchange(const Endpoint& aEndpoint,
                                       httplib::Request aRequest,
-                                      std::chrono::milliseconds aTimeout)
+                                      std::chrono::milliseconds aTimeout,
+                                      TransferTime aTransferTime)
 {
   std::unique_ptr<httplib::Client> client = this->Acquire(aEndpoint);
   // The caller's checks before the exchange must still hold when the request is written, so the
@@ -68,6 +82,17 @@
   client->set_connection_timeout(std::min(aTimeout, kMaxConnectTime));
   client->set_read_timeout(aTimeout);
   client->set_write_timeout(aTimeout);
+  if (aTransferTime == TransferTime::Added) {
+    // Once written, a body may still be in the system's buffer, on its way over a slow link.
+    client->set_read_timeout(aTimeout + TransferAllowance(aRequest.body.size()));
+    // The read timeout limits the silence between two parts; this limits the response as a whole.
+    std::optional<std::chrono::steady_clock::time_point> begin;
+    aRequest.progress = [begin, aTimeout](std::uint64_t, std::uint64_t aTotal) mutable {
+      auto now = std::chrono::steady_clock::now();
+      begin = begin.value_or(now);
+      return now - *begin <= aTimeout + TransferAllowance(aTotal);
+    };
+  }
   HttpOutcome outcome;
   httplib::Error transportError = httplib::Error::Success;
   if (!client->send(aRequest, outcome.response, transportError)) {
--- a/packages/external/src/HttpUpstreamClient.cpp
+++ b/packages/external/src/HttpUpstreamClient.cpp
@@ -45,7 +45,8 @@
       request.headers.emplace(name, value);
     }
   }
-  HttpOutcome outcome = this->connections->Exchange(aEndpoint, std::move(request), aTimeout);
+  HttpOutcome outcome =
+    this->connections->Exchange(aEndpoint, std::move(request), aTimeout, TransferTime::Included);
   UpstreamResult result;
   result.error = outcome.error;
   result.progress = outcome.error == Errc::Unreachable ? SendProgress::NotSent : SendProgress::Sent;
--- a/packages/standins/include/daisydrift/standins/TcpRelay.h
+++ b/packages/standins/include/daisydrift/standins/TcpRelay.h
@@ -25,6 +25,8 @@
   /// Forwards at most this many bytes a second from the target to each client from now on, as over
   /// a slow link.
   void LimitRateToClients(std::size_t aBytesPerSecond);
+  /// As above, from each client to the target.
+  void LimitRateToTarget(std::size_t aBytesPerSecond);
   /// Resets all open connections, on both sides.
   void ResetAll();
   /// Sends bytes to the target on the newest connection, as if the client had sent them.
--- a/packages/standins/src/TcpRelay.cpp
+++ b/packages/standins/src/TcpRelay.cpp
@@ -51,7 +51,10 @@
         break;
       }
       if (!aConnection->isDropping) {
-        this->Send(aTo, bytes, isClient ? 0 : this->bytesPerSecond.load());
+        this->Send(aTo,
+                   bytes,
+                   isClient ? this->targetBytesPerSecond.load()
+                            : this->clientBytesPerSecond.load());
       }
     }
     if (!aConnection->isDropping) {
@@ -113,7 +116,9 @@
   }
 
   Endpoint target;
-  std::atomic<std::size_t> bytesPerSecond{ 0 };
+  /// Rate limits towards each side; 0 means no limit.
+  std::atomic<std::size_t> clientBytesPerSecond{ 0 };
+  std::atomic<std::size_t> targetBytesPerSecond{ 0 };
   mutable std::mutex mutex;
   std::condition_variable changed;
   std::vector<std::shared_ptr<RelayedConnection>> connections;
@@ -157,7 +162,12 @@
 
 void TcpRelay::LimitRateToClients(std::size_t aBytesPerSecond)
 {
-  this->state->bytesPerSecond = aBytesPerSecond;
+  this->state->clientBytesPerSecond = aBytesPerSecond;
+}
+
+void TcpRelay::LimitRateToTarget(std::size_t aBytesPerSecond)
+{
+  this->state->targetBytesPerSecond = aBytesPerSecond;
 }
 
 void TcpRelay::ResetAll()
