--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,7 +2,8 @@
 # Runs the soak test with fault injection: first the regression seeds (which failed in the past), then COUNT new seeds
 # starting at FIRST, three at a time. Keeps the logs of failed seeds in BUILD_DIR/soak.
 # With "planned": only planned stops, reloads and changes of the configuration, which must cut no request.
-# Usage: soak.sh BUILD_DIR FIRST COUNT [SECONDS] [planned]
+# With "slow-links": slow links to the store and a configuration that grows to 1 MB.
+# Usage: soak.sh BUILD_DIR FIRST COUNT [SECONDS] [planned|slow-links]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=$1
