--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -3,7 +3,8 @@
 # starting at FIRST, three at a time. Keeps the logs of failed seeds in BUILD_DIR/soak.
 # With "planned": only planned stops, reloads and changes of the configuration, which must cut no request.
 # With "slow-links": slow links to the store and a configuration that grows to 1 MB.
-# Usage: soak.sh BUILD_DIR FIRST COUNT [SECONDS] [planned|slow-links]
+# With "odd": odd entries in the store, odd messages to the instances, and jobs of odd shape.
+# Usage: soak.sh BUILD_DIR FIRST COUNT [SECONDS] [planned|slow-links|odd]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=$1
