An epoch out of range in a role's record is refused

Cause: the epochs of seats and leaders in the store were converted without a check: made the next term's epoch 0, -1 wrapped around, 1e300 was undefined, and a record refused at a later field had changed the known seat. Change: an epoch is a whole number up to 2^62; a seat is taken completely or not at all. Ruled out: repairing the record, since every fence compares epochs with it. Measured: membership_RecordsTest. Conclusion: a refused history still keeps its role from being claimed until an operator repairs it.

--- a/packages/membership/src/Records.cpp
+++ b/packages/membership/src/Records.cpp
@@ -20,6 +20,20 @@
   }
 }
 
+/// Highest epoch that is accepted. Epochs count elections, so a higher one is a mistake; with the
+/// highest number of all, the next epoch would be 0.
+constexpr Epoch kMaxEpoch = Epoch{ 1 } << 62U;
+
+/// Reads a whole number up to kMaxEpoch; throws Json::exception for anything else.
+Epoch EpochFromJson(const Json& aJson)
+{
+  const Json& epoch = aJson.at("epoch");
+  if (!epoch.is_number_unsigned() || epoch.get<Epoch>() > kMaxEpoch) {
+    throw Json::other_error::create(501, "epoch is out of range", nullptr);
+  }
+  return epoch.get<Epoch>();
+}
+
 Json HolderToJson(const RoleHolder& aHolder)
 {
   return { { "instance", aHolder.instance },
@@ -31,7 +45,7 @@
 {
   return { aJson.at("instance").get<std::string>(),
            aJson.at("address").get<std::string>(),
-           aJson.at("epoch").get<Epoch>() };
+           EpochFromJson(aJson) };
 }
 
 } // namespace
@@ -48,7 +62,7 @@
 bool ParseHistory(const std::string& aText, RoleTerm& aOut)
 {
   return ParseJson(aText, [&](const Json& aJson) {
-    RoleTerm history{ aJson.at("epoch").get<Epoch>(), {} };
+    RoleTerm history{ EpochFromJson(aJson), {} };
     for (const Json& predecessor : aJson.at("formers")) {
       history.predecessors.push_back(HolderFromJson(predecessor));
     }
@@ -71,11 +85,14 @@
 bool ParseSeat(const std::string& aText, SeatRecord& aOut)
 {
   return ParseJson(aText, [&](const Json& aJson) {
-    aOut.instance = aJson.at("instance").get<std::string>();
-    aOut.address = aJson.at("address").get<std::string>();
-    aOut.failureDomain = aJson.at("failure_domain").get<std::string>();
-    aOut.region = aJson.at("region").get<std::string>();
-    aOut.epoch = aJson.at("epoch").get<Epoch>();
+    // Complete or not at all: aOut may already hold a good record.
+    SeatRecord seat = aOut;
+    seat.instance = aJson.at("instance").get<std::string>();
+    seat.address = aJson.at("address").get<std::string>();
+    seat.failureDomain = aJson.at("failure_domain").get<std::string>();
+    seat.region = aJson.at("region").get<std::string>();
+    seat.epoch = EpochFromJson(aJson);
+    aOut = std::move(seat);
   });
 }
 
