One odd entry of the store, a worker or the directory ends or stops no daemon

Cause: a response of the store with a number or key of another type, or with a list that claims 2^62 items, threw an exception that the daemon's threads don't catch, and one nested deeply exhausted the stack. One item of the instance list with a port out of range, another type or deep nesting made the whole list unusable, so that it was no longer followed. Amounts in worker reports were converted without a check: -1, 1e300 and 2^64-1 were taken, with undefined results. Change: the store's CBOR is read to a depth of 16, and any odd content is Corrupt. HttpInstanceDirectory returns the readable items, and for an unreadable one its instance as it was listed last (all unlisted ones when the item has no id), so that nothing is concluded from an absence; it logs instances_unreadable when they change. Amounts are whole numbers from 0 to 10^12. DecodeInstances stays strict. Ruled out: leaving an odd item out, since an upstream that is not listed counts as gone. Measured: external_OddEntriesTest. DirectoryContractTest, WorkerModelTest, WorkerContractTest and StoreContractTest pass. Conclusion: a number that no double holds (1e999) still makes a whole list unreadable, since the parser refuses the text.

--- a/packages/external/src/HttpInstanceDirectory.cpp
+++ b/packages/external/src/HttpInstanceDirectory.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <set>
+
 namespace daisydrift {
 
 namespace {
@@ -98,7 +100,44 @@
   if (std::error_code error = ErrorFromStatus(outcome.response.status)) {
     return error;
   }
-  return DecodeInstances(outcome.response.body);
+  return this->DecodeReadable(outcome.response.body);
+}
+
+Result<std::vector<InstanceInfo>> HttpInstanceDirectory::DecodeReadable(const std::string& aText)
+{
+  Json json = Json::parse(aText, nullptr, false);
+  if (!json.is_object() || !json.contains("instances") || !json["instances"].is_array()) {
+    return Errc::Corrupt;
+  }
+  std::map<std::string, InstanceInfo> listed;
+  std::vector<InstanceInfo> instances;
+  std::set<std::string> unreadable;
+  for (const Json& item : json["instances"]) {
+    try {
+      instances.push_back(ToInstance(item));
+      listed[instances.back().id] = instances.back();
+    } catch (const Json::exception& exception) {
+      bool hasId = item.is_object() && item.contains("id") && item["id"].is_string();
+      unreadable.insert(hasId ? item["id"].get<std::string>() : std::string());
+    }
+  }
+  std::lock_guard lock(this->mutex);
+  // An item without an ID may stand for any instance that is not listed.
+  bool isAnyUnknown = unreadable.contains("");
+  for (const auto& [id, instance] : this->lastListed) {
+    if (!listed.contains(id) && (isAnyUnknown || unreadable.contains(id))) {
+      instances.push_back(instance);
+      listed[id] = instance;
+    }
+  }
+  this->lastListed = std::move(listed);
+  if (unreadable != this->lastUnreadable) {
+    this->lastUnreadable = unreadable;
+    LogLine(unreadable.empty() ? LogLevel::Info : LogLevel::Error, "instances_unreadable")
+      .Add("count", unreadable.size())
+      .Add("first", unreadable.empty() ? std::string() : *unreadable.begin());
+  }
+  return instances;
 }
 
 } // namespace daisydrift
--- a/packages/external/src/HttpStore.cpp
+++ b/packages/external/src/HttpStore.cpp
@@ -1,6 +1,7 @@
 #include "daisydrift/external/HttpStore.h"
 
 #include "HttpConnections.h"
+#include "JsonFields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -39,26 +40,74 @@
   return aOutcome.error ? aOutcome.error : ErrorFromStatus(aOutcome.response.status);
 }
 
-/// Decodes `{"revision": N, "entries": [{"key", "value", "revision"}]}` from CBOR, which can carry
-/// values as bytes.
-Result<WatchResult> ParseEntries(const std::string& aBody)
+/// Nesting of a response's lists and objects, which the reader follows by recursion.
+constexpr unsigned kMaxCborDepth = 16;
+
+/// Builds a JSON value while the nesting stays within kMaxCborDepth.
+class BoundedJsonBuilder : public nlohmann::detail::json_sax_dom_parser<nlohmann::json>
 {
-  auto json = nlohmann::json::from_cbor(aBody, true, false);
-  if (!json.is_object() || !json.contains("entries") || !json["entries"].is_array()) {
-    return Errc::Corrupt;
+public:
+  explicit BoundedJsonBuilder(nlohmann::json& aOut)
+    : json_sax_dom_parser(aOut, false)
+  {
+  }
+
+  // NOLINTBEGIN(readability-identifier-naming)
+  bool start_object(std::size_t aCount)
+  {
+    return ++this->depth <= kMaxCborDepth && json_sax_dom_parser::start_object(aCount);
   }
+  bool end_object()
+  {
+    --this->depth;
+    return json_sax_dom_parser::end_object();
+  }
+  bool start_array(std::size_t aCount)
+  {
+    return ++this->depth <= kMaxCborDepth && json_sax_dom_parser::start_array(aCount);
+  }
+  bool end_array()
+  {
+    --this->depth;
+    return json_sax_dom_parser::end_array();
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  unsigned depth = 0;
+};
+
+/// Reads an object of ParseEntries; throws nlohmann::json::exception for other content.
+WatchResult ReadEntries(const nlohmann::json& aJson)
+{
   WatchResult result;
-  result.revision = json.value("revision", Revision{ 0 });
-  for (const auto& item : json["entries"]) {
-    if (!item.is_object() || !item.contains("value") || !item["value"].is_binary()) {
+  result.revision = aJson.contains("revision") ? UnsignedField(aJson, "revision") : Revision{ 0 };
+  for (const auto& item : aJson.at("entries")) {
+    const auto& bytes = item.at("value").get_binary();
+    result.changes.push_back(
+      { item.contains("key") ? item.at("key").get<std::string>() : std::string(),
+        std::string(bytes.begin(), bytes.end()),
+        item.contains("revision") ? UnsignedField(item, "revision") : Revision{ 0 } });
+  }
+  return result;
+}
+
+/// Decodes `{"revision": N, "entries": [{"key", "value", "revision"}]}` from CBOR, which can carry
+/// values as bytes. Errors: Corrupt.
+Result<WatchResult> ParseEntries(const std::string& aBody)
+{
+  nlohmann::json json;
+  BoundedJsonBuilder builder(json);
+  try {
+    if (!nlohmann::json::sax_parse(aBody, &builder, nlohmann::json::input_format_t::cbor) ||
+        !json.is_object() || !json.contains("entries") || !json["entries"].is_array()) {
       return Errc::Corrupt;
     }
-    const auto& bytes = item["value"].get_binary();
-    result.changes.push_back({ item.value("key", std::string()),
-                               std::string(bytes.begin(), bytes.end()),
-                               item.value("revision", Revision{ 0 }) });
+    return ReadEntries(json);
+  } catch (const nlohmann::json::exception&) {
+    // Also thrown by the reader, for a list that claims more items than memory could hold.
+    return Errc::Corrupt;
   }
-  return result;
 }
 
 /// Makes one exchange with the first reachable endpoint.
--- a/packages/external/src/HttpWorkerClient.cpp
+++ b/packages/external/src/HttpWorkerClient.cpp
@@ -1,6 +1,7 @@
 #include "daisydrift/external/HttpWorkerClient.h"
 
 #include "HttpConnections.h"
+#include "JsonFields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -60,9 +61,9 @@
 
 Resources ToResources(const Json& aJson)
 {
-  return { aJson.at("milli_cores").get<std::int64_t>(),
-           aJson.at("memory_mib").get<std::int64_t>(),
-           aJson.at("accelerators").get<std::int64_t>() };
+  return { AmountField(aJson, "milli_cores"),
+           AmountField(aJson, "memory_mib"),
+           AmountField(aJson, "accelerators") };
 }
 
 AttemptId ToAttempt(const Json& aJson)
@@ -114,18 +115,18 @@
 {
   return DecodeObject<SyncRequest>(aText, [](const Json& aJson) {
     SyncRequest request;
-    request.epoch = aJson.at("epoch").get<Epoch>();
+    request.epoch = UnsignedField(aJson, "epoch");
     request.incarnation = aJson.at("incarnation").get<std::string>();
-    request.observedReport = aJson.at("observed_report").get<std::uint64_t>();
-    request.acknowledgedEvent = aJson.at("acknowledged_event").get<std::uint64_t>();
-    request.renewFor = std::chrono::milliseconds(aJson.at("renew_ms").get<std::int64_t>());
+    request.observedReport = UnsignedField(aJson, "observed_report");
+    request.acknowledgedEvent = UnsignedField(aJson, "acknowledged_event");
+    request.renewFor = std::chrono::milliseconds(AmountField(aJson, "renew_ms"));
     for (const Json& item : aJson.at("commands")) {
       WorkerCommand command;
       command.kind = KindOf(kCommandNames, item.at("kind").get<std::string>());
       command.attempt = ToAttempt(item.at("attempt"));
       command.limit = ToResources(item.at("limit"));
       command.payload = item.at("payload").get<std::string>();
-      command.grace = std::chrono::milliseconds(item.at("grace_ms").get<std::int64_t>());
+      command.grace = std::chrono::milliseconds(AmountField(item, "grace_ms"));
       request.commands.push_back(std::move(command));
     }
     return request;
@@ -158,7 +159,7 @@
   return DecodeObject<SyncReport>(aText, [](const Json& aJson) {
     SyncReport report;
     report.incarnation = aJson.at("incarnation").get<std::string>();
-    report.number = aJson.at("number").get<std::uint64_t>();
+    report.number = UnsignedField(aJson, "number");
     report.capacity = ToResources(aJson.at("capacity"));
     for (const Json& item : aJson.at("running")) {
       report.running.push_back({ ToAttempt(item.at("attempt")),
@@ -166,7 +167,7 @@
                                  ToResources(item.at("usage")) });
     }
     for (const Json& item : aJson.at("events")) {
-      report.events.push_back({ item.at("number").get<std::uint64_t>(),
+      report.events.push_back({ UnsignedField(item, "number"),
                                 KindOf(kEventNames, item.at("kind").get<std::string>()),
                                 ToAttempt(item.at("attempt")),
                                 item.at("detail").get<std::string>() });
