Entries of workers, waves and configurations that can't be read are counted, and logged once

Cause: a worker's odd entry was left out without a trace, so operators could not find its writer; an odd configuration or wave was logged at every reading of the list, with findings of any length. Change: the leader and the follower of the configuration count each version of such an entry once (`worker_entries_unreadable_total`, `operator_documents_unreadable_total`) and log key, revision, size and a short reason. Ruled out: the value in the log, which may be 1 MB. Conclusion: an odd entry unlists no other worker and is found by its key.

--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -78,6 +78,9 @@
   /// Key prefix of a wave's status, followed by its number, and the value that is written there.
   std::string waveStatusPrefix;
   std::function<std::string(bool aIsCompleted)> waveStatus;
+  /// Say in one short line why `worker` or `wave` returned nothing; empty for no reason.
+  std::function<std::string(const std::string& aKey, const std::string& aValue)> workerProblem;
+  std::function<std::string(const std::string& aValue)> waveProblem;
 };
 
 /// Result of a submission.
--- a/packages/coordination/src/ConfigFollower.cpp
+++ b/packages/coordination/src/ConfigFollower.cpp
@@ -2,6 +2,10 @@
 
 namespace daisydrift::coordination {
 
+namespace {
+constexpr std::size_t kMaxLoggedFindings = 500;
+} // namespace
+
 ConfigFollower::ConfigFollower(EventLoop& aLoop,
                                KeyValueStore& aStore,
                                const PlatformDecoders& aDecoders,
@@ -20,9 +24,7 @@
           aSettings.maxWatchWait,
           RangeFollower::Hooks{
             [this](const std::vector<KeyValueItem>& aItems) { this->ApplyRange(aItems); },
-            [this](const KeyValueChange& aChange) {
-              this->ApplyChange(aChange.key, aChange.value, "watch");
-            },
+            [this](const KeyValueChange& aChange) { this->ApplyChange(aChange, "watch"); },
             [this] { this->OnConfirmed(); },
             [](std::error_code) {} })
 {
@@ -33,7 +35,12 @@
   Findings findings;
   std::optional<FleetConfig> offered = this->decoders.config(aDocument, findings);
   if (!offered) {
-    LogLine(LogLevel::Error, "config_unreadable").Add("findings", findings.ToText());
+    if (this->CountOdd(this->decoders.configKey, std::hash<std::string>()(aDocument))) {
+      LogLine(LogLevel::Error, "config_unreadable")
+        .Add("source", aSource)
+        .Add("bytes", aDocument.size())
+        .Add("findings", findings.ToText().substr(0, kMaxLoggedFindings));
+    }
     return;
   }
   if (this->config && offered->version <= this->config->version) {
@@ -51,39 +58,59 @@
   this->onChange();
 }
 
-void ConfigFollower::ApplyChange(const std::string& aKey,
-                                 const std::optional<std::string>& aValue,
-                                 const char* aSource)
+bool ConfigFollower::CountOdd(const std::string& aKey, std::uint64_t aVersion)
 {
-  if (aKey == this->decoders.configKey) {
-    if (aValue) {
-      this->Adopt(*aValue, aSource);
+  auto [known, isNew] = this->oddDocuments.try_emplace(aKey, aVersion);
+  if (!isNew && known->second == aVersion) {
+    return false;
+  }
+  known->second = aVersion;
+  this->metrics.Count("operator_documents_unreadable_total");
+  return true;
+}
+
+void ConfigFollower::ApplyChange(const KeyValueChange& aChange, const char* aSource)
+{
+  const std::string& key = aChange.key;
+  if (key == this->decoders.configKey) {
+    if (aChange.value) {
+      this->Adopt(*aChange.value, aSource);
     }
     return;
   }
-  if (!this->decoders.wavePrefix.empty() && aKey.rfind(this->decoders.wavePrefix, 0) == 0) {
-    this->ApplyWave(aKey, aValue);
+  if (!this->decoders.wavePrefix.empty() && key.rfind(this->decoders.wavePrefix, 0) == 0) {
+    this->ApplyWave(key, aChange.value, aChange.revision);
     return;
   }
-  if (aKey.rfind(this->decoders.drainPrefix, 0) == 0) {
-    FailureDomain domain = aKey.substr(this->decoders.drainPrefix.size());
-    bool hasChanged =
-      aValue ? this->drainedDomains.insert(domain).second : this->drainedDomains.erase(domain) > 0;
+  if (key.rfind(this->decoders.drainPrefix, 0) == 0) {
+    FailureDomain domain = key.substr(this->decoders.drainPrefix.size());
+    bool isDrained = aChange.value.has_value();
+    bool hasChanged = isDrained ? this->drainedDomains.insert(domain).second
+                                : this->drainedDomains.erase(domain) > 0;
     if (hasChanged) {
-      LogLine(LogLevel::Info, aValue ? "domain_drained" : "domain_returned").Add("domain", domain);
+      LogLine(LogLevel::Info, isDrained ? "domain_drained" : "domain_returned")
+        .Add("domain", domain);
       this->onChange();
     }
   }
 }
 
-void ConfigFollower::ApplyWave(const std::string& aKey, const std::optional<std::string>& aValue)
+void ConfigFollower::ApplyWave(const std::string& aKey,
+                               const std::optional<std::string>& aValue,
+                               std::uint64_t aRevision)
 {
   if (auto known = this->waveNumbers.extract(aKey)) {
     this->waves.erase(known.mapped());
   }
   std::optional<MaintenanceWave> wave = aValue ? this->decoders.wave(*aValue) : std::nullopt;
-  if (aValue && !wave) {
-    LogLine(LogLevel::Error, "upkeep_wave_unreadable").Add("key", aKey);
+  if (!aValue || wave) {
+    this->oddDocuments.erase(aKey);
+  } else if (this->CountOdd(aKey, aRevision)) {
+    LogLine(LogLevel::Error, "upkeep_wave_unreadable")
+      .Add("key", aKey)
+      .Add("revision", aRevision)
+      .Add("bytes", aValue->size())
+      .Add("reason", this->decoders.waveProblem ? this->decoders.waveProblem(*aValue) : "");
   }
   if (wave) {
     this->waveNumbers[aKey] = wave->number;
@@ -134,7 +161,7 @@
   std::set<std::string> keys;
   for (const KeyValueItem& item : aItems) {
     keys.insert(item.key);
-    this->ApplyChange(item.key, item.value, "read");
+    this->ApplyChange({ item.key, item.value, item.revision, item.lease }, "read");
   }
   // Keys that were deleted without a change that a watch has reported.
   std::vector<std::string> deleted;
@@ -144,9 +171,12 @@
   for (const auto& [key, number] : this->waveNumbers) {
     deleted.push_back(key);
   }
+  std::erase_if(this->oddDocuments, [&](const auto& aDocument) {
+    return aDocument.first != this->decoders.configKey && keys.count(aDocument.first) == 0;
+  });
   for (const std::string& key : deleted) {
     if (keys.count(key) == 0) {
-      this->ApplyChange(key, std::nullopt, "read");
+      this->ApplyChange({ key, std::nullopt, 0, 0 }, "read");
     }
   }
 }
--- a/packages/coordination/src/ConfigFollower.h
+++ b/packages/coordination/src/ConfigFollower.h
@@ -43,10 +43,14 @@
 
 private:
   void ApplyRange(const std::vector<KeyValueItem>& aItems);
-  void ApplyWave(const std::string& aKey, const std::optional<std::string>& aValue);
-  void ApplyChange(const std::string& aKey,
-                   const std::optional<std::string>& aValue,
-                   const char* aSource);
+  /// aRevision is that of the value, for the log.
+  void ApplyWave(const std::string& aKey,
+                 const std::optional<std::string>& aValue,
+                 std::uint64_t aRevision);
+  void ApplyChange(const KeyValueChange& aChange, const char* aSource);
+  /// Counts a document of the operators that can't be used, once for each version of it; returns
+  /// false for one that has been counted.
+  bool CountOdd(const std::string& aKey, std::uint64_t aVersion);
   void OnConfirmed();
 
   EventLoop& loop;
@@ -59,6 +63,9 @@
   std::map<std::uint64_t, MaintenanceWave> waves;
   /// Wave number of each key: a deletion carries only the key.
   std::map<std::string, std::uint64_t> waveNumbers;
+  /// Versions of the documents that can't be used, by key: the revision of a wave, the hash of a
+  /// configuration, which also comes from other instances.
+  std::map<std::string, std::uint64_t> oddDocuments;
   /// Latest time at which another instance knew that the version was the newest.
   std::optional<TimePoint> peerConfirmedAt;
   /// Callbacks of the open calls of Confirm, by number.
--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -139,7 +139,9 @@
   }
 }
 
-void Leader::ApplyWorker(const std::string& aKey, const std::optional<std::string>& aValue)
+void Leader::ApplyWorker(const std::string& aKey,
+                         const std::optional<std::string>& aValue,
+                         std::uint64_t aRevision)
 {
   std::optional<WorkerListing> listing =
     aValue ? this->env.decoders.worker(aKey, *aValue) : std::nullopt;
@@ -148,6 +150,29 @@
   } else {
     this->dispatcher->UnlistWorker(this->WorkerIdOfKey(aKey));
   }
+  if (aValue && !listing) {
+    this->ReportOddWorker(aKey, *aValue, aRevision);
+  } else {
+    this->oddWorkers.erase(aKey);
+  }
+}
+
+void Leader::ReportOddWorker(const std::string& aKey,
+                             const std::string& aValue,
+                             std::uint64_t aRevision)
+{
+  auto [known, isNew] = this->oddWorkers.try_emplace(aKey, aRevision);
+  if (!isNew && known->second == aRevision) {
+    return;
+  }
+  known->second = aRevision;
+  this->env.metrics.Count("worker_entries_unreadable_total");
+  LogLine(LogLevel::Warning, "worker_entry_unreadable")
+    .Add("key", aKey)
+    .Add("revision", aRevision)
+    .Add("bytes", aValue.size())
+    .Add("reason",
+         this->env.decoders.workerProblem ? this->env.decoders.workerProblem(aKey, aValue) : "");
 }
 
 void Leader::OnConfigChange()
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -117,7 +117,12 @@
                         TimePoint aSentAt,
                         TimePoint aKnownAt);
   void PollWorkerChanges();
-  void ApplyWorker(const std::string& aKey, const std::optional<std::string>& aValue);
+  /// aRevision is that of the value, for the log.
+  void ApplyWorker(const std::string& aKey,
+                   const std::optional<std::string>& aValue,
+                   std::uint64_t aRevision);
+  /// Counts and logs an entry that names no worker to use, each version of it once.
+  void ReportOddWorker(const std::string& aKey, const std::string& aValue, std::uint64_t aRevision);
   /// Schedules a round soon, so that events which arrive together share one round.
   void ScheduleRound();
   void RunRound();
@@ -164,6 +169,8 @@
   /// Used only during recovery.
   std::map<JobId, JobProgress> progress;
   std::set<WorkerId> listedWorkers;
+  /// Revisions of the entries in the list that name no worker to use, by key.
+  std::map<std::string, std::uint64_t> oddWorkers;
   std::uint64_t jobsRevision = 0;
   std::uint64_t workersRevision = 0;
   /// Times at which the reads of jobsRevision and workersRevision were sent.
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -120,7 +120,7 @@
     this->env.settings.workerPrefix,
     [this](const KeyValueItem& aItem) {
       this->listedWorkers.insert(this->WorkerIdOfKey(aItem.key));
-      this->ApplyWorker(aItem.key, aItem.value);
+      this->ApplyWorker(aItem.key, aItem.value, aItem.revision);
     },
     [this, sentAt = this->env.loop.Now()](std::uint64_t aRevision) {
       this->workersRevision = aRevision;
@@ -130,6 +130,9 @@
           this->dispatcher->UnlistWorker(id);
         }
       }
+      std::erase_if(this->oddWorkers, [this](const auto& aEntry) {
+        return this->listedWorkers.count(this->WorkerIdOfKey(aEntry.first)) == 0;
+      });
       this->workerPoller->Refresh();
       if (!this->isRecovered) {
         this->OnRecovered();
@@ -239,7 +242,7 @@
       }
       if (aChanges) {
         for (const KeyValueChange& change : aChanges->changes) {
-          this->ApplyWorker(change.key, change.value);
+          this->ApplyWorker(change.key, change.value, change.revision);
         }
         this->workersRevision = aChanges->revision;
         this->workersKnownAt = sentAt;
--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -13,10 +13,15 @@
 constexpr std::chrono::milliseconds kGangTimeout{ 3000 };
 constexpr std::size_t kTasksPerWorker = 4;
 constexpr const char* kPrefix = "workers/";
+/// Value of a worker's entry; any other is odd.
+constexpr const char* kEntry = "{}";
 } // namespace
 
-std::optional<WorkerListing> ParseFakeWorker(const std::string& aKey, const std::string&)
+std::optional<WorkerListing> ParseFakeWorker(const std::string& aKey, const std::string& aValue)
 {
+  if (aValue != kEntry) {
+    return std::nullopt;
+  }
   WorkerListing listing;
   listing.id = aKey.substr(std::string_view(kPrefix).size());
   listing.service = "desk";
@@ -38,7 +43,7 @@
 void FakeFleet::AddWorker(InMemoryStore& aStore, const WorkerId& aId)
 {
   this->workers[aId];
-  aStore.Put(kPrefix + aId, "{}");
+  aStore.Put(kPrefix + aId, kEntry);
 }
 
 void FakeFleet::Kill(const WorkerId& aId)
