Of several responses with a range of keys, the one that arrives is waited for and the others are given up

Callers saw: 503 until the configuration is in force, for longer than one transfer, whenever the store or the link is silent for more than 0.3 s before a long response begins. Cause: a read is sent beside one that is late, up to four. Once the store answers, each response is the whole range, all share the link, and those that no longer count still arrive to their end; since reads are no longer cut after 0.9 s, nothing bounds that below 10 s. The same holds for a watch that a caller's Refresh has replaced by a read. Change: the progress hook says whether the response is still wanted; the client closes the connection if not. A response that was given up is no failure of the store, so it changes neither its availability nor the range. Why it works: one copy has the link to itself; of the others one part each arrives. If it stops for 0.3 s, another counts.

--- a/packages/coordination/include/daisydrift/coordination/KeyValueStore.h
+++ b/packages/coordination/include/daisydrift/coordination/KeyValueStore.h
@@ -82,11 +82,12 @@
   /// Returns the items with the prefix whose keys sort after aAfter, ordered by key. Pages are not
   /// taken from one snapshot.
   /// @param aOnProgress Called when a part of the response has arrived. A response is waited for as
-  /// long as it keeps arriving, so a call is late only when there is no progress.
+  /// long as it keeps arriving, so a call is late only when there is no progress. Returns false to
+  /// give up the response, which then ends with OutcomeUnknown and takes no more of the link.
   virtual void ReadPage(const std::string& aPrefix,
                         const std::string& aAfter,
                         std::function<void(const Result<KeyValuePage>&)> aDone,
-                        std::function<void()> aOnProgress) = 0;
+                        std::function<bool()> aOnProgress) = 0;
   /// Returns the changes after a revision, as soon as there is one or after aWait. Error NotFound:
   /// the store no longer keeps that history.
   /// @param aOnProgress As for ReadPage.
@@ -94,7 +95,7 @@
                      std::uint64_t aAfterRevision,
                      Duration aWait,
                      std::function<void(const Result<KeyValueChanges>&)> aDone,
-                     std::function<void()> aOnProgress) = 0;
+                     std::function<bool()> aOnProgress) = 0;
   /// Returns the revision of the writes. Errors: Conflict (a condition does not hold),
   /// LeaseExpired.
   virtual void Commit(const KeyValueTransaction& aTransaction,
--- a/packages/coordination/src/RangeFollower.cpp
+++ b/packages/coordination/src/RangeFollower.cpp
@@ -15,6 +15,7 @@
 struct RangeFollower::PagedRead
 {
   std::uint64_t step;
+  std::uint64_t call;
   TimePoint sentAt;
   /// Revision of the first page: changes made since then may be missing from later pages.
   std::uint64_t revision = 0;
@@ -54,12 +55,15 @@
   return this->lastProgress && this->loop.Now() - *this->lastProgress < kLateResponse;
 }
 
-std::function<void()> RangeFollower::ProgressHook()
+std::function<bool()> RangeFollower::ProgressHook(std::uint64_t aCall)
 {
-  return [this, sentInStep = this->step] {
-    if (sentInStep == this->step) {
-      this->lastProgress = this->loop.Now();
+  return [this, aCall, sentInStep = this->step] {
+    if (sentInStep != this->step || this->IsReplaced(aCall)) {
+      return false;
     }
+    this->lastProgress = this->loop.Now();
+    this->arrivingCall = aCall;
+    return true;
   };
 }
 
@@ -117,7 +121,7 @@
     return;
   }
   ++this->openReads;
-  this->SendPageRead(std::make_shared<PagedRead>(PagedRead{ this->step, now }));
+  this->SendPageRead(std::make_shared<PagedRead>(PagedRead{ this->step, ++this->callCount, now }));
 }
 
 void RangeFollower::SendPageRead(const std::shared_ptr<PagedRead>& aRead)
@@ -132,6 +136,9 @@
       }
       if (!aPage) {
         --this->openReads;
+        if (this->IsReplaced(aRead->call)) {
+          return;
+        }
         this->OnFailure("read", aPage.Error(), aRead->sentAt);
         this->hooks.onReadResult(aPage.Error());
         return;
@@ -151,22 +158,26 @@
       this->hooks.onRead(aRead->items);
       this->Confirm(aRead->sentAt);
     },
-    this->ProgressHook());
+    this->ProgressHook(aRead->call));
 }
 
 void RangeFollower::SendWatch()
 {
   TimePoint sentAt = this->loop.Now();
+  std::uint64_t call = ++this->callCount;
   this->ScheduleRead(sentAt + this->maxWatchWait + kLateResponse);
   this->store.Watch(
     this->prefix,
     this->revision,
     this->maxWatchWait,
-    [this, sentAt, sentInStep = this->step](const Result<KeyValueChanges>& aChanges) {
+    [this, call, sentAt, sentInStep = this->step](const Result<KeyValueChanges>& aChanges) {
       if (sentInStep != this->step) {
         return;
       }
       if (!aChanges) {
+        if (this->IsReplaced(call)) {
+          return;
+        }
         this->OnFailure("watch", aChanges.Error(), sentAt);
         return;
       }
@@ -179,7 +190,7 @@
       bool hasWaited = aChanges->changes.empty() && this->loop.Now() - sentAt >= this->maxWatchWait;
       this->Confirm(hasWaited ? sentAt + this->maxWatchWait : sentAt);
     },
-    this->ProgressHook());
+    this->ProgressHook(call));
 }
 
 void RangeFollower::OnFailure(const char* aCall, std::error_code aError, TimePoint aSentAt)
--- a/packages/coordination/src/RangeFollower.h
+++ b/packages/coordination/src/RangeFollower.h
@@ -59,8 +59,14 @@
   void SendRead();
   void SendPageRead(const std::shared_ptr<PagedRead>& aRead);
   void SendWatch();
-  /// Hook of a call for the parts of its response.
-  std::function<void()> ProgressHook();
+  /// Hook of a watch or a paged read for the parts of its responses. The first that begins to
+  /// arrive is waited for; others are given up while it arrives, and all when the wait is over.
+  std::function<bool()> ProgressHook(std::uint64_t aCall);
+  /// True when a failed call was given up for another, or should be: the other's response counts.
+  bool IsReplaced(std::uint64_t aCall) const
+  {
+    return this->IsReceiving() && this->arrivingCall != aCall;
+  }
   /// Sends a read at that time, unless a confirmation or an earlier scheduled read comes first.
   void ScheduleRead(TimePoint aTime);
   void OnFailure(const char* aCall, std::error_code aError, TimePoint aSentAt);
@@ -81,8 +87,11 @@
   TimePoint stepBegan;
   bool isReadStep = false;
   std::size_t openReads = 0;
-  /// When a part of a response in this wait arrived last.
+  /// Watches and paged reads so far; their number in this order is the name of each.
+  std::uint64_t callCount = 0;
+  /// When a part of a response in this wait arrived last, and for which call.
   std::optional<TimePoint> lastProgress;
+  std::uint64_t arrivingCall = 0;
   TimePoint nextRead = TimePoint::max();
   /// Number of the timer for nextRead; those with lower numbers have been replaced.
   std::uint64_t readTimer = 0;
--- a/packages/coordination/tests/ConfigExchangeTest.cpp
+++ b/packages/coordination/tests/ConfigExchangeTest.cpp
@@ -46,7 +46,7 @@
   void ReadPage(const std::string& aPrefix,
                 const std::string& aAfter,
                 std::function<void(const Result<KeyValuePage>&)> aDone,
-                std::function<void()> aOnProgress) override
+                std::function<bool()> aOnProgress) override
   {
     if (aPrefix == "operators/" && this->isEndless) {
       this->progress = std::move(aOnProgress);
@@ -55,7 +55,7 @@
     InMemoryStore::ReadPage(aPrefix, aAfter, std::move(aDone), std::move(aOnProgress));
   }
   bool isEndless = false;
-  std::function<void()> progress;
+  std::function<bool()> progress;
 };
 
 std::optional<FleetConfig> ParseConfig(const std::string& aDocument, Findings&)
--- a/packages/coordination/tests/InMemoryStore.cpp
+++ b/packages/coordination/tests/InMemoryStore.cpp
@@ -33,7 +33,7 @@
 void InMemoryStore::ReadPage(const std::string& aPrefix,
                              const std::string& aAfter,
                              std::function<void(const Result<KeyValuePage>&)> aDone,
-                             std::function<void()>) // Responses arrive in one part.
+                             std::function<bool()>) // Responses arrive in one part.
 {
   this->loop.After(this->responseTime, [this, aPrefix, aAfter, aDone] {
     if (this->isSilent || (this->isReadResponseLost && this->isReadResponseLost())) {
@@ -69,7 +69,7 @@
                           std::uint64_t aAfterRevision,
                           Duration aWait,
                           std::function<void(const Result<KeyValueChanges>&)> aDone,
-                          std::function<void()> aOnProgress)
+                          std::function<bool()> aOnProgress)
 {
   this->loop.After(kWatchStep, [this, aPrefix, aAfterRevision, aWait, aDone, aOnProgress] {
     if (this->isSilent || (this->isWatchResponseLost && this->isWatchResponseLost(aPrefix))) {
--- a/packages/coordination/tests/InMemoryStore.h
+++ b/packages/coordination/tests/InMemoryStore.h
@@ -34,12 +34,12 @@
   void ReadPage(const std::string& aPrefix,
                 const std::string& aAfter,
                 std::function<void(const Result<KeyValuePage>&)> aDone,
-                std::function<void()> aOnProgress) override;
+                std::function<bool()> aOnProgress) override;
   void Watch(const std::string& aPrefix,
              std::uint64_t aAfterRevision,
              Duration aWait,
              std::function<void(const Result<KeyValueChanges>&)> aDone,
-             std::function<void()> aOnProgress) override;
+             std::function<bool()> aOnProgress) override;
   void Commit(const KeyValueTransaction& aTransaction,
               std::function<void(const Result<std::uint64_t>&)> aDone) override;
   void GrantLease(Duration aTimeToLive,
--- a/packages/coordination/tests/ProcessProxies.h
+++ b/packages/coordination/tests/ProcessProxies.h
@@ -226,7 +226,7 @@
   void ReadPage(const std::string& aPrefix,
                 const std::string& aAfter,
                 std::function<void(const Result<KeyValuePage>&)> aDone,
-                std::function<void()> aOnProgress) override
+                std::function<bool()> aOnProgress) override
   {
     if (this->ShouldForward(aDone)) {
       this->store.ReadPage(aPrefix,
@@ -243,7 +243,7 @@
              std::uint64_t aAfterRevision,
              Duration aWait,
              std::function<void(const Result<KeyValueChanges>&)> aDone,
-             std::function<void()> aOnProgress) override
+             std::function<bool()> aOnProgress) override
   {
     if (this->ShouldForward(aDone)) {
       this->store.Watch(aPrefix,
--- a/packages/coordination/tests/RangeFollowerTest.cpp
+++ b/packages/coordination/tests/RangeFollowerTest.cpp
@@ -37,7 +37,7 @@
   void ReadPage(const std::string&,
                 const std::string& aAfter,
                 std::function<void(const Result<KeyValuePage>&)> aDone,
-                std::function<void()> aOnProgress) override
+                std::function<bool()> aOnProgress) override
   {
     this->reads.push_back({ aAfter, std::move(aDone), std::move(aOnProgress) });
   }
@@ -45,7 +45,7 @@
              std::uint64_t aAfterRevision,
              Duration,
              std::function<void(const Result<KeyValueChanges>&)> aDone,
-             std::function<void()> aOnProgress) override
+             std::function<bool()> aOnProgress) override
   {
     this->watches.push_back({ aAfterRevision, std::move(aDone), std::move(aOnProgress) });
   }
@@ -60,13 +60,13 @@
   {
     std::string after;
     std::function<void(const Result<KeyValuePage>&)> respond;
-    std::function<void()> progress;
+    std::function<bool()> progress;
   };
   struct OpenWatch
   {
     std::uint64_t after;
     std::function<void(const Result<KeyValueChanges>&)> respond;
-    std::function<void()> progress;
+    std::function<bool()> progress;
   };
   std::vector<PageRead> reads;
   std::vector<OpenWatch> watches;
@@ -81,18 +81,18 @@
                this->metrics,
                "range/",
                kWatchWait,
-               RangeFollower::Hooks{ [this](const std::vector<KeyValueItem>& aItems) {
-                                      this->seen.push_back("read");
-                                      for (const KeyValueItem& item : aItems) {
-                                        this->seen.push_back(item.key + "=" + item.value);
-                                      }
-                                    },
-                                     [this](const KeyValueChange& aChange) {
-                                       this->seen.push_back(aChange.key + "=" +
-                                                            aChange.value.value_or("deleted"));
-                                     },
-                                     [this] { ++this->confirmations; },
-                                     [](std::error_code) {} })
+               RangeFollower::Hooks{
+                 [this](const std::vector<KeyValueItem>& aItems) {
+                   this->seen.push_back("read");
+                   for (const KeyValueItem& item : aItems) {
+                     this->seen.push_back(item.key + "=" + item.value);
+                   }
+                 },
+                 [this](const KeyValueChange& aChange) {
+                   this->seen.push_back(aChange.key + "=" + aChange.value.value_or("deleted"));
+                 },
+                 [this] { ++this->confirmations; },
+                 [this](std::error_code aError) { this->readFailures += aError ? 1 : 0; } })
   {
     this->follower.Restart();
   }
@@ -102,6 +102,7 @@
   Metrics metrics;
   std::vector<std::string> seen;
   int confirmations = 0;
+  int readFailures = 0;
   RangeFollower follower;
 };
 
@@ -159,6 +160,51 @@
   EXPECT_EQ(this->store.reads.size(), 1U);
 }
 
+// Guards against several copies of a long response that share the link, so that the first to be
+// complete takes as long as all of them.
+TEST_F(RangeFollowerTest, OneOfTheResponsesThatArriveIsWaitedFor)
+{
+  this->loop.RunFor(milliseconds(310));
+  ASSERT_EQ(this->store.reads.size(), 2U);
+  EXPECT_TRUE(this->store.reads[0].progress());
+  EXPECT_FALSE(this->store.reads[1].progress());
+  this->store.reads[1].respond(make_error_code(Errc::OutcomeUnknown));
+  for (int part = 0; part < 20; ++part) {
+    this->loop.RunFor(milliseconds(100));
+    EXPECT_TRUE(this->store.reads[0].progress());
+  }
+  EXPECT_EQ(this->store.reads.size(), 2U);
+  EXPECT_EQ(this->readFailures, 0) << "it was given up, the store did not fail";
+  this->store.reads[0].respond(Page(10, { Item("range/a", "1") }, true));
+  ASSERT_EQ(this->store.reads.size(), 3U);
+  EXPECT_TRUE(this->store.reads[2].progress()) << "the next page of the same read";
+  this->store.reads[2].respond(Page(10, { Item("range/b", "1") }));
+  EXPECT_THAT(this->seen, ElementsAre("read", "range/a=1", "range/b=1"));
+}
+
+TEST_F(RangeFollowerTest, AnotherResponseCountsOnceTheFirstHasStoppedArriving)
+{
+  this->loop.RunFor(milliseconds(310));
+  EXPECT_TRUE(this->store.reads[0].progress());
+  this->loop.RunFor(milliseconds(310));
+  EXPECT_TRUE(this->store.reads.back().progress());
+  this->store.reads.back().respond(Page(10, { Item("range/a", "1") }));
+  EXPECT_THAT(this->seen, ElementsAre("read", "range/a=1"));
+}
+
+// Guards against a long response that nobody waits for beside the one that counts.
+TEST_F(RangeFollowerTest, ResponseThatNoLongerCountsIsGivenUp)
+{
+  this->loop.RunFor(milliseconds(310));
+  this->store.reads[1].respond(Page(10, {}));
+  EXPECT_FALSE(this->store.reads[0].progress());
+  this->follower.Refresh();
+  EXPECT_FALSE(this->store.watches[0].progress());
+  ASSERT_EQ(this->store.reads.size(), 3U);
+  this->follower.Stop();
+  EXPECT_FALSE(this->store.reads[2].progress());
+}
+
 TEST_F(RangeFollowerTest, ResponseThatStopsArrivingIsReplaced)
 {
   this->loop.RunFor(milliseconds(250));
--- a/packages/http/include/daisydrift/http/HttpClient.h
+++ b/packages/http/include/daisydrift/http/HttpClient.h
@@ -18,8 +18,9 @@
 /// OutcomeUnknown (sending began, but no complete response arrived).
 using HttpCallback = std::function<void(const Result<HttpResponse>&)>;
 
-/// Called with the number of bytes of each part of a response that arrives.
-using HttpProgressHook = std::function<void(std::size_t)>;
+/// Called with the number of bytes of each part of a response that arrives. Returns false to give
+/// up the response, which then ends with OutcomeUnknown.
+using HttpProgressHook = std::function<bool(std::size_t)>;
 
 /// Time limits of a request whose response may be long. The time that a response takes depends on
 /// its size and on the link, so only a response that has stopped arriving is given up.
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -152,7 +152,7 @@
       });
   }
 
-  /// Returns false when the bytes are malformed or exceed the response.
+  /// Returns false when the bytes are malformed or exceed the response, or are not wanted.
   bool Consume(const char* aData, std::size_t aSize)
   {
     const PendingRequest& pending = *this->currentRequest;
@@ -162,8 +162,8 @@
     if (this->deadline < formerDeadline) {
       this->WaitForDeadline(); // A later deadline is noticed when the timer for this one expires.
     }
-    if (pending.onProgress) {
-      pending.onProgress(aSize);
+    if (pending.onProgress && !pending.onProgress(aSize)) {
+      return false;
     }
     std::size_t consumed = this->parser.Consume(aData, aSize);
     return this->parser.Error() == http::ParseError::None && consumed == aSize;
--- a/packages/http/tests/HttpTest.cpp
+++ b/packages/http/tests/HttpTest.cpp
@@ -442,6 +442,24 @@
   EXPECT_EQ(response.Error(), make_error_code(Errc::OutcomeUnknown));
 }
 
+TEST_F(HttpTest, ResponseThatIsNotWantedAnyMoreIsGivenUp)
+{
+  SlowServer server(1000000, 5, milliseconds(20));
+  std::optional<Result<HttpResponse>> result;
+  this->client.Send(
+    server.Endpoint(),
+    { "GET", "/long", {}, "" },
+    HttpTimeLimits{ seconds(1000), seconds(1000), seconds(1000) },
+    [&](const Result<HttpResponse>& aResponse) {
+      result = aResponse;
+      this->loop.Stop();
+    },
+    [](std::size_t) { return false; });
+  this->loop.Run();
+  this->loop.Context().restart();
+  EXPECT_EQ(result->Error(), make_error_code(Errc::OutcomeUnknown));
+}
+
 TEST(EndpointTest, ParsesAddressAndPort)
 {
   SocketEndpoint endpoint;
