While the store sends the configuration, another instance still confirms the version in force

Callers saw: 503 "configuration could not be confirmed" for as long as a response with op/ arrives (1.1 s for 1 MB at 10 Mbit/s, 10 s at most), although the version in force is the newest. Cause: the exchange asked nothing of other instances while the store sends the range, neither the document nor the short question about version and age. A range that is read again after a lost watch mostly holds no new version. Change: only the document is held back. Why it works: the answer has no document, so it takes next to nothing of the link.

--- a/packages/coordination/src/ConfigExchange.cpp
+++ b/packages/coordination/src/ConfigExchange.cpp
@@ -70,7 +70,7 @@
 
 void ConfigExchange::Fetch(const SocketEndpoint& aPeer)
 {
-  if (this->isFetching || this->config.IsReceiving()) {
+  if (this->isFetching) {
     return;
   }
   this->isFetching = true;
--- a/packages/coordination/src/ConfigExchange.h
+++ b/packages/coordination/src/ConfigExchange.h
@@ -25,9 +25,9 @@
 
   void Start();
   /// Asks an instance for the version of its configuration, the age of it and the leader, and then
-  /// for the document if it is newer. Does nothing while an earlier call is open or while the store
-  /// sends the configuration: a second copy would only delay the first. A failed call is logged,
-  /// not repeated.
+  /// for the document if it is newer and the store does not send the configuration: a second copy
+  /// would only delay the first. Does nothing while an earlier call is open. A failed call is
+  /// logged, not repeated.
   void Fetch(const SocketEndpoint& aPeer);
   /// True when the configuration should be confirmed by another instance.
   bool IsDue() const { return this->config.Age() > this->settings.maxConfigAge / 2; }
