--- a/packages/coordination/include/daisydrift/coordination.h
+++ b/packages/coordination/include/daisydrift/coordination.h
@@ -6,6 +6,7 @@
 #include "daisydrift/coordination/FleetConfig.h"
 #include "daisydrift/coordination/HttpPeerTransport.h"
 #include "daisydrift/coordination/Instance.h"
+#include "daisydrift/coordination/JsonFields.h"
 #include "daisydrift/coordination/JsonText.h"
 #include "daisydrift/coordination/KeyValueStore.h"
 #include "daisydrift/coordination/MachineGateway.h"
--- a/packages/coordination/src/AdviceRequestSlots.cpp
+++ b/packages/coordination/src/AdviceRequestSlots.cpp
@@ -1,6 +1,7 @@
 #include "AdviceRequestSlots.h"
 
 #include "RecordCodec.h"
+#include "daisydrift/coordination/JsonFields.h"
 
 namespace daisydrift::coordination {
 
@@ -24,17 +25,26 @@
   return record;
 }
 
-std::optional<AdviceResponse> AdviceResponseFromJson(const json& aRecord)
+std::optional<AdviceResponse> AdviceResponseFromJson(const json& aRecord, std::string* aError)
 {
-  if (!aRecord.is_object() || !aRecord.contains("grants")) {
-    return std::nullopt;
-  }
+  JsonFields fields(aRecord);
+  fields.Require({ "grants" });
   AdviceResponse response;
-  response.validity = Duration(aRecord.value("validity_us", Duration::rep(0)));
-  for (const json& grant : aRecord["grants"]) {
-    response.grants.push_back({ grant.at(0), grant.at(1) });
+  response.validity = fields.Microseconds("validity_us");
+  if (const json* grants = fields.List("grants")) {
+    for (const json& grant : *grants) {
+      JsonFields pair(grant, 2);
+      response.grants.push_back({ pair.Text(0), pair.Text(1) });
+      fields.Adopt("grants", pair);
+    }
+  }
+  if (fields.IsValid()) {
+    return response;
+  }
+  if (aError != nullptr) {
+    *aError = fields.Error();
   }
-  return response;
+  return std::nullopt;
 }
 
 AdviceRequestSlots::AdviceRequestSlots(EventLoop& aLoop,
@@ -107,19 +117,26 @@
       this->localClient.Ask(request, responseHandler);
       continue;
     }
-    this->peers.Call(this->membership.Members().at(*name).endpoint,
-                     "advise",
-                     ToJson(request),
-                     request.expected + kForwardingTime,
-                     [responseHandler](const Result<json>& aReply) {
-                       if (!aReply) {
-                         responseHandler(aReply.Error());
-                         return;
-                       }
-                       std::optional<AdviceResponse> response = AdviceResponseFromJson(*aReply);
-                       responseHandler(response ? Result<AdviceResponse>(*response)
-                                                : Errc::Corrupt);
-                     });
+    this->peers.Call(
+      this->membership.Members().at(*name).endpoint,
+      "advise",
+      ToJson(request),
+      request.expected + kForwardingTime,
+      [this, alive = this->isAlive, responseHandler](const Result<json>& aReply) {
+        if (!*alive) {
+          return;
+        }
+        if (!aReply) {
+          responseHandler(aReply.Error());
+          return;
+        }
+        std::string error;
+        std::optional<AdviceResponse> response = AdviceResponseFromJson(*aReply, &error);
+        if (!response) {
+          this->membership.Unreadable().AddAnswer("advise", error);
+        }
+        responseHandler(response ? Result<AdviceResponse>(*response) : Errc::Corrupt);
+      });
   }
 }
 
--- a/packages/coordination/src/AdviceRequestSlots.h
+++ b/packages/coordination/src/AdviceRequestSlots.h
@@ -51,6 +51,7 @@
 };
 
 nlohmann::json ToJson(const AdviceResponse& aResponse);
-std::optional<AdviceResponse> AdviceResponseFromJson(const nlohmann::json& aRecord);
+std::optional<AdviceResponse> AdviceResponseFromJson(const nlohmann::json& aRecord,
+                                                     std::string* aError = nullptr);
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/ConfigExchange.cpp
+++ b/packages/coordination/src/ConfigExchange.cpp
@@ -1,6 +1,8 @@
 #include "ConfigExchange.h"
 
-#include <nlohmann/json.hpp>
+#include "daisydrift/coordination/JsonFields.h"
+
+#include <limits>
 
 namespace daisydrift::coordination {
 
@@ -13,6 +15,7 @@
 constexpr std::chrono::milliseconds kDocumentTimeout{ 1000 };
 /// Time between fetches while the store does not confirm the configuration.
 constexpr std::chrono::milliseconds kFetchInterval{ 400 };
+constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::uint64_t>::max();
 } // namespace
 
 ConfigExchange::ConfigExchange(EventLoop& aLoop,
@@ -84,8 +87,8 @@
                        this->LogFailure(aPeer, aResponse.Error());
                        return;
                      }
-                     this->OnAnswer(*aResponse, sentAt);
-                     if (aResponse->value("version", std::uint64_t(0)) > this->config.Version() &&
+                     std::uint64_t version = this->OnAnswer(*aResponse, sentAt);
+                     if (version > this->config.Version() && version != this->unusableVersion &&
                          !this->config.IsReceiving()) {
                        this->FetchDocument(aPeer);
                      }
@@ -101,10 +104,13 @@
                    kDocumentTimeout,
                    [this, aPeer, sentAt = this->loop.Now()](const Result<json>& aResponse) {
                      this->isFetching = false;
-                     if (aResponse) {
-                       this->OnAnswer(*aResponse, sentAt);
-                     } else {
+                     if (!aResponse) {
                        this->LogFailure(aPeer, aResponse.Error());
+                       return;
+                     }
+                     std::uint64_t version = this->OnAnswer(*aResponse, sentAt);
+                     if (version > this->config.Version()) {
+                       this->unusableVersion = version;
                      }
                    });
 }
@@ -118,18 +124,28 @@
     .Add("age_ms", this->config.Age());
 }
 
-void ConfigExchange::OnAnswer(const json& aAnswer, TimePoint aSentAt)
+std::uint64_t ConfigExchange::OnAnswer(const json& aAnswer, TimePoint aSentAt)
 {
+  JsonFields fields(aAnswer);
+  auto version = fields.Integer<std::uint64_t>("version", 0, kMaxVersion);
+  Duration age = fields.Microseconds("age_us", ConfigFollower::kMaxAge);
+  std::string document = fields.Text("document");
+  if (!fields.IsValid()) {
+    this->membership.Unreadable().AddAnswer("config", fields.Error());
+    return 0;
+  }
   if (aAnswer.contains("document")) {
-    this->config.Adopt(aAnswer["document"].get<std::string>(), "instance");
+    this->config.Adopt(document, "instance");
   }
   if (aAnswer.contains("age_us")) {
-    this->config.OnPeerConfirmed(aAnswer.value("version", std::uint64_t(0)),
-                                 aSentAt - Duration(aAnswer["age_us"].get<Duration::rep>()));
+    this->config.OnPeerConfirmed(version, aSentAt - age);
   }
-  if (std::optional<LeaderRecord> leader = LeaderRecordFromJson(aAnswer.value("leader", json()))) {
+  std::optional<LeaderRecord> leader =
+    LeaderOfAnswer("config", aAnswer, this->membership.Unreadable());
+  if (leader) {
     this->onLeader(*leader);
   }
+  return version;
 }
 
 json ConfigExchange::Answer(const json& aArguments) const
@@ -137,9 +153,11 @@
   json answer = json::object();
   if (const FleetConfig* current = this->config.Config()) {
     answer = { { "version", current->version }, { "age_us", this->config.Age().count() } };
+    JsonFields fields(aArguments);
     // Instances of an earlier version ask for the document in each call.
-    bool isDocumentWanted = aArguments.value("document", true);
-    if (isDocumentWanted && aArguments.value("version", std::uint64_t(0)) != current->version) {
+    bool isDocumentWanted = fields.Flag("document", true);
+    if (isDocumentWanted &&
+        fields.Integer<std::uint64_t>("version", 0, kMaxVersion) != current->version) {
       answer["document"] = current->document;
       this->metrics.Count("config_documents_sent_total");
       this->metrics.Count("config_document_bytes_sent_total", current->document.size());
--- a/packages/coordination/src/ConfigExchange.h
+++ b/packages/coordination/src/ConfigExchange.h
@@ -38,7 +38,8 @@
   void FetchWhenDue();
   void FetchDocument(const SocketEndpoint& aPeer);
   void LogFailure(const SocketEndpoint& aPeer, std::error_code aError) const;
-  void OnAnswer(const nlohmann::json& aAnswer, TimePoint aSentAt);
+  /// Returns the version that the other instance has; 0 for an answer that can't be read.
+  std::uint64_t OnAnswer(const nlohmann::json& aAnswer, TimePoint aSentAt);
   /// The instance to ask next: the leader and one of the other members by turns.
   std::optional<SocketEndpoint> NextPeer();
 
@@ -50,6 +51,8 @@
   Metrics& metrics;
   std::function<void(const LeaderRecord&)> onLeader;
   bool isFetching = false;
+  /// A version whose document did not come or could not be read; it is not fetched again.
+  std::uint64_t unusableVersion = 0;
   bool wasLeaderAskedLast = false;
   /// The member that was asked last.
   std::string lastMember;
--- a/packages/coordination/src/HttpPeerTransport.cpp
+++ b/packages/coordination/src/HttpPeerTransport.cpp
@@ -68,9 +68,11 @@
 void HandlePeerCall(Instance& aInstance, const Ref<HttpExchange>& aExchange)
 {
   std::optional<json> arguments = ParseJson(aExchange->Request().body);
-  std::string method = aExchange->Request().target.substr(1);
+  std::string method = aExchange->Request().target;
+  method.erase(0, 1); // The slash.
+  // Text that is not JSON, or nested too deep, is refused like any other that is no object.
   aInstance.OnPeerCall(
-    method, arguments ? *arguments : json(), [aExchange](const Result<json>& aResult) {
+    method, arguments ? std::move(*arguments) : json(), [aExchange](const Result<json>& aResult) {
       if (aResult) {
         aExchange->Reply({ kStatusOk, {}, aResult->dump() });
       } else {
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -5,6 +5,10 @@
 #include "LeadershipCheck.h"
 #include "LeadershipHandover.h"
 #include "RecordCodec.h"
+#include "daisydrift/coordination/JsonFields.h"
+
+#include <limits>
+#include <map>
 
 namespace daisydrift {
 
@@ -28,11 +32,25 @@
 /// A follower without an announcement for this long probes the leader's process.
 constexpr std::chrono::milliseconds kMaxTimeWithoutLeaderContact{ 1000 };
 constexpr std::chrono::milliseconds kLivenessCheckInterval{ 500 };
+/// Greatest numbers in calls of other instances.
+constexpr std::chrono::hours kMaxAvailableTime{ 1 };
+constexpr std::uint64_t kMaxConfigVersion = std::numeric_limits<std::uint64_t>::max();
 } // namespace
 
 class Instance::Impl
 {
 public:
+  using Reply = std::function<void(const Result<json>&)>;
+  /// A call from another instance. Its handler reads the fields, then refuses it if they are
+  /// invalid.
+  struct PeerCall
+  {
+    const std::string& method;
+    const json& arguments;
+    JsonFields fields;
+    const Reply& reply;
+  };
+
   Impl(EventLoop& aLoop,
        KeyValueStore& aStore,
        WorkerGateway& aWorkers,
@@ -46,9 +64,29 @@
   void OnElected(const LeaderRecord& aRecord);
   void OnLeadershipLost();
   void Announce();
-  void OnAnnouncement(const json& aArguments);
+  void OnAnnouncement(const LeaderRecord& aLeader, std::uint64_t aConfigVersion);
+  /// Fetches the configuration of an instance that has answered an announcement with a newer one.
+  void OnAnnouncementAnswer(const SocketEndpoint& aEndpoint, const json& aAnswer);
+  void OnPeerCall(const std::string& aMethod, const json& aArguments, const Reply& aReply);
   void CheckLeaderLiveness();
-  void AnswerQuery(const JobId& aJob, const std::function<void(const Result<json>&)>& aReply);
+  /// True, after an answer and a report, for a call with invalid fields.
+  bool IsRefused(const PeerCall& aCall) const;
+  /// The leader for a call with valid fields; null after an answer when there is none to serve it.
+  Leader* LeaderFor(const PeerCall& aCall) const;
+  void OnPing(PeerCall& aCall);
+  void OnSuspect(PeerCall& aCall);
+  void OnLeaderQuestion(PeerCall& aCall);
+  void OnSucceed(PeerCall& aCall);
+  void OnAnnounce(PeerCall& aCall);
+  void OnConfigQuestion(PeerCall& aCall);
+  void OnAdvise(PeerCall& aCall);
+  void OnSubmit(PeerCall& aCall);
+  void OnNotice(PeerCall& aCall);
+  void OnNotices(PeerCall& aCall);
+  void OnQuery(PeerCall& aCall);
+  void OnCancel(PeerCall& aCall);
+  void OnPending(PeerCall& aCall);
+  void AnswerQuery(const JobId& aJob, const Reply& aReply);
   /// Ends this instance's term if another instance leads with a later one.
   void UpdateLeader(const LeaderRecord& aLeader);
   /// This instance's Leader; null unless it leads and has loaded the stored jobs.
@@ -170,9 +208,8 @@
                      announcement,
                      kAnnounceTimeout,
                      [this, endpoint = member.endpoint](const Result<json>& aResponse) {
-                       if (aResponse &&
-                           aResponse->value("config", std::uint64_t(0)) > this->config.Version()) {
-                         this->configExchange.Fetch(endpoint);
+                       if (aResponse) {
+                         this->OnAnnouncementAnswer(endpoint, *aResponse);
                        }
                      });
   }
@@ -183,25 +220,237 @@
   });
 }
 
-void Instance::Impl::OnAnnouncement(const json& aArguments)
+void Instance::Impl::OnAnnouncementAnswer(const SocketEndpoint& aEndpoint, const json& aAnswer)
 {
-  std::optional<LeaderRecord> record =
-    coordination::LeaderRecordFromJson(aArguments.value("leader", json()));
-  if (!record) {
-    return;
+  JsonFields fields(aAnswer);
+  auto version = fields.Integer<std::uint64_t>("config", 0, kMaxConfigVersion);
+  if (!fields.IsValid()) {
+    this->membership.Unreadable().AddAnswer("announce", fields.Error());
+  } else if (version > this->config.Version()) {
+    this->configExchange.Fetch(aEndpoint);
   }
-  this->UpdateLeader(*record);
-  if (this->membership.Leader() && this->membership.Leader()->term == record->term) {
+}
+
+void Instance::Impl::OnAnnouncement(const LeaderRecord& aLeader, std::uint64_t aConfigVersion)
+{
+  this->UpdateLeader(aLeader);
+  if (this->membership.Leader() && this->membership.Leader()->term == aLeader.term) {
     this->lastLeaderContact = this->loop.Now();
   }
-  bool isNewer = aArguments.value("config", std::uint64_t(0)) > this->config.Version();
-  if (isNewer || this->configExchange.IsDue()) {
-    this->configExchange.Fetch(record->endpoint);
+  if (aConfigVersion > this->config.Version() || this->configExchange.IsDue()) {
+    this->configExchange.Fetch(aLeader.endpoint);
+  }
+}
+
+bool Instance::Impl::IsRefused(const PeerCall& aCall) const
+{
+  if (aCall.fields.IsValid()) {
+    return false;
+  }
+  this->membership.Unreadable().AddCall(aCall.method, aCall.fields.Error());
+  aCall.reply(Errc::InvalidArgument);
+  return true;
+}
+
+Leader* Instance::Impl::LeaderFor(const PeerCall& aCall) const
+{
+  if (this->IsRefused(aCall)) {
+    return nullptr;
+  }
+  Leader* own = this->OwnLeader();
+  if (own == nullptr) {
+    aCall.reply(Errc::NotPermitted);
+  }
+  return own;
+}
+
+void Instance::Impl::OnPeerCall(const std::string& aMethod,
+                                const json& aArguments,
+                                const Reply& aReply)
+{
+  static const std::map<std::string, void (Impl::*)(PeerCall&)> kHandlers{
+    { "ping", &Impl::OnPing },
+    { "suspect", &Impl::OnSuspect },
+    { "leader", &Impl::OnLeaderQuestion },
+    { "succeed", &Impl::OnSucceed },
+    { "announce", &Impl::OnAnnounce },
+    { "config", &Impl::OnConfigQuestion },
+    { "advise", &Impl::OnAdvise },
+    { "submit", &Impl::OnSubmit },
+    { "notice", &Impl::OnNotice }, // Sent by instances of an earlier version.
+    { "notices", &Impl::OnNotices },
+    { "query", &Impl::OnQuery },
+    { "cancel", &Impl::OnCancel },
+    { "pending", &Impl::OnPending }
+  };
+  auto handler = kHandlers.find(aMethod);
+  if (handler == kHandlers.end()) {
+    aReply(Errc::InvalidArgument);
+    return;
+  }
+  PeerCall call{ aMethod, aArguments, JsonFields(aArguments), aReply };
+  if (!this->IsRefused(call)) {
+    (this->*handler->second)(call);
+  }
+}
+
+void Instance::Impl::OnPing(PeerCall& aCall)
+{
+  Epoch endedTerm = this->leader ? 0 : this->membership.LastHeldTerm();
+  aCall.reply(
+    json{ { "incarnation", this->membership.Incarnation() }, { "ended_term", endedTerm } });
+}
+
+void Instance::Impl::OnSuspect(PeerCall& aCall)
+{
+  this->membership.SuspectLeader();
+  aCall.reply(json::object());
+}
+
+void Instance::Impl::OnLeaderQuestion(PeerCall& aCall)
+{
+  const std::optional<LeaderRecord>& known = this->membership.Leader();
+  aCall.reply(known ? json{ { "leader", ToJson(*known) } } : json::object());
+}
+
+void Instance::Impl::OnSucceed(PeerCall& aCall)
+{
+  Duration minAvailableTime = aCall.fields.Microseconds("min_available_us", kMaxAvailableTime);
+  std::string incarnation = aCall.fields.Text("incarnation");
+  if (!this->IsRefused(aCall)) {
+    bool stands = this->membership.AcceptHandover(incarnation, minAvailableTime);
+    aCall.reply(json{ { "stands", stands } });
+  }
+}
+
+void Instance::Impl::OnAnnounce(PeerCall& aCall)
+{
+  aCall.fields.Require({ "leader" });
+  auto version = aCall.fields.Integer<std::uint64_t>("config", 0, kMaxConfigVersion);
+  std::optional<LeaderRecord> record;
+  if (const json* leaderRecord = aCall.fields.Find("leader")) {
+    std::string error;
+    record = coordination::LeaderRecordFromJson(*leaderRecord, &error);
+    if (!record) {
+      aCall.fields.Fail("leader", error);
+    }
+  }
+  if (!this->IsRefused(aCall)) {
+    this->OnAnnouncement(*record, version);
+    aCall.reply(json{ { "config", this->config.Version() } });
+  }
+}
+
+void Instance::Impl::OnConfigQuestion(PeerCall& aCall)
+{
+  aCall.fields.Integer<std::uint64_t>("version", 0, kMaxConfigVersion);
+  if (!this->IsRefused(aCall)) {
+    aCall.reply(this->configExchange.Answer(aCall.arguments));
+  }
+}
+
+void Instance::Impl::OnAdvise(PeerCall& aCall)
+{
+  std::string error;
+  std::optional<AdviceRequest> request =
+    coordination::AdviceRequestFromJson(aCall.arguments, &error);
+  if (!request) {
+    aCall.fields.Fail("request", error);
+  }
+  if (!this->IsRefused(aCall)) {
+    this->advice.Ask(*request, [reply = aCall.reply](const Result<AdviceResponse>& aResponse) {
+      reply(aResponse ? Result<json>(ToJson(*aResponse)) : Result<json>(aResponse.Error()));
+    });
+  }
+}
+
+void Instance::Impl::OnSubmit(PeerCall& aCall)
+{
+  std::string error;
+  std::optional<JobDefinition> job = coordination::JobDefinitionFromJson(aCall.arguments, &error);
+  if (!job) {
+    aCall.fields.Fail("job", error);
+  }
+  if (this->IsRefused(aCall)) {
+    return;
+  }
+  this->requestHandler.StoreForPeer(*job, [reply = aCall.reply](SubmitOutcome aOutcome) {
+    const char* text = aOutcome == SubmitOutcome::Accepted  ? "accepted"
+                       : aOutcome == SubmitOutcome::Refused ? "refused"
+                                                            : "unknown";
+    reply(json{ { "outcome", text } });
+  });
+}
+
+void Instance::Impl::OnNotice(PeerCall& aCall)
+{
+  std::string error;
+  std::optional<JobDefinition> job = coordination::JobDefinitionFromJson(aCall.arguments, &error);
+  if (!job) {
+    aCall.fields.Fail("job", error);
+  }
+  if (Leader* own = this->LeaderFor(aCall)) {
+    own->AddJob(*job, "notice");
+    aCall.reply(json::object());
   }
 }
 
-void Instance::Impl::AnswerQuery(const JobId& aJob,
-                                 const std::function<void(const Result<json>&)>& aReply)
+void Instance::Impl::OnNotices(PeerCall& aCall)
+{
+  aCall.fields.Require({ "jobs" });
+  std::vector<JobDefinition> jobs;
+  if (const json* records = aCall.fields.List("jobs")) {
+    for (const json& record : *records) {
+      std::string error;
+      if (std::optional<JobDefinition> job = coordination::JobDefinitionFromJson(record, &error)) {
+        jobs.push_back(std::move(*job));
+      } else {
+        aCall.fields.Fail("jobs", error);
+      }
+    }
+  }
+  // The sender of a refused call repeats each job alone; the readable ones need not wait for that.
+  if (Leader* own = this->OwnLeader()) {
+    for (const JobDefinition& job : jobs) {
+      own->AddJob(job, "notice");
+    }
+  }
+  if (this->LeaderFor(aCall) != nullptr) {
+    aCall.reply(json::object());
+  }
+}
+
+void Instance::Impl::OnQuery(PeerCall& aCall)
+{
+  std::string job = aCall.fields.Text("job");
+  if (this->LeaderFor(aCall) != nullptr) {
+    this->AnswerQuery(job, aCall.reply);
+  }
+}
+
+void Instance::Impl::OnCancel(PeerCall& aCall)
+{
+  std::string job = aCall.fields.Text("job");
+  if (Leader* own = this->LeaderFor(aCall)) {
+    own->Cancel(job, [reply = aCall.reply](std::error_code aError) {
+      if (aError && aError != make_error_code(Errc::NotFound)) {
+        reply(aError);
+      } else {
+        reply(json{ { "found", !aError } });
+      }
+    });
+  }
+}
+
+void Instance::Impl::OnPending(PeerCall& aCall)
+{
+  std::string queue = aCall.fields.Text("queue");
+  if (Leader* own = this->LeaderFor(aCall)) {
+    aCall.reply(json{ { "pending", own->CountQueuedJobs(queue) } });
+  }
+}
+
+void Instance::Impl::AnswerQuery(const JobId& aJob, const Reply& aReply)
 {
   auto reply = [this, aJob, aReply] {
     Leader* localLeader = this->OwnLeader();
@@ -354,106 +603,7 @@
                           const json& aArguments,
                           const std::function<void(const Result<json>&)>& aReply)
 {
-  Impl& self = *this->impl;
-  if (!aArguments.is_object()) {
-    aReply(Errc::InvalidArgument);
-    return;
-  }
-  if (aMethod == "ping") {
-    Epoch endedTerm = self.leader ? 0 : self.membership.LastHeldTerm();
-    aReply(json{ { "incarnation", self.membership.Incarnation() }, { "ended_term", endedTerm } });
-    return;
-  }
-  if (aMethod == "suspect") {
-    self.membership.SuspectLeader();
-    aReply(json::object());
-    return;
-  }
-  if (aMethod == "leader") {
-    const std::optional<LeaderRecord>& known = self.membership.Leader();
-    aReply(known ? json{ { "leader", ToJson(*known) } } : json::object());
-    return;
-  }
-  if (aMethod == "succeed") {
-    Duration minAvailableTime(aArguments.value("min_available_us", Duration::rep(0)));
-    aReply(json{
-      { "stands",
-        self.membership.AcceptHandover(aArguments.value("incarnation", ""), minAvailableTime) } });
-    return;
-  }
-  if (aMethod == "announce") {
-    self.OnAnnouncement(aArguments);
-    aReply(json{ { "config", self.config.Version() } });
-    return;
-  }
-  if (aMethod == "config") {
-    aReply(self.configExchange.Answer(aArguments));
-    return;
-  }
-  if (aMethod == "advise") {
-    std::optional<AdviceRequest> request = coordination::AdviceRequestFromJson(aArguments);
-    if (!request) {
-      aReply(Errc::InvalidArgument);
-      return;
-    }
-    self.advice.Ask(*request, [aReply](const Result<AdviceResponse>& aResponse) {
-      aReply(aResponse ? Result<json>(ToJson(*aResponse)) : Result<json>(aResponse.Error()));
-    });
-    return;
-  }
-  if (aMethod == "submit") {
-    std::optional<JobDefinition> job = coordination::JobDefinitionFromJson(aArguments);
-    if (!job) {
-      aReply(Errc::InvalidArgument);
-      return;
-    }
-    self.requestHandler.StoreForPeer(*job, [aReply](SubmitOutcome aOutcome) {
-      const char* text = aOutcome == SubmitOutcome::Accepted  ? "accepted"
-                         : aOutcome == SubmitOutcome::Refused ? "refused"
-                                                              : "unknown";
-      aReply(json{ { "outcome", text } });
-    });
-    return;
-  }
-  Leader* leader = self.OwnLeader();
-  if (leader == nullptr) {
-    aReply(Errc::NotPermitted);
-    return;
-  }
-  if (aMethod == "notice") {
-    // Sent by instances of an earlier version.
-    std::optional<JobDefinition> job = coordination::JobDefinitionFromJson(aArguments);
-    if (job) {
-      leader->AddJob(*job, "notice");
-    }
-    aReply(json::object());
-  } else if (aMethod == "notices") {
-    auto jobs = aArguments.find("jobs");
-    if (jobs == aArguments.end() || !jobs->is_array()) {
-      aReply(Errc::InvalidArgument);
-      return;
-    }
-    for (const json& record : *jobs) {
-      if (std::optional<JobDefinition> job = coordination::JobDefinitionFromJson(record)) {
-        leader->AddJob(*job, "notice");
-      }
-    }
-    aReply(json::object());
-  } else if (aMethod == "query") {
-    self.AnswerQuery(aArguments.value("job", ""), aReply);
-  } else if (aMethod == "cancel") {
-    leader->Cancel(aArguments.value("job", ""), [aReply](std::error_code aError) {
-      if (aError && aError != make_error_code(Errc::NotFound)) {
-        aReply(aError);
-      } else {
-        aReply(json{ { "found", !aError } });
-      }
-    });
-  } else if (aMethod == "pending") {
-    aReply(json{ { "pending", leader->CountQueuedJobs(aArguments.value("queue", "")) } });
-  } else {
-    aReply(Errc::InvalidArgument);
-  }
+  this->impl->OnPeerCall(aMethod, aArguments, aReply);
 }
 
 } // namespace daisydrift
--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -2,6 +2,8 @@
 
 #include "RecordCodec.h"
 
+#include <limits>
+
 namespace daisydrift::coordination {
 
 using nlohmann::json;
@@ -22,6 +24,8 @@
 /// responds within 4 ms.
 constexpr std::chrono::milliseconds kHedgeDelay{ 150 };
 constexpr int kMaxOpenWrites = 4;
+constexpr int kLastState = static_cast<int>(DispatchState::Cancelled);
+constexpr std::size_t kMaxPending = std::numeric_limits<std::uint32_t>::max();
 } // namespace
 
 struct JobRequestHandler::Submission
@@ -165,26 +169,31 @@
     this->RefuseAsync(aSubmission); // There is no other instance to ask, and nothing was sent.
     return;
   }
-  this->env.peers.Call(
-    leader->endpoint,
-    "submit",
-    ToJson(aSubmission->definition),
-    kLeaderTimeout,
-    [this, aSubmission](const Result<json>& aResponse) {
-      std::string outcome = aResponse ? aResponse->value("outcome", "unknown") : "unknown";
-      if (outcome == "accepted") {
-        this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
-        return;
-      }
-      bool wasNotSent =
-        !aResponse && (aResponse.Error() == make_error_code(Errc::Unreachable) ||
-                       aResponse.Error() == make_error_code(Errc::DeadlineExceeded));
-      if (outcome == "refused" || wasNotSent) {
-        this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
-        return;
-      }
-      this->FinishSubmission(aSubmission, SubmitOutcome::Unknown);
-    });
+  this->env.peers.Call(leader->endpoint,
+                       "submit",
+                       ToJson(aSubmission->definition),
+                       kLeaderTimeout,
+                       [this, aSubmission](const Result<json>& aResponse) {
+                         std::string outcome;
+                         if (aResponse) {
+                           JsonFields fields(*aResponse);
+                           outcome = fields.Text("outcome");
+                           this->ReportAnswer("submit", fields);
+                         }
+                         if (outcome == "accepted") {
+                           this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
+                           return;
+                         }
+                         bool wasNotSent =
+                           !aResponse &&
+                           (aResponse.Error() == make_error_code(Errc::Unreachable) ||
+                            aResponse.Error() == make_error_code(Errc::DeadlineExceeded));
+                         if (outcome == "refused" || wasNotSent) {
+                           this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
+                           return;
+                         }
+                         this->FinishSubmission(aSubmission, SubmitOutcome::Unknown);
+                       });
 }
 
 void JobRequestHandler::FinishSubmission(const std::shared_ptr<Submission>& aSubmission,
@@ -196,6 +205,14 @@
   }
 }
 
+bool JobRequestHandler::ReportAnswer(const char* aMethod, const JsonFields& aAnswer)
+{
+  if (!aAnswer.IsValid()) {
+    this->membership.Unreadable().AddAnswer(aMethod, aAnswer.Error());
+  }
+  return aAnswer.IsValid();
+}
+
 void JobRequestHandler::NotifyLeader(const std::string& aRecord)
 {
   if (std::optional<JobDefinition> job = OpenDefinitionFromText(aRecord)) {
@@ -278,7 +295,12 @@
                    aDeadline - std::min<Duration>(kStoreReadTime, timeLeft / 2),
                    kAttemptsBeforeStoreRead,
                    [this, aJob, aDeadline, aDone](const Result<json>& aResponse) {
-                     int state = aResponse ? aResponse->value("state", -1) : -1;
+                     int state = -1;
+                     if (aResponse) {
+                       JsonFields fields(*aResponse);
+                       state = fields.Integer("state", -1, kLastState, -1);
+                       this->ReportAnswer("query", fields);
+                     }
                      if (state >= 0) {
                        aDone(static_cast<DispatchState>(state));
                      } else {
@@ -311,11 +333,13 @@
         return;
       }
       if (*aItem) {
-        std::optional<json> parsed = ParseJson((*aItem)->value);
-        std::optional<JobProgress> progress = parsed ? JobProgressFromJson(*parsed) : std::nullopt;
+        std::string error;
+        std::optional<JobProgress> progress = JobProgressFromText((*aItem)->value, &error);
         if (progress) {
           aDone(progress->state);
         } else {
+          this->membership.Unreadable().AddEntry(
+            "progress", (*aItem)->key, (*aItem)->revision, error);
           aDone(Errc::Corrupt);
         }
         return;
@@ -389,10 +413,16 @@
                    { { "job", aJob } },
                    aDeadline,
                    kMaxAttempts,
-                   [onUnknownJob, aDone](const Result<json>& aResponse) {
+                   [this, onUnknownJob, aDone](const Result<json>& aResponse) {
                      if (!aResponse) {
                        aDone(make_error_code(Errc::OutcomeUnknown));
-                     } else if (aResponse->value("found", false)) {
+                       return;
+                     }
+                     JsonFields fields(*aResponse);
+                     bool isFound = fields.Flag("found");
+                     if (!this->ReportAnswer("cancel", fields)) {
+                       aDone(make_error_code(Errc::OutcomeUnknown));
+                     } else if (isFound) {
                        aDone(std::error_code());
                      } else {
                        onUnknownJob();
@@ -412,11 +442,17 @@
                    { { "queue", aQueue } },
                    this->env.loop.Now() + aTimeout,
                    kMaxAttempts,
-                   [aDone](const Result<json>& aResponse) {
-                     if (aResponse) {
-                       aDone(aResponse->value("pending", std::size_t(0)));
-                     } else {
+                   [this, aDone](const Result<json>& aResponse) {
+                     if (!aResponse) {
                        aDone(aResponse.Error());
+                       return;
+                     }
+                     JsonFields fields(*aResponse);
+                     auto pending = fields.Integer<std::size_t>("pending", 0, kMaxPending);
+                     if (this->ReportAnswer("pending", fields)) {
+                       aDone(pending);
+                     } else {
+                       aDone(Errc::Unreachable);
                      }
                    });
 }
--- a/packages/coordination/src/JobRequestHandler.h
+++ b/packages/coordination/src/JobRequestHandler.h
@@ -2,6 +2,7 @@
 // Serves callers' requests through the current leader.
 
 #include "StoredJobNotifier.h"
+#include "daisydrift/coordination/JsonFields.h"
 
 namespace daisydrift::coordination {
 
@@ -44,6 +45,8 @@
   void RefuseAsync(const std::shared_ptr<Submission>& aSubmission);
   void SubmitToLeader(const std::shared_ptr<Submission>& aSubmission);
   void FinishSubmission(const std::shared_ptr<Submission>& aSubmission, SubmitOutcome aOutcome);
+  /// False, after a report, when an answer has invalid fields.
+  bool ReportAnswer(const char* aMethod, const JsonFields& aAnswer);
   /// Tells the leader about the job of a stored definition, unless it is a tombstone.
   void NotifyLeader(const std::string& aRecord);
   /// Calls the leader until it answers, aDeadline has passed or aMaxAttempts attempts have failed.
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -110,7 +110,15 @@
   void PollJobChanges();
   /// Adds jobs that were stored during a gap in the changes.
   void ReloadDefinitions();
-  void AddStoredJob(const std::string& aRecord, const char* aSource);
+  /// Parses a stored definition; nothing for a tombstone and, after a report, for one that can't be
+  /// decoded.
+  std::optional<JobDefinition> ReadDefinition(const std::string& aKey,
+                                              const std::string& aRecord,
+                                              std::uint64_t aRevision) const;
+  void AddStoredJob(const std::string& aKey,
+                    const std::string& aRecord,
+                    std::uint64_t aRevision,
+                    const char* aSource);
   /// Logs a failed poll of a list, with the age of what is known of it.
   void OnListPollFailed(const char* aList,
                         std::error_code aError,
--- a/packages/coordination/src/LeaderLeases.cpp
+++ b/packages/coordination/src/LeaderLeases.cpp
@@ -3,7 +3,8 @@
 
 #include "Leader.h"
 
-#include <nlohmann/json.hpp>
+#include "RecordCodec.h"
+#include "daisydrift/coordination/JsonFields.h"
 
 #include <string_view>
 
@@ -74,12 +75,21 @@
         return;
       }
       const EarlierLeaders& last = this->record.earlier;
-      std::string incarnation = aResponse ? aResponse->value("incarnation", "") : "";
+      std::string incarnation;
+      Epoch endedTerm = 0;
+      if (aResponse) {
+        JsonFields fields(*aResponse);
+        incarnation = fields.Text("incarnation");
+        endedTerm = fields.Integer<Epoch>("ended_term", 0, kMaxTerm);
+        if (!fields.IsValid()) {
+          this->env.membership.Unreadable().AddAnswer("ping", fields.Error());
+          incarnation.clear();
+        }
+      }
       // A refused call proves nothing: a connection may be refused on the way.
       bool isRestarted =
         incarnation != last.incarnation && incarnation.rfind(last.name + "@", 0) == 0;
-      bool hasEndedTerm = incarnation == last.incarnation &&
-                          aResponse->value("ended_term", Epoch(0)) + 1 >= this->record.term;
+      bool hasEndedTerm = incarnation == last.incarnation && endedTerm + 1 >= this->record.term;
       if (isRestarted || hasEndedTerm) {
         this->OnEarlierLeadersEnded(isRestarted ? "restarted" : "ended_term");
         return;
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -69,9 +69,10 @@
   this->ReadPrefix(
     prefix,
     [this, prefix](const KeyValueItem& aItem) {
-      std::optional<nlohmann::json> parsed = ParseJson(aItem.value);
-      std::optional<JobProgress> progress = parsed ? JobProgressFromJson(*parsed) : std::nullopt;
+      std::string error;
+      std::optional<JobProgress> progress = JobProgressFromText(aItem.value, &error);
       if (!progress) {
+        this->env.membership.Unreadable().AddEntry("progress", aItem.key, aItem.revision, error);
         return;
       }
       JobId id = aItem.key.substr(prefix.size());
@@ -95,7 +96,8 @@
   this->ReadPrefix(
     DefinitionPrefix(this->env.settings.storePrefix),
     [this](const KeyValueItem& aItem) {
-      if (std::optional<JobDefinition> job = OpenDefinitionFromText(aItem.value)) {
+      if (std::optional<JobDefinition> job =
+            this->ReadDefinition(aItem.key, aItem.value, aItem.revision)) {
         this->dispatcher->RestoreJob(
           *job, this->progress[job->id], this->env.loop.Now(), this->env.loop.WallClockNow());
       }
@@ -170,7 +172,7 @@
       if (aChanges) {
         for (const KeyValueChange& change : aChanges->changes) {
           if (change.value && !this->State(change.key.substr(prefix.size()))) {
-            this->AddStoredJob(*change.value, "changes");
+            this->AddStoredJob(change.key, *change.value, change.revision, "changes");
           }
         }
         this->jobsRevision = aChanges->revision;
@@ -198,7 +200,7 @@
     prefix,
     [this, prefix](const KeyValueItem& aItem) {
       if (!this->State(aItem.key.substr(prefix.size()))) {
-        this->AddStoredJob(aItem.value, "reload");
+        this->AddStoredJob(aItem.key, aItem.value, aItem.revision, "reload");
       }
     },
     [this, sentAt = this->env.loop.Now()](std::uint64_t aRevision) {
@@ -208,9 +210,24 @@
     });
 }
 
-void Leader::AddStoredJob(const std::string& aRecord, const char* aSource)
+std::optional<JobDefinition> Leader::ReadDefinition(const std::string& aKey,
+                                                    const std::string& aRecord,
+                                                    std::uint64_t aRevision) const
 {
-  if (std::optional<JobDefinition> job = OpenDefinitionFromText(aRecord)) {
+  std::string error;
+  std::optional<JobDefinition> job = OpenDefinitionFromText(aRecord, &error);
+  if (!error.empty()) {
+    this->env.membership.Unreadable().AddEntry("jobs", aKey, aRevision, error);
+  }
+  return job;
+}
+
+void Leader::AddStoredJob(const std::string& aKey,
+                          const std::string& aRecord,
+                          std::uint64_t aRevision,
+                          const char* aSource)
+{
+  if (std::optional<JobDefinition> job = this->ReadDefinition(aKey, aRecord, aRevision)) {
     this->AddJob(*job, aSource);
   }
 }
--- a/packages/coordination/src/LeadershipCheck.cpp
+++ b/packages/coordination/src/LeadershipCheck.cpp
@@ -46,8 +46,9 @@
                      kResponseTimeout,
                      [this, remaining, aDone](const Result<json>& aResponse) {
                        std::optional<LeaderRecord> leader =
-                         aResponse ? LeaderRecordFromJson(aResponse->value("leader", json()))
-                                   : std::nullopt;
+                         aResponse
+                           ? LeaderOfAnswer("leader", *aResponse, this->membership.Unreadable())
+                           : std::nullopt;
                        if (leader) {
                          this->onLeader(*leader);
                        }
--- a/packages/coordination/src/LeadershipHandover.cpp
+++ b/packages/coordination/src/LeadershipHandover.cpp
@@ -1,6 +1,6 @@
 #include "LeadershipHandover.h"
 
-#include <nlohmann/json.hpp>
+#include "daisydrift/coordination/JsonFields.h"
 
 #include <algorithm>
 
@@ -144,7 +144,14 @@
       if (!*alive) {
         return;
       }
-      bool isAccepted = aResponse && aResponse->value("stands", false);
+      bool isAccepted = false;
+      if (aResponse) {
+        JsonFields fields(*aResponse);
+        isAccepted = fields.Flag("stands");
+        if (!fields.IsValid()) {
+          this->membership.Unreadable().AddAnswer("succeed", fields.Error());
+        }
+      }
       if (isAccepted || !aResponse) {
         // Plain refusals are only counted: each member of a large group may refuse.
         LogLine(LogLevel::Warning, "leadership_offered")
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -1,6 +1,7 @@
 #include "Membership.h"
 
 #include "RecordCodec.h"
+#include "daisydrift/coordination/JsonFields.h"
 
 #include <algorithm>
 #include <functional>
@@ -31,16 +32,21 @@
 /// A leader elected more recently may not know of its election yet, so it is not probed.
 constexpr std::chrono::milliseconds kElectionSettleTime{ 400 };
 
+/// Longest delay of a member's campaign, and longest lease on a worker.
+constexpr std::chrono::hours kMaxCampaignDelay{ 1 };
+constexpr std::chrono::minutes kMaxWorkerLease{ 10 };
+
 /// The voters of a stored record; empty when it has none, as those of earlier versions.
-std::optional<std::set<WorkerId>> VotersFromJson(const json& aRecord)
+std::optional<std::set<WorkerId>> VotersFrom(JsonFields& aFields)
 {
-  auto found = aRecord.find("voters");
-  if (found == aRecord.end() || !found->is_array()) {
+  const json* list = aFields.List("voters");
+  if (list == nullptr) {
     return std::nullopt;
   }
   std::set<WorkerId> voters;
-  for (const json& id : *found) {
+  for (const json& id : *list) {
     if (!id.is_string()) {
+      aFields.Fail("voters", "not a list of texts");
       return std::nullopt;
     }
     voters.insert(id.get<std::string>());
@@ -93,28 +99,109 @@
                { "incarnation", aLeader.earlier.incarnation } } } };
 }
 
-std::optional<LeaderRecord> LeaderRecordFromJson(const json& aRecord)
+std::optional<LeaderRecord> LeaderRecordFromJson(const json& aRecord, std::string* aError)
 {
+  JsonFields fields(aRecord);
+  fields.Require({ "endpoint", "term" });
   LeaderRecord leader;
-  if (!aRecord.is_object() || !ParseEndpoint(aRecord.value("endpoint", ""), leader.endpoint)) {
-    return std::nullopt;
+  if (!ParseEndpoint(fields.Text("endpoint"), leader.endpoint)) {
+    fields.Fail("endpoint", "not an address and a port");
+  }
+  leader.name = fields.Text("name");
+  leader.incarnation = fields.Text("incarnation");
+  leader.term = fields.Integer<Epoch>("term", 1, kMaxTerm);
+  if (const json* earlierRecord = fields.Find("earlier")) {
+    JsonFields earlier(*earlierRecord);
+    // The record of the first leader names no earlier one.
+    bool isKnown = ParseEndpoint(earlier.Text("endpoint"), leader.earlier.endpoint);
+    std::string incarnation = earlier.Text("incarnation");
+    std::string name = earlier.Text("name");
+    if (isKnown) {
+      leader.earlier.incarnation = std::move(incarnation);
+      leader.earlier.name = std::move(name);
+    }
+    leader.earlier.longestLease = earlier.Microseconds("longest_us", kMaxWorkerLease);
+    leader.earlier.haveAllButLastEnded = earlier.Flag("ended_but_last");
+    fields.Adopt("earlier", earlier);
+  }
+  if (fields.IsValid()) {
+    return leader;
   }
-  leader.name = aRecord.value("name", "");
-  leader.incarnation = aRecord.value("incarnation", "");
-  leader.term = aRecord.value("term", Epoch(0));
-  json earlier = aRecord.value("earlier", json::object());
-  if (earlier.is_object() &&
-      ParseEndpoint(earlier.value("endpoint", ""), leader.earlier.endpoint)) {
-    leader.earlier.incarnation = earlier.value("incarnation", "");
-    leader.earlier.name = earlier.value("name", "");
+  if (aError != nullptr) {
+    *aError = fields.Error();
+  }
+  return std::nullopt;
+}
+
+std::optional<LeaderRecord> LeaderOfAnswer(const char* aMethod,
+                                           const json& aAnswer,
+                                           UnreadableEntries& aUnreadable)
+{
+  JsonFields fields(aAnswer);
+  const json* record = fields.Find("leader");
+  if (record == nullptr && fields.IsValid()) {
+    return std::nullopt; // The instance knows no leader.
   }
-  if (earlier.is_object()) {
-    leader.earlier.longestLease = Duration(earlier.value("longest_us", Duration::rep(0)));
-    leader.earlier.haveAllButLastEnded = earlier.value("ended_but_last", false);
+  std::string error = fields.Error();
+  std::optional<LeaderRecord> leader;
+  if (record != nullptr) {
+    leader = LeaderRecordFromJson(*record, &error);
+  }
+  if (!leader) {
+    aUnreadable.AddAnswer(aMethod, error);
   }
   return leader;
 }
 
+std::optional<StoredLeases> StoredLeasesFromJson(const json& aRecord, std::string* aError)
+{
+  JsonFields fields(aRecord);
+  StoredLeases leases;
+  leases.term = fields.Integer<Epoch>("term", 0, kMaxTerm);
+  leases.longestLease = fields.Microseconds("longest_us", kMaxWorkerLease);
+  leases.haveEarlierEnded = fields.Flag("earlier_ended");
+  leases.voters = VotersFrom(fields);
+  if (fields.IsValid()) {
+    return leases;
+  }
+  if (aError != nullptr) {
+    *aError = fields.Error();
+  }
+  return std::nullopt;
+}
+
+std::optional<MemberRecord> MemberRecordFromJson(const json& aRecord, std::string* aError)
+{
+  JsonFields fields(aRecord);
+  MemberRecord member;
+  if (!ParseEndpoint(fields.Text("endpoint"), member.endpoint)) {
+    fields.Fail("endpoint", "not an address and a port");
+  }
+  member.domain = fields.Text("domain");
+  member.campaignDelay = fields.Microseconds("stand_delay_us", kMaxCampaignDelay);
+  if (fields.IsValid()) {
+    return member;
+  }
+  if (aError != nullptr) {
+    *aError = fields.Error();
+  }
+  return std::nullopt;
+}
+
+std::optional<Epoch> TermFromJson(const json& aRecord, std::string* aError)
+{
+  json record = json::array({ aRecord });
+  JsonFields fields(record, 1);
+  auto term = fields.Integer<Epoch>(0, 0, kMaxTerm);
+  if (fields.IsValid()) {
+    return term;
+  }
+  if (aError != nullptr) {
+    *aError = fields.Error();
+  }
+  return std::nullopt;
+}
+
 Membership::Membership(EventLoop& aLoop,
                        KeyValueStore& aStore,
                        PeerTransport& aPeers,
@@ -129,6 +216,7 @@
   , incarnation(std::move(aIncarnation))
   , hooks(std::move(aHooks))
   , prefix(aSettings.storePrefix + "group/")
+  , unreadable(aMetrics)
   , range(aLoop,
           aStore,
           aMetrics,
@@ -240,11 +328,14 @@
   std::map<std::string, MemberRecord> former = std::exchange(this->members, {});
   std::string leaderKey = this->prefix + kLeaderKey;
   std::string leasesKey = this->prefix + kLeasesKey;
+  std::string termKey = this->prefix + kTermKey;
   bool hasLeader = false;
+  bool hasTerm = false;
   bool hasLeases = false;
   for (const KeyValueItem& item : aItems) {
     hasLeader = hasLeader || item.key == leaderKey;
     hasLeases = hasLeases || item.key == leasesKey;
+    hasTerm = hasTerm || item.key == termKey;
     this->ApplyChange(item.key, item.value, item.revision);
   }
   for (auto& [name, member] : this->members) {
@@ -254,6 +345,9 @@
     }
   }
   this->isLoaded = true;
+  if (!hasTerm) {
+    this->ApplyChange(termKey, std::nullopt, 0);
+  }
   if (!hasLeases) {
     this->ApplyChange(leasesKey, std::nullopt, 0);
   }
@@ -263,69 +357,82 @@
   this->ReclaimLeadership();
 }
 
+template<typename Record>
+std::optional<Record> Membership::Decode(const std::string& aKey,
+                                         const std::optional<std::string>& aValue,
+                                         std::uint64_t aRevision,
+                                         std::optional<Record> (*aDecoder)(const json&,
+                                                                           std::string*))
+{
+  if (!aValue) {
+    return std::nullopt;
+  }
+  std::string error = kJsonUnreadable;
+  std::optional<json> parsed = ParseJson(*aValue);
+  std::optional<Record> record = parsed ? aDecoder(*parsed, &error) : std::nullopt;
+  if (!record) {
+    this->unreadable.AddEntry("group", aKey, aRevision, error);
+  }
+  return record;
+}
+
 void Membership::ApplyChange(const std::string& aKey,
                              const std::optional<std::string>& aValue,
                              std::uint64_t aRevision)
 {
   std::string relativeKey = aKey.substr(this->prefix.size());
-  std::optional<json> record = aValue ? ParseJson(*aValue) : std::nullopt;
   if (relativeKey == kTermKey) {
-    if (record && record->is_number_unsigned()) {
-      this->term = record->get<Epoch>();
-      this->termRevision = aRevision;
-    }
-    return;
-  }
-  if (relativeKey == kLeasesKey) {
-    bool isValid = record && record->is_object();
-    this->leasesTerm = isValid ? record->value("term", Epoch(0)) : 0;
-    this->longestLease = Duration(isValid ? record->value("longest_us", Duration::rep(0)) : 0);
-    this->haveEarlierEnded = isValid && record->value("earlier_ended", false);
-    this->voters = isValid ? VotersFromJson(*record) : std::nullopt;
+    std::optional<Epoch> stored = this->Decode(aKey, aValue, aRevision, &TermFromJson);
+    // Terms only grow; the last known one counts on while the entry is unreadable.
+    this->term = std::max(this->term, stored.value_or(0));
+    this->isTermUnreadable = aValue && !stored;
+    this->termRevision = aValue ? aRevision : 0;
+  } else if (relativeKey == kLeasesKey) {
+    this->leases =
+      this->Decode(aKey, aValue, aRevision, &StoredLeasesFromJson).value_or(StoredLeases());
     this->leasesRevision = aValue ? aRevision : 0;
-    return;
-  }
-  if (relativeKey == kLeaderKey) {
-    if (!aValue) {
-      this->leaderRevision = 0;
-      this->SetLeader(std::nullopt);
+  } else if (relativeKey == kLeaderKey) {
+    this->ApplyLeader(this->Decode(aKey, aValue, aRevision, &LeaderRecordFromJson),
+                      aValue ? aRevision : 0);
+  } else if (relativeKey.rfind(kMembersPrefix, 0) == 0) {
+    std::string name = relativeKey.substr(std::string_view(kMembersPrefix).size());
+    std::optional<MemberRecord> member =
+      this->Decode(aKey, aValue, aRevision, &MemberRecordFromJson);
+    if (!member) {
+      this->members.erase(name);
       return;
     }
-    std::optional<LeaderRecord> found = record ? LeaderRecordFromJson(*record) : std::nullopt;
-    this->leaderRevision = aRevision;
-    if (found) {
-      found->revision = aRevision;
-    }
-    bool isOwn = found && found->incarnation == this->incarnation;
-    if (isOwn && found->term > this->lastHeldTerm) {
-      // Elected by a transaction that was applied late.
-      this->BecomeLeader(*found, TimePoint());
-    } else if (isOwn && found->term == this->lastLostTerm) {
-      // The record of this instance's ended term is still stored; a new election replaces it.
-      this->Campaign();
-    } else {
-      this->SetLeader(std::move(found));
-    }
-    return;
+    member->name = name;
+    auto known = this->members.find(name);
+    member->since = known == this->members.end() ? this->loop.Now() : known->second.since;
+    this->members[name] = std::move(*member);
   }
-  if (relativeKey.rfind(kMembersPrefix, 0) != 0) {
-    return;
+}
+
+void Membership::ApplyLeader(std::optional<LeaderRecord> aRecord, std::uint64_t aRevision)
+{
+  this->leaderRevision = aRevision;
+  if (aRecord) {
+    aRecord->revision = aRevision;
   }
-  std::string name = relativeKey.substr(std::string_view(kMembersPrefix).size());
-  MemberRecord member;
-  if (record && record->is_object() &&
-      ParseEndpoint(record->value("endpoint", ""), member.endpoint)) {
-    member.name = name;
-    member.domain = record->value("domain", "");
-    member.campaignDelay = Duration(record->value("stand_delay_us", Duration::rep(0)));
-    auto known = this->members.find(name);
-    member.since = known == this->members.end() ? this->loop.Now() : known->second.since;
-    this->members[name] = std::move(member);
+  bool isOwn = aRecord && aRecord->incarnation == this->incarnation;
+  if (isOwn && aRecord->term > this->lastHeldTerm) {
+    // Elected by a transaction that was applied late.
+    this->BecomeLeader(*aRecord, TimePoint());
+  } else if (isOwn && aRecord->term == this->lastLostTerm) {
+    // The record of this instance's ended term is still stored; a new election replaces it.
+    this->Campaign();
   } else {
-    this->members.erase(name);
+    this->SetLeader(std::move(aRecord));
   }
 }
 
+Epoch Membership::NewestTerm() const
+{
+  Epoch leaderTerm = this->lastLeader ? this->lastLeader->term : 0;
+  return std::max({ this->term, this->leases.term, leaderTerm, this->lastHeldTerm });
+}
+
 void Membership::SetLeader(std::optional<LeaderRecord> aLeader)
 {
   // An announcement may be newer than this instance's view of the store.
@@ -399,7 +506,8 @@
   LeaderRecord record{ this->settings.name,
                        this->settings.peerEndpoint,
                        this->incarnation,
-                       this->term + 1,
+                       // Term 1 would claim that there was no earlier leader.
+                       std::max<Epoch>(this->NewestTerm() + 1, this->isTermUnreadable ? 2 : 1),
                        this->KnownLeaders() };
   Duration longest =
     std::max(OwnLease(this->settings), LongestLease(record.earlier, this->settings));
@@ -411,7 +519,7 @@
   transaction.puts = {
     { this->prefix + kLeaderKey, ToJson(record).dump(), this->lease },
     { this->prefix + kTermKey, json(record.term).dump(), 0 },
-    LeasesItem(this->settings, record.term, longest, record.term == 1, record.earlier.voters)
+    LeasesItem(this->settings, record.term, longest, this->IsFirstTerm(), record.earlier.voters)
   };
   this->store.Commit(
     transaction, [this, record, sentAt = this->loop.Now()](const Result<std::uint64_t>& aRevision) {
@@ -456,6 +564,7 @@
   this->lastHeldTerm = aElected.term;
   this->leaderRevision = aElected.revision;
   this->term = aElected.term;
+  this->isTermUnreadable = false;
   this->termRevision = aElected.revision;
   this->leasesRevision = aElected.revision;
   this->leadershipConfirmedAt = aConfirmedAt;
@@ -466,19 +575,23 @@
 EarlierLeaders Membership::KnownLeaders() const
 {
   EarlierLeaders known;
-  if (this->term == 0) {
+  if (this->IsFirstTerm()) {
     known.longestLease = OwnLease(this->settings);
     known.haveAllButLastEnded = true;
     known.voters.emplace();
     return known;
   }
+  if (this->isTermUnreadable) {
+    return known; // There may have been a later leader than the last known one.
+  }
+  Epoch newest = this->NewestTerm();
   // A leader of a version without this record changes only the term.
-  if (this->leasesTerm == this->term) {
-    known.longestLease = this->longestLease;
-    known.haveAllButLastEnded = this->haveEarlierEnded;
-    known.voters = this->voters;
+  if (this->leases.term == newest) {
+    known.longestLease = this->leases.longestLease;
+    known.haveAllButLastEnded = this->leases.haveEarlierEnded;
+    known.voters = this->leases.voters;
   }
-  if (this->lastLeader && this->lastLeader->term == this->term) {
+  if (this->lastLeader && this->lastLeader->term == newest) {
     known.name = this->lastLeader->name;
     known.endpoint = this->lastLeader->endpoint;
     known.incarnation = this->lastLeader->incarnation;
@@ -532,7 +645,16 @@
     [this, suspected, aAttemptsLeft](const Result<json>& aResponse) {
       bool hasLeaderChanged = !this->leader || this->leader->incarnation != suspected;
       bool isRefused = !aResponse && aResponse.Error() == make_error_code(Errc::Unreachable);
-      bool isRestarted = aResponse && aResponse->value("incarnation", "") != suspected;
+      bool isRestarted = false;
+      if (aResponse) {
+        JsonFields fields(*aResponse);
+        // An unreadable answer does not show that the process has ended.
+        std::string answered = fields.Text("incarnation");
+        isRestarted = fields.IsValid() && answered != suspected;
+        if (!fields.IsValid()) {
+          this->unreadable.AddAnswer("ping", fields.Error());
+        }
+      }
       if (hasLeaderChanged || (!isRefused && !isRestarted)) {
         this->isProbing = false;
         return;
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -2,6 +2,7 @@
 // Group membership and leader election.
 
 #include "RangeFollower.h"
+#include "UnreadableEntries.h"
 #include "daisydrift/coordination/Instance.h"
 
 #include <map>
@@ -50,6 +51,18 @@
   TimePoint since;
 };
 
+/// Stored for the leaders up to a term; it outlives their own records.
+struct StoredLeases
+{
+  Epoch term = 0;
+  /// Longest lease on workers that they have asked for; 0 when that is not known.
+  Duration longestLease{ 0 };
+  /// All but the last have ended.
+  bool haveEarlierEnded = false;
+  /// As EarlierLeaders::voters.
+  std::optional<std::set<WorkerId>> voters;
+};
+
 /// Keeps the lease and the member record of this instance, and campaigns when there is no leader. A
 /// leader is replaced at once if its process has provably ended, otherwise when its lease expires.
 class Membership
@@ -102,6 +115,8 @@
   bool AcceptHandover(const std::string& aIncarnation, Duration aMinAvailableTime);
   /// Call when a call to the leader has failed: probes whether its process still runs.
   void SuspectLeader();
+  /// Reports of entries and messages that can't be decoded.
+  UnreadableEntries& Unreadable() const { return this->unreadable; }
   /// Adopts a leader record from another instance unless it is older.
   void UpdateLeader(const LeaderRecord& aLeader);
 
@@ -113,6 +128,20 @@
   void ApplyChange(const std::string& aKey,
                    const std::optional<std::string>& aValue,
                    std::uint64_t aRevision);
+  /// Decodes an entry; nothing, after a report, when it can't be decoded.
+  template<typename Record>
+  std::optional<Record> Decode(const std::string& aKey,
+                               const std::optional<std::string>& aValue,
+                               std::uint64_t aRevision,
+                               std::optional<Record> (*aDecoder)(const nlohmann::json&,
+                                                                 std::string*));
+  /// Applies a change of the leader key; an unreadable record counts as no leader, and a new
+  /// election replaces it.
+  void ApplyLeader(std::optional<LeaderRecord> aRecord, std::uint64_t aRevision);
+  /// Highest term that this instance knows of.
+  Epoch NewestTerm() const;
+  /// True when there has been no leader yet.
+  bool IsFirstTerm() const { return this->NewestTerm() == 0 && !this->isTermUnreadable; }
   void SetLeader(std::optional<LeaderRecord> aLeader);
   /// Campaigns after a delay that differs between instances.
   void CampaignAfterDelay();
@@ -153,13 +182,12 @@
   /// Revision of the leader key; 0 when it does not exist.
   std::uint64_t leaderRevision = 0;
   Epoch term = 0;
+  /// Revision of the term key; 0 when it does not exist.
   std::uint64_t termRevision = 0;
-  /// Stored for the leaders up to leasesTerm: their longest lease, whether all but the last have
-  /// ended, and their voters.
-  Duration longestLease{ 0 };
-  bool haveEarlierEnded = false;
-  std::optional<std::set<WorkerId>> voters;
-  Epoch leasesTerm = 0;
+  /// The term key holds no term, so there may have been later leaders than those known.
+  bool isTermUnreadable = false;
+  /// Without a readable record it has the term 0.
+  StoredLeases leases;
   /// Revision of that record; 0 when it does not exist.
   std::uint64_t leasesRevision = 0;
   /// The last leader that was known.
@@ -169,6 +197,7 @@
   Epoch lastHeldTerm = 0;
   Epoch lastLostTerm = 0;
   std::map<std::string, MemberRecord> members;
+  mutable UnreadableEntries unreadable;
   RangeFollower range;
 };
 
@@ -189,6 +218,21 @@
 
 /// JSON of a leader record, for the leader key and for announcements.
 nlohmann::json ToJson(const LeaderRecord& aLeader);
-std::optional<LeaderRecord> LeaderRecordFromJson(const nlohmann::json& aRecord);
+/// The decoders return nothing for a malformed record, and then the reason in aError if that is not
+/// null.
+std::optional<LeaderRecord> LeaderRecordFromJson(const nlohmann::json& aRecord,
+                                                 std::string* aError = nullptr);
+std::optional<StoredLeases> StoredLeasesFromJson(const nlohmann::json& aRecord,
+                                                 std::string* aError = nullptr);
+/// The name and the time are not part of the record.
+std::optional<MemberRecord> MemberRecordFromJson(const nlohmann::json& aRecord,
+                                                 std::string* aError = nullptr);
+std::optional<Epoch> TermFromJson(const nlohmann::json& aRecord, std::string* aError = nullptr);
+
+/// Reads the field `leader` of an instance's answer to a call of aMethod; nothing when it knows no
+/// leader, and, after a report, when the answer is malformed.
+std::optional<LeaderRecord> LeaderOfAnswer(const char* aMethod,
+                                           const nlohmann::json& aAnswer,
+                                           UnreadableEntries& aUnreadable);
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -1,10 +1,30 @@
 #include "RecordCodec.h"
 
+#include "daisydrift/coordination/JsonFields.h"
+
+#include <limits>
+
 namespace daisydrift::coordination {
 
 using nlohmann::json;
 
 namespace {
+/// Greatest numbers of a record. Sums and products of them don't overflow.
+constexpr std::int64_t kMaxAmount = 1'000'000'000;
+constexpr std::uint32_t kMaxTasks = 65'536;
+constexpr std::size_t kMaxSteps = 1024;
+constexpr std::uint32_t kMaxNumber = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint32_t kMaxOccurrences = 100'000;
+constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
+/// Above the run numbers of the last term.
+constexpr RunNumber kMaxRun = (kMaxTerm + 1) * 1'000'000;
+constexpr double kMaxReal = std::numeric_limits<double>::max();
+constexpr double kMaxStretch = 1000;
+constexpr double kMaxWeight = 1e9;
+constexpr std::chrono::hours kMaxInterval{ 24 * 366 };
+constexpr std::chrono::minutes kMaxAdviceTimePerWorker{ 1 };
+/// Some 250 years after 1970.
+constexpr std::chrono::milliseconds kMaxWallTime{ 8'000'000'000'000 };
 
 /// Adds a field unless it has the default value, which keeps the records short.
 template<typename Value>
@@ -20,9 +40,65 @@
   return json::array({ aAmount.milliCores, aAmount.memoryMiB, aAmount.accelerators });
 }
 
-Resources ResourcesFromJson(const json& aRecord)
+/// Resources of the named list; none when it is absent.
+Resources ResourcesFrom(JsonFields& aFields, JsonFields::Name aName)
+{
+  const json* list = aFields.List(aName);
+  if (list == nullptr) {
+    return {};
+  }
+  JsonFields amounts(*list, 3);
+  Resources resources{ amounts.ClampedInteger<std::int64_t>(0, 0, kMaxAmount),
+                       amounts.ClampedInteger<std::int64_t>(1, 0, kMaxAmount),
+                       amounts.ClampedInteger<std::int64_t>(2, 0, kMaxAmount) };
+  aFields.Adopt(aName, amounts);
+  return resources;
+}
+
+/// Passes each item of the named list, if there is one, to aRead until the fields are invalid.
+template<typename Reader>
+void ReadItems(JsonFields& aFields, JsonFields::Name aName, const Reader& aRead)
+{
+  const json* list = aFields.List(aName);
+  if (list == nullptr) {
+    return;
+  }
+  for (const json& item : *list) {
+    if (!aFields.IsValid()) {
+      return;
+    }
+    aRead(item);
+  }
+}
+
+/// Numbers of the named list, all below aEnd.
+std::vector<std::uint32_t> IndicesFrom(JsonFields& aFields,
+                                       JsonFields::Name aName,
+                                       std::uint32_t aEnd)
 {
-  return { aRecord.at(0), aRecord.at(1), aRecord.at(2) };
+  std::vector<std::uint32_t> indices;
+  ReadItems(aFields, aName, [&](const json& aItem) {
+    bool isIndex = aItem.is_number_unsigned() && std::cmp_less(aItem.get<std::uint64_t>(), aEnd);
+    if (isIndex) {
+      indices.push_back(aItem.get<std::uint32_t>());
+    } else {
+      aFields.Fail(aName, "not a list of numbers in range");
+    }
+  });
+  return indices;
+}
+
+std::vector<std::string> TextsFrom(JsonFields& aFields, JsonFields::Name aName)
+{
+  std::vector<std::string> texts;
+  ReadItems(aFields, aName, [&](const json& aItem) {
+    if (aItem.is_string()) {
+      texts.push_back(aItem.get<std::string>());
+    } else {
+      aFields.Fail(aName, "not a list of texts");
+    }
+  });
+  return texts;
 }
 
 json ToJson(const StepSpec& aStep)
@@ -48,25 +124,27 @@
   return record;
 }
 
-StepSpec StepSpecFromJson(const json& aRecord)
+/// Reads the step at that position of its job.
+StepSpec StepSpecFrom(JsonFields& aFields, std::uint32_t aPosition)
 {
+  aFields.Require({ "tasks", "size", "estimate_us" });
   StepSpec step;
-  step.taskCount = aRecord.at("tasks");
-  step.size = ResourcesFromJson(aRecord.at("size"));
-  step.estimate = Duration(aRecord.at("estimate_us").get<Duration::rep>());
-  step.dependencies = aRecord.value("after", std::vector<std::uint32_t>());
-  step.canCheckpoint = aRecord.value("checkpoint", false);
-  step.isGang = aRecord.value("gang", false);
-  step.isRackLocal = aRecord.value("rack_local", false);
-  step.allowsCopies = aRecord.value("copies", false);
-  step.isService = aRecord.value("service", false);
-  step.usesSpareCores = aRecord.value("spare_cores", false);
-  step.requiredLabel = aRecord.value("label", "");
-  step.dataRack = aRecord.value("data_rack", "");
-  step.image = aRecord.value("image", "");
-  step.maxPerWorker = aRecord.value("per_worker", 0U);
-  step.maxUnavailable = aRecord.value("unavailable", 0U);
-  step.tailLatencyTarget = Duration(aRecord.value("tail_us", Duration::rep(0)));
+  step.taskCount = aFields.Integer<std::uint32_t>("tasks", 0, kMaxTasks);
+  step.size = ResourcesFrom(aFields, "size");
+  step.estimate = aFields.ClampedMicroseconds("estimate_us");
+  step.dependencies = IndicesFrom(aFields, "after", aPosition);
+  step.canCheckpoint = aFields.Flag("checkpoint");
+  step.isGang = aFields.Flag("gang");
+  step.isRackLocal = aFields.Flag("rack_local");
+  step.allowsCopies = aFields.Flag("copies");
+  step.isService = aFields.Flag("service");
+  step.usesSpareCores = aFields.Flag("spare_cores");
+  step.requiredLabel = aFields.Text("label");
+  step.dataRack = aFields.Text("data_rack");
+  step.image = aFields.Text("image");
+  step.maxPerWorker = aFields.ClampedInteger<std::uint32_t>("per_worker", 0, kMaxNumber);
+  step.maxUnavailable = aFields.ClampedInteger<std::uint32_t>("unavailable", 0, kMaxNumber);
+  step.tailLatencyTarget = aFields.ClampedMicroseconds("tail_us");
   return step;
 }
 
@@ -90,27 +168,36 @@
   return record;
 }
 
-StepProgress StepProgressFromJson(const json& aRecord)
+StepProgress StepProgressFrom(JsonFields& aFields)
 {
+  aFields.Require({ "occurrence", "step" });
   StepProgress step;
-  step.occurrence = aRecord.at("occurrence");
-  step.step = aRecord.at("step");
-  step.succeeded = aRecord.value("succeeded", std::vector<std::uint32_t>());
-  auto readPairs = [&aRecord](const char* aName, auto& aMap) {
-    if (auto pairs = aRecord.find(aName); pairs != aRecord.end()) {
-      for (const json& pair : *pairs) {
-        pair.at(1).get_to(aMap[pair.at(0).get<std::uint32_t>()]);
-      }
-    }
+  step.occurrence = aFields.Integer<std::uint32_t>("occurrence", 0, kMaxNumber);
+  step.step = aFields.Integer<std::uint32_t>("step", 0, kMaxNumber);
+  step.succeeded = IndicesFrom(aFields, "succeeded", kMaxNumber);
+  auto readPairs = [&aFields](const char* aName, const auto& aRead) {
+    ReadItems(aFields, aName, [&](const json& aItem) {
+      JsonFields pair(aItem, 2);
+      aRead(pair.Integer<std::uint32_t>(0, 0, kMaxNumber), pair);
+      aFields.Adopt(aName, pair);
+    });
   };
-  readPairs("failures", step.failures);
-  readPairs("settled", step.lastCompletedRuns);
-  readPairs("checkpoints", step.checkpoints);
-  if (auto open = aRecord.find("open"); open != aRecord.end()) {
-    for (const json& run : *open) {
-      step.open.push_back({ run.at(0), run.at(1), run.at(2) });
-    }
-  }
+  readPairs("failures", [&step](std::uint32_t aIndex, JsonFields& aPair) {
+    step.failures[aIndex] = aPair.Integer<std::uint32_t>(1, 0, kMaxNumber);
+  });
+  readPairs("settled", [&step](std::uint32_t aIndex, JsonFields& aPair) {
+    step.lastCompletedRuns[aIndex] = aPair.Integer<RunNumber>(1, 0, kMaxRun);
+  });
+  readPairs("checkpoints", [&step](std::uint32_t aIndex, JsonFields& aPair) {
+    step.checkpoints[aIndex] = aPair.Text(1);
+  });
+  ReadItems(aFields, "open", [&](const json& aItem) {
+    JsonFields run(aItem, 3);
+    step.open.push_back({ run.Integer<std::uint32_t>(0, 0, kMaxNumber),
+                          run.Integer<RunNumber>(1, 0, kMaxRun),
+                          run.Text(2) });
+    aFields.Adopt("open", run);
+  });
   return step;
 }
 
@@ -127,20 +214,23 @@
   return record;
 }
 
-QueuePolicy QueuePolicyFromJson(const QueueName& aName, const json& aRecord)
+QueuePolicy QueuePolicyFrom(const QueueName& aName, JsonFields& aFields)
 {
+  aFields.Require({ "version", "service", "priority", "attempts", "stretch", "target_us" });
   QueuePolicy rules;
   rules.name = aName;
-  rules.version = aRecord.at("version");
-  rules.service = aRecord.at("service");
-  rules.priority = aRecord.at("priority");
-  rules.maxAttempts = aRecord.at("attempts");
-  rules.stretchFactor = aRecord.at("stretch");
-  rules.targetLatency = Duration(aRecord.at("target_us").get<Duration::rep>());
-  if (auto advice = aRecord.find("advice_us"); advice != aRecord.end()) {
-    rules.advice = AdvicePolicy{ Duration(advice->at(0).get<Duration::rep>()),
-                                 Duration(advice->at(1).get<Duration::rep>()),
-                                 Duration(advice->at(2).get<Duration::rep>()) };
+  rules.version = aFields.Integer<std::uint64_t>("version", 0, kMaxVersion);
+  rules.service = aFields.Text("service");
+  rules.priority = aFields.ClampedInteger<std::uint32_t>("priority", 0, kMaxNumber);
+  rules.maxAttempts = aFields.ClampedInteger<std::uint32_t>("attempts", 0, kMaxNumber);
+  rules.stretchFactor = std::clamp(aFields.Real("stretch", -kMaxReal, kMaxReal), 0.0, kMaxStretch);
+  rules.targetLatency = aFields.ClampedMicroseconds("target_us");
+  if (const json* advice = aFields.List("advice_us")) {
+    JsonFields times(*advice, 3);
+    rules.advice = AdvicePolicy{ times.ClampedMicroseconds(0),
+                                 times.ClampedMicroseconds(1, kMaxAdviceTimePerWorker),
+                                 times.ClampedMicroseconds(2) };
+    aFields.Adopt("advice_us", times);
   }
   return rules;
 }
@@ -152,23 +242,31 @@
            { "ceiling", ToJson(aRules.ceiling) } };
 }
 
-TeamRules TeamRulesFromJson(const TeamName& aName, const json& aRecord)
+TeamRules TeamRulesFrom(const TeamName& aName, JsonFields& aFields)
 {
-  return {
-    aName, aRecord.at("weight"), ResourcesFromJson(aRecord.at("ceiling")), aRecord.at("version")
-  };
+  aFields.Require({ "version", "weight", "ceiling" });
+  double weight = std::clamp(aFields.Real("weight", -kMaxReal, kMaxReal), 0.0, kMaxWeight);
+  Resources ceiling = ResourcesFrom(aFields, "ceiling");
+  return { aName, weight, ceiling, aFields.Integer<std::uint64_t>("version", 0, kMaxVersion) };
 }
 
-/// Runs a decoder that throws on malformed records.
-template<typename Decoder>
-auto Decode(const char* aKind, Decoder aDecoder) -> std::optional<decltype(aDecoder())>
+WallTime WallTimeFrom(JsonFields& aFields, const char* aName)
 {
-  try {
-    return aDecoder();
-  } catch (const json::exception& error) {
-    LogLine(LogLevel::Error, "record_unreadable").Add("kind", aKind).Add("error", error.what());
-    return std::nullopt;
+  auto time = aFields.ClampedInteger<std::int64_t>(aName, 0, kMaxWallTime.count());
+  return WallTime(std::chrono::milliseconds(time));
+}
+
+/// Returns the record if its fields are valid, otherwise nothing and the fault in aError.
+template<typename Record>
+std::optional<Record> IfValid(const JsonFields& aFields, Record& aRecord, std::string* aError)
+{
+  if (aFields.IsValid()) {
+    return std::move(aRecord);
+  }
+  if (aError != nullptr) {
+    *aError = aFields.Error();
   }
+  return std::nullopt;
 }
 
 } // namespace
@@ -197,40 +295,52 @@
   return record;
 }
 
-std::optional<JobDefinition> JobDefinitionFromJson(const json& aRecord)
+std::optional<JobDefinition> JobDefinitionFromJson(const json& aRecord, std::string* aError)
 {
-  return Decode("job", [&aRecord] {
-    JobDefinition definition;
-    definition.id = aRecord.at("id");
-    definition.queue = aRecord.at("queue");
-    if (auto rules = aRecord.find("rules"); rules != aRecord.end()) {
-      definition.rules = QueuePolicyFromJson(definition.queue, *rules);
-    }
-    definition.team = aRecord.at("team");
-    if (auto rules = aRecord.find("team_rules"); rules != aRecord.end()) {
-      definition.teamRules = TeamRulesFromJson(definition.team, *rules);
-    }
-    definition.payload = aRecord.at("payload");
-    definition.acceptedAt =
-      WallTime(std::chrono::milliseconds(aRecord.at("accepted_ms").get<std::int64_t>()));
-    for (const json& step : aRecord.at("steps")) {
-      definition.steps.push_back(StepSpecFromJson(step));
-    }
-    definition.occurrences = aRecord.value("occurrences", 0U);
-    definition.firstDue =
-      WallTime(std::chrono::milliseconds(aRecord.value("first_due_ms", std::int64_t(0))));
-    definition.interval = Duration(aRecord.value("interval_us", Duration::rep(0)));
-    return definition;
+  // Numbers out of range are clamped where earlier versions accepted them from callers.
+  JsonFields fields(aRecord);
+  fields.Require({ "id", "queue", "team", "payload", "accepted_ms", "steps" });
+  JobDefinition definition;
+  definition.id = fields.Text("id");
+  definition.queue = fields.Text("queue");
+  if (const json* rules = fields.Find("rules")) {
+    JsonFields ruleFields(*rules);
+    definition.rules = QueuePolicyFrom(definition.queue, ruleFields);
+    fields.Adopt("rules", ruleFields);
+  }
+  definition.team = fields.Text("team");
+  if (const json* rules = fields.Find("team_rules")) {
+    JsonFields ruleFields(*rules);
+    definition.teamRules = TeamRulesFrom(definition.team, ruleFields);
+    fields.Adopt("team_rules", ruleFields);
+  }
+  definition.payload = fields.Text("payload");
+  definition.acceptedAt = WallTimeFrom(fields, "accepted_ms");
+  ReadItems(fields, "steps", [&](const json& aItem) {
+    JsonFields step(aItem);
+    definition.steps.push_back(
+      StepSpecFrom(step, static_cast<std::uint32_t>(definition.steps.size())));
+    fields.Adopt("steps", step);
   });
+  if (definition.steps.size() > kMaxSteps) {
+    fields.Fail("steps", "too many");
+  }
+  definition.occurrences = fields.ClampedInteger<std::uint32_t>("occurrences", 0, kMaxOccurrences);
+  definition.firstDue = WallTimeFrom(fields, "first_due_ms");
+  definition.interval = fields.ClampedMicroseconds("interval_us", kMaxInterval);
+  return IfValid(fields, definition, aError);
 }
 
-std::optional<JobDefinition> OpenDefinitionFromText(const std::string& aText)
+std::optional<JobDefinition> OpenDefinitionFromText(const std::string& aText, std::string* aError)
 {
   if (aText == kDefinitionTombstone) {
     return std::nullopt;
   }
   std::optional<json> parsed = ParseJson(aText);
-  return parsed ? JobDefinitionFromJson(*parsed) : std::nullopt;
+  if (!parsed && aError != nullptr) {
+    *aError = kJsonUnreadable;
+  }
+  return parsed ? JobDefinitionFromJson(*parsed, aError) : std::nullopt;
 }
 
 json ToJson(const JobProgress& aProgress)
@@ -250,27 +360,29 @@
   return record;
 }
 
-std::optional<JobProgress> JobProgressFromJson(const json& aRecord)
+std::optional<JobProgress> JobProgressFromJson(const json& aRecord, std::string* aError)
 {
-  int lastState = static_cast<int>(DispatchState::Cancelled);
-  if (!aRecord.is_object() || aRecord.value("state", -1) < 0 ||
-      aRecord.value("state", -1) > lastState) {
-    LogLine(LogLevel::Error, "record_unreadable").Add("kind", "progress");
-    return std::nullopt;
-  }
-  return Decode("progress", [&aRecord] {
-    JobProgress progress;
-    int state = aRecord.at("state");
-    progress.state = static_cast<DispatchState>(state);
-    progress.finishedAt =
-      WallTime(std::chrono::milliseconds(aRecord.value("finished_ms", std::int64_t(0))));
-    if (auto steps = aRecord.find("steps"); steps != aRecord.end()) {
-      for (const json& step : *steps) {
-        progress.steps.push_back(StepProgressFromJson(step));
-      }
-    }
-    return progress;
+  JsonFields fields(aRecord);
+  fields.Require({ "state" });
+  JobProgress progress;
+  progress.state = static_cast<DispatchState>(
+    fields.Integer("state", 0, static_cast<int>(DispatchState::Cancelled)));
+  progress.finishedAt = WallTimeFrom(fields, "finished_ms");
+  ReadItems(fields, "steps", [&](const json& aItem) {
+    JsonFields step(aItem);
+    progress.steps.push_back(StepProgressFrom(step));
+    fields.Adopt("steps", step);
   });
+  return IfValid(fields, progress, aError);
+}
+
+std::optional<JobProgress> JobProgressFromText(const std::string& aText, std::string* aError)
+{
+  std::optional<json> parsed = ParseJson(aText);
+  if (!parsed && aError != nullptr) {
+    *aError = kJsonUnreadable;
+  }
+  return parsed ? JobProgressFromJson(*parsed, aError) : std::nullopt;
 }
 
 json ToJson(const AdviceRequest& aRequest)
@@ -282,15 +394,17 @@
            { "expected_us", aRequest.expected.count() } };
 }
 
-std::optional<AdviceRequest> AdviceRequestFromJson(const json& aRecord)
+std::optional<AdviceRequest> AdviceRequestFromJson(const json& aRecord, std::string* aError)
 {
-  return Decode("question", [&aRecord] {
-    AdviceRequest request;
-    request.step = { aRecord.at("job"), aRecord.at("occurrence"), aRecord.at("step") };
-    request.workers = aRecord.at("workers").get<std::vector<WorkerId>>();
-    request.expected = Duration(aRecord.at("expected_us").get<Duration::rep>());
-    return request;
-  });
+  JsonFields fields(aRecord);
+  fields.Require({ "job", "occurrence", "step", "workers", "expected_us" });
+  AdviceRequest request;
+  request.step = { fields.Text("job"),
+                   fields.Integer<std::uint32_t>("occurrence", 0, kMaxNumber),
+                   fields.Integer<std::uint32_t>("step", 0, kMaxNumber) };
+  request.workers = TextsFrom(fields, "workers");
+  request.expected = fields.Microseconds("expected_us");
+  return IfValid(fields, request, aError);
 }
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/RecordCodec.h
+++ b/packages/coordination/src/RecordCodec.h
@@ -11,19 +11,30 @@
 namespace daisydrift::coordination {
 
 nlohmann::json ToJson(const JobDefinition& aDefinition);
-/// Parses a record; nothing when it is malformed. The same holds for the functions below.
-std::optional<JobDefinition> JobDefinitionFromJson(const nlohmann::json& aRecord);
+/// Parses a record; nothing when it is malformed, and then the reason in aError if that is not
+/// null. The same holds for the functions below.
+std::optional<JobDefinition> JobDefinitionFromJson(const nlohmann::json& aRecord,
+                                                   std::string* aError = nullptr);
+
+/// Highest term that is read: an election each millisecond for thirty years. A higher one would
+/// leave no greater terms and run numbers to later leaders.
+inline constexpr Epoch kMaxTerm = 1'000'000'000'000;
 
 /// Replaces the stored definition of a job in a final state.
 inline constexpr const char* kDefinitionTombstone = "closed";
 
-/// Parses a stored definition; nothing for a tombstone.
-std::optional<JobDefinition> OpenDefinitionFromText(const std::string& aText);
+/// Parses a stored definition; nothing, and no error, for a tombstone.
+std::optional<JobDefinition> OpenDefinitionFromText(const std::string& aText,
+                                                    std::string* aError = nullptr);
 
 nlohmann::json ToJson(const JobProgress& aProgress);
-std::optional<JobProgress> JobProgressFromJson(const nlohmann::json& aRecord);
+std::optional<JobProgress> JobProgressFromJson(const nlohmann::json& aRecord,
+                                               std::string* aError = nullptr);
+std::optional<JobProgress> JobProgressFromText(const std::string& aText,
+                                               std::string* aError = nullptr);
 
 nlohmann::json ToJson(const AdviceRequest& aRequest);
-std::optional<AdviceRequest> AdviceRequestFromJson(const nlohmann::json& aRecord);
+std::optional<AdviceRequest> AdviceRequestFromJson(const nlohmann::json& aRecord,
+                                                   std::string* aError = nullptr);
 
 } // namespace daisydrift::coordination
