A document that can't be used is not fetched again

Cause: an instance that could not read a document, or got none for the version that another named, asked for it again with each announcement. Measured: coordination.ConfigExchangeTest, 5 tests, passes.

--- a/packages/coordination/tests/ConfigExchangeTest.cpp
+++ b/packages/coordination/tests/ConfigExchangeTest.cpp
@@ -177,6 +177,26 @@
   }
 }
 
+// Guards against a document that is transferred again with each announcement although it can't be
+// used.
+TEST_F(ConfigExchangeTest, UnusableDocumentIsNotFetchedAgain)
+{
+  this->follower.Start();
+  this->loop.RunFor(seconds(1));
+  for (int announcement = 0; announcement < 3; ++announcement) {
+    this->exchange.Fetch(kPeer);
+    this->peers.calls.back().respond(json{ { "version", 6 }, { "age_us", 1000 } });
+    if (announcement == 0) {
+      ASSERT_EQ(this->peers.calls.size(), 2U);
+      this->peers.calls.back().respond(json{ { "version", 6 }, { "document", "0" } });
+    }
+  }
+  EXPECT_EQ(this->peers.calls.size(), 4U);
+  this->exchange.Fetch(kPeer);
+  this->peers.calls.back().respond(json{ { "version", 7 }, { "age_us", 1000 } });
+  EXPECT_EQ(this->peers.calls.size(), 6U) << "another version may be usable";
+}
+
 TEST_F(ConfigExchangeTest, DocumentIsSentOnlyWhenItIsWanted)
 {
   this->follower.Start();
