--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -277,7 +277,8 @@
                { "queue", aDefinition.queue },
                { "team", aDefinition.team },
                { "payload", aDefinition.payload },
-               { "accepted_ms", aDefinition.acceptedAt.time_since_epoch().count() } };
+               { "accepted_ms", aDefinition.acceptedAt.time_since_epoch().count() },
+               { "steps", json::array() } };
   for (const StepSpec& step : aDefinition.steps) {
     record["steps"].push_back(ToJson(step));
   }
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -115,12 +115,19 @@
     }
     bool isResponseLost = this->isResponseLost && this->isResponseLost(aMethod);
     auto serve = [this, instance = found->second, aMethod, aArguments, isResponseLost, finish] {
-      instance->OnPeerCall(
-        aMethod, aArguments, [this, isResponseLost, finish](const Result<json>& aResponse) {
-          if (!isResponseLost) {
-            this->loop.After(kNetworkDelay, [finish, aResponse] { finish(aResponse); });
-          }
-        });
+      instance->OnPeerCall(aMethod,
+                           aArguments,
+                           [this, aMethod, isResponseLost, finish](const Result<json>& aResponse) {
+                             if (isResponseLost) {
+                               return;
+                             }
+                             Result<json> response = aResponse;
+                             if (response && this->changeResponse) {
+                               this->changeResponse(aMethod, *response);
+                             }
+                             this->loop.After(kNetworkDelay,
+                                              [finish, response] { finish(response); });
+                           });
     };
     ProcessState& process = *this->processes.at(aPeer.port);
     if (process.onMessage) {
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -39,6 +39,8 @@
   std::function<bool(const std::string& aMethod)> isCallLost;
   /// True for a call that is carried out but whose response is lost; empty for none.
   std::function<bool(const std::string& aMethod)> isResponseLost;
+  /// Changes the response of a call; empty for none.
+  std::function<void(const std::string& aMethod, nlohmann::json& aResponse)> changeResponse;
   /// True for a call that the called instance does not know; empty for none.
   std::function<bool(const std::string& aMethod)> isCallUnknown;
 };
