--- a/packages/coordination/src/ConfigExchange.h
+++ b/packages/coordination/src/ConfigExchange.h
@@ -25,9 +25,9 @@
 
   void Start();
   /// Asks an instance for the version of its configuration, the age of it and the leader, and then
-  /// for the document if it is newer. Does nothing while an earlier call is open or while the store
-  /// sends the configuration: a second copy would only delay the first. A failed call is logged,
-  /// not repeated.
+  /// for the document if it is newer and the store does not send the configuration: a second copy
+  /// would only delay the first. Does nothing while an earlier call is open. A failed call is
+  /// logged, not repeated.
   void Fetch(const SocketEndpoint& aPeer);
   /// True when the configuration should be confirmed by another instance.
   bool IsDue() const { return this->config.Age() > this->settings.maxConfigAge / 2; }
@@ -38,7 +38,8 @@
   void FetchWhenDue();
   void FetchDocument(const SocketEndpoint& aPeer);
   void LogFailure(const SocketEndpoint& aPeer, std::error_code aError) const;
-  void OnAnswer(const nlohmann::json& aAnswer, TimePoint aSentAt);
+  /// Returns the version that the other instance has; 0 for an answer that can't be read.
+  std::uint64_t OnAnswer(const nlohmann::json& aAnswer, TimePoint aSentAt);
   /// The instance to ask next: the leader and one of the other members by turns.
   std::optional<SocketEndpoint> NextPeer();
 
@@ -50,6 +51,8 @@
   Metrics& metrics;
   std::function<void(const LeaderRecord&)> onLeader;
   bool isFetching = false;
+  /// A version whose document did not come or could not be read; it is not fetched again.
+  std::uint64_t unusableVersion = 0;
   bool wasLeaderAskedLast = false;
   /// The member that was asked last.
   std::string lastMember;
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -110,14 +110,27 @@
   void PollJobChanges();
   /// Adds jobs that were stored during a gap in the changes.
   void ReloadDefinitions();
-  void AddStoredJob(const std::string& aRecord, const char* aSource);
+  /// Parses a stored definition; nothing for a tombstone and, after a report, for one that can't be
+  /// decoded.
+  std::optional<JobDefinition> ReadDefinition(const std::string& aKey,
+                                              const std::string& aRecord,
+                                              std::uint64_t aRevision) const;
+  void AddStoredJob(const std::string& aKey,
+                    const std::string& aRecord,
+                    std::uint64_t aRevision,
+                    const char* aSource);
   /// Logs a failed poll of a list, with the age of what is known of it.
   void OnListPollFailed(const char* aList,
                         std::error_code aError,
                         TimePoint aSentAt,
                         TimePoint aKnownAt);
   void PollWorkerChanges();
-  void ApplyWorker(const std::string& aKey, const std::optional<std::string>& aValue);
+  /// aRevision is that of the value, for the log.
+  void ApplyWorker(const std::string& aKey,
+                   const std::optional<std::string>& aValue,
+                   std::uint64_t aRevision);
+  /// Counts and logs an entry that names no worker to use, each version of it once.
+  void ReportOddWorker(const std::string& aKey, const std::string& aValue, std::uint64_t aRevision);
   /// Schedules a round soon, so that events which arrive together share one round.
   void ScheduleRound();
   void RunRound();
@@ -164,6 +177,8 @@
   /// Used only during recovery.
   std::map<JobId, JobProgress> progress;
   std::set<WorkerId> listedWorkers;
+  /// Revisions of the entries in the list that name no worker to use, by key.
+  std::map<std::string, std::uint64_t> oddWorkers;
   std::uint64_t jobsRevision = 0;
   std::uint64_t workersRevision = 0;
   /// Times at which the reads of jobsRevision and workersRevision were sent.
