A long batch of records is sent in turn, and has the time that its size needs

Callers would see: jobs that never get on, and no final state, under a leader behind a slow link. Cause: all parts of a batch were sent at once, each again up to three times after 0.15 s, and each was given up after 0.9 s. Evidence: coordination.SlowUplinkTest, a batch of 2.1 MB at 10 Mbit/s: not stored after 30 s. Ruled out: no repetitions of long parts; a lost response would then cost the whole time limit. Measured: coordination.SlowUplinkTest, RecordWriterTest, ClusterTest and LargeClusterTest pass.

--- a/packages/coordination/src/RecordWriter.cpp
+++ b/packages/coordination/src/RecordWriter.cpp
@@ -16,6 +16,18 @@
 constexpr std::size_t kRecordsPerTransaction = kMaxTransactionEntries - 3;
 /// Most bytes of values per transaction, well below the size limit of a single value.
 constexpr std::size_t kBytesPerTransaction = 256 * 1024;
+/// Most bytes of values in flight, unless one transaction has more: on a slow link, transactions
+/// that are sent side by side all reach their time limits.
+constexpr std::size_t kMaxBytesInFlight = kBytesPerTransaction;
+/// Rate by which the delay of a repetition grows with the size; the slowest links are faster.
+constexpr double kHedgeBytesPerSecond = 512 * 1024;
+
+/// Time for the transfer of a transaction before it is sent again.
+Duration HedgeDelay(std::size_t aBytes)
+{
+  std::chrono::duration<double> transfer(static_cast<double>(aBytes) / kHedgeBytesPerSecond);
+  return kHedgeDelay + std::chrono::duration_cast<Duration>(transfer);
+}
 } // namespace
 
 std::string DefinitionPrefix(const std::string& aPrefix)
@@ -131,6 +143,7 @@
     }
     ++entries;
     bytes += value.size();
+    parts.back().bytes += value.size();
     if (value.empty()) {
       parts.back().transaction.removals.push_back(key);
     } else {
@@ -138,8 +151,20 @@
     }
   }
   this->inFlight[number] = { this->lastBatchStart, parts.size() };
-  for (const BatchPart& part : parts) {
-    this->Send(part);
+  this->waiting.insert(this->waiting.end(), parts.begin(), parts.end());
+  this->SendWaiting();
+}
+
+void RecordWriter::SendWaiting()
+{
+  while (!this->waiting.empty()) {
+    const BatchPart& next = this->waiting.front();
+    if (this->bytesInFlight > 0 && this->bytesInFlight + next.bytes > kMaxBytesInFlight) {
+      return;
+    }
+    this->bytesInFlight += next.bytes;
+    this->Send(next);
+    this->waiting.pop_front();
   }
 }
 
@@ -157,7 +182,7 @@
                        this->OnResponse(aPart, aRevision);
                      });
   // A repeated attempt fails on the guard key if an earlier one was applied.
-  this->loop.After(kHedgeDelay, [this, alive = this->isAlive, aPart] {
+  this->loop.After(HedgeDelay(aPart.bytes), [this, alive = this->isAlive, aPart] {
     if (*alive && !*aPart.isStored && *aPart.hedgesLeft > 0) {
       --*aPart.hedgesLeft;
       this->Send(aPart);
@@ -208,6 +233,8 @@
   *aPart.isStored = true;
   this->guardRevisions[aPart.position] = aRevision;
   this->freeGuardPositions.insert(aPart.position);
+  this->bytesInFlight -= aPart.bytes;
+  this->SendWaiting();
   auto batch = this->inFlight.find(aPart.batch);
   if (--batch->second.partsLeft > 0) {
     return;
--- a/packages/coordination/src/RecordWriter.h
+++ b/packages/coordination/src/RecordWriter.h
@@ -3,6 +3,7 @@
 
 #include "daisydrift/coordination/Instance.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -56,6 +57,8 @@
     std::uint64_t batch = 0;
     std::size_t position = 0;
     KeyValueTransaction transaction;
+    /// Size of the values.
+    std::size_t bytes = 0;
     std::shared_ptr<bool> isStored = std::make_shared<bool>(false);
     /// Remaining attempts that may be sent in parallel to an unanswered one.
     std::shared_ptr<int> hedgesLeft = std::make_shared<int>(3);
@@ -71,6 +74,8 @@
   void StartBatch();
   /// Reserves a guard position that no transaction in flight uses.
   std::size_t ReserveGuardPosition();
+  /// Sends the parts that wait, as far as the limit of bytes in flight allows.
+  void SendWaiting();
   void Send(const BatchPart& aPart);
   void SendAfterDelay(const BatchPart& aPart);
   void OnResponse(const BatchPart& aPart, const Result<std::uint64_t>& aRevision);
@@ -89,6 +94,9 @@
   std::set<std::size_t> freeGuardPositions;
   std::uint64_t batchCount = 0;
   std::map<std::uint64_t, Batch> inFlight;
+  /// Parts that have not been sent yet, and the size of those that have and are not stored.
+  std::deque<BatchPart> waiting;
+  std::size_t bytesInFlight = 0;
   TimePoint lastBatchStart;
   bool isBatchRequested = false;
   bool isTimerSet = false;
