A round compares each waiting step with a part of a large fleet, and costs less

Change: workers with room are considered first, each step from another one on, at most 400 comparisons and 150 candidates a step; tickets lie in one vector per step and are filtered by the room at the start of the round; the order of steps is compared by integers; a step whose team is at its ceiling has no candidates.

--- a/packages/dispatch/bench/RoundBench.cpp
+++ b/packages/dispatch/bench/RoundBench.cpp
@@ -19,6 +19,10 @@
   {
     AdvicePolicy advice{ milliseconds(370), std::chrono::microseconds(5300), milliseconds(2500) };
     this->policy.queues["batch"] = { "batch", "desk", 2, 3, 2.2, milliseconds(1200), advice };
+    AdvicePolicy quickAdvice{ milliseconds(28),
+                              std::chrono::microseconds(400),
+                              milliseconds(2500) };
+    this->policy.queues["quick"] = { "quick", "desk", 0, 4, 1.5, milliseconds(300), quickAdvice };
     this->policy.teams["team"] = { "team", 100000, {} };
     this->dispatcher.SetPolicy(this->policy);
     for (int number = 0; number < aWorkers; ++number) {
@@ -46,12 +50,12 @@
     }
   }
 
-  void AddJobs(int aCount, std::uint32_t aTasks)
+  void AddJobs(int aCount, std::uint32_t aTasks, const char* aQueue = "batch")
   {
     for (int number = 0; number < aCount; ++number) {
       JobDefinition job;
       job.id = "job" + std::to_string(this->nextJob++);
-      job.queue = "batch";
+      job.queue = aQueue;
       job.team = "team";
       StepSpec step;
       step.taskCount = aTasks;
@@ -91,13 +95,13 @@
   int nextJob = 0;
 };
 
-void Measure(int aWorkers, int aWaitingJobs)
+void Measure(int aWorkers, int aWaitingJobs, const char* aQueue)
 {
   Fleet fleet(aWorkers);
   fleet.AddJobs(aWorkers, 20);
   while (fleet.Round() > 0) {
   }
-  fleet.AddJobs(aWaitingJobs, 20);
+  fleet.AddJobs(aWaitingJobs, 20, aQueue);
   Duration total{ 0 };
   for (int round = 0; round < kRounds; ++round) {
     fleet.now += milliseconds(10);
@@ -106,7 +110,9 @@
     total += std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - begin);
   }
   DispatchCounts counts = fleet.dispatcher.Counts(fleet.now);
-  std::printf("bench=dispatch_round workers=%d waiting_steps=%d running=%zu mean_us=%.1f\n",
+  std::printf("bench=dispatch_round queue=%s workers=%d waiting_steps=%d running=%zu "
+              "mean_us=%.1f\n",
+              aQueue,
               aWorkers,
               aWaitingJobs,
               counts.runningTasks,
@@ -119,8 +125,9 @@
 int main()
 {
   for (int workers : { 48, 350, 1000 }) {
-    daisydrift::Measure(workers, 50);
-    daisydrift::Measure(workers, 200);
+    daisydrift::Measure(workers, 50, "batch");
+    daisydrift::Measure(workers, 200, "batch");
+    daisydrift::Measure(workers, 700, "quick");
   }
   return 0;
 }
--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -17,8 +17,10 @@
 constexpr std::size_t kHighestMinWorkers = 50;
 /// Most comparisons of a step with a worker in one round, over all steps.
 constexpr std::size_t kWorkerChecksPerRound = 4000;
-/// Least number of steps that are considered in one round, however many workers there are.
-constexpr std::size_t kMinScansPerRound = 8;
+/// Most workers that are compared with one step, and most of those among which a request chooses.
+/// On a large fleet that are few, so that a round considers many steps.
+constexpr std::size_t kWorkerChecksPerStep = 400;
+constexpr std::size_t kMaxCandidates = 150;
 /// One in so many request slots, and so many steps considered in one round, are kept for services
 /// while one waits long: their turn comes after all steps of a higher priority.
 constexpr std::size_t kSlotsPerSlotForServices = 6;
@@ -45,9 +47,7 @@
   this->hasLongWaitingService = aHasLongWaitingService;
   this->stepsPassedOver = 0;
   this->serviceScansLeft = kServiceScansPerRound;
-  this->scansLeft =
-    std::max(kMinScansPerRound,
-             kWorkerChecksPerRound / std::max<std::size_t>(this->state.workers.size(), 1));
+  this->workerChecksLeft = kWorkerChecksPerRound;
 }
 
 std::size_t AdvicePlanner::RequestSlotsFor(Duration aBaseTime, std::size_t aRequestSlots) const
@@ -112,28 +112,39 @@
     static_cast<std::size_t>(workers), kLowestMinWorkers, kHighestMinWorkers);
 }
 
-std::vector<AdvicePlanner::Candidate> AdvicePlanner::ListCandidates(Step& aStep,
+std::vector<AdvicePlanner::Candidate> AdvicePlanner::ListCandidates(const Step& aStep,
                                                                     TimePoint aNow,
                                                                     Coverage& aCoverage) const
 {
   const StepAdvice& advice = aStep.advice;
   auto waiting = static_cast<std::uint32_t>(aStep.Waiting());
   std::vector<Candidate> candidates;
-  for (Worker* worker : this->placement.Accepting(aStep)) {
-    if (advice.IsDenied(worker->number) || !Placement::Matches(aStep, *worker)) {
+  auto addCandidate = [&](Worker& aWorker, std::uint32_t aSlots, bool aWasGranted) {
+    aCoverage.hasUncoveredCapacity = aCoverage.hasUncoveredCapacity || aSlots > 0;
+    candidates.push_back({ &aWorker, aSlots, aWasGranted, this->placement.Score(aStep, aWorker) });
+  };
+  for (const Ticket& ticket : advice.granted) {
+    ++aCoverage.checks;
+    Worker* worker = this->placement.FindAccepting(aStep, ticket.worker);
+    if (worker == nullptr) {
       continue;
     }
     std::uint32_t slots = this->placement.CountSlots(aStep, *worker, waiting);
-    const Ticket* ticket = advice.Find(worker->number);
-    bool wasGranted = ticket != nullptr;
-    if (wasGranted && ticket->validUntil - this->state.settings.ticketMargin > aNow) {
+    if (ticket.validUntil - this->state.settings.ticketMargin > aNow) {
       aCoverage.slots += slots;
       ++aCoverage.tickets;
-      continue;
+    } else {
+      addCandidate(*worker, slots, true);
     }
-    aCoverage.hasUncoveredCapacity = aCoverage.hasUncoveredCapacity || slots > 0;
-    candidates.push_back({ worker, slots, wasGranted, this->placement.Score(aStep, *worker) });
   }
+  this->placement.VisitAccepting(aStep, [&](Worker& aWorker) {
+    ++aCoverage.checks;
+    bool isKnown = advice.IsDenied(aWorker.number) || advice.Find(aWorker.number) != nullptr;
+    if (!isKnown && Placement::Matches(aStep, aWorker)) {
+      addCandidate(aWorker, this->placement.CountSlots(aStep, aWorker, waiting), false);
+    }
+    return candidates.size() < kMaxCandidates && aCoverage.checks < kWorkerChecksPerStep;
+  });
   return candidates;
 }
 
@@ -157,15 +168,21 @@
   if (team != nullptr && !FleetState::FitsCeiling(*team, aStep.spec->size)) {
     return; // The tickets would expire before the team may start more tasks.
   }
-  std::size_t& scans =
-    isLongWaitingService && this->scansLeft == 0 ? this->serviceScansLeft : this->scansLeft;
-  if (scans == 0) {
-    ++this->stepsPassedOver;
+  if (this->workerChecksLeft == 0) {
+    if (!isLongWaitingService || this->serviceScansLeft == 0) {
+      ++this->stepsPassedOver;
+      return;
+    }
+    --this->serviceScansLeft;
+  }
+  if (!this->placement.MayFit(aStep) && aPosition >= aRequestSlots) {
+    advice.notBefore = aNow + kRequestRetryDelay;
     return;
   }
-  --scans;
   Coverage coverage;
   std::vector<Candidate> candidates = this->ListCandidates(aStep, aNow, coverage);
+  this->workerChecksLeft -= std::min(coverage.checks, this->workerChecksLeft);
+  advice.workersCompared += coverage.checks;
   auto waiting = static_cast<double>(aStep.Waiting());
   if (coverage.slots >= waiting) {
     advice.notBefore = aNow + kRequestRetryDelay;
@@ -228,8 +245,7 @@
   std::set<WorkerId> granted;
   for (const AdviceGrant& grant : aGrants) {
     if (const Worker* worker = this->state.FindWorker(grant.worker)) {
-      step->advice.granted[worker->number] = { grant.ticket, aValidUntil };
-      step->advice.validUntil = std::max(step->advice.validUntil, aValidUntil);
+      step->advice.Add({ worker->number, grant.ticket, aValidUntil });
       granted.insert(grant.worker);
     }
   }
--- a/packages/dispatch/src/AdvicePlanner.h
+++ b/packages/dispatch/src/AdvicePlanner.h
@@ -16,8 +16,8 @@
 public:
   AdvicePlanner(FleetState& aState, Placement& aPlacement);
 
-  /// Resets the number of steps that are considered in a round; it is limited, since each step is
-  /// compared with all workers. aHasLongWaitingService: a step of the round is a service for which
+  /// Resets the number of comparisons of steps with workers in a round, which is limited.
+  /// aHasLongWaitingService: a step of the round is a service for which
   /// IsLongWaitingService holds.
   void BeginRound(bool aHasLongWaitingService);
   /// True for a service whose tasks wait so long that it gets advice ahead of its turn.
@@ -59,9 +59,13 @@
     std::size_t tickets = 0;
     /// A worker without a valid ticket has free capacity.
     bool hasUncoveredCapacity = false;
+    /// Workers that the step was compared with.
+    std::size_t checks = 0;
   };
 
-  std::vector<Candidate> ListCandidates(Step& aStep, TimePoint aNow, Coverage& aCoverage) const;
+  std::vector<Candidate> ListCandidates(const Step& aStep,
+                                        TimePoint aNow,
+                                        Coverage& aCoverage) const;
   /// Least number of workers that a request names.
   static std::size_t MinWorkersPerRequest(const AdvicePolicy& aPolicy);
   /// Request slots that a request to a service with this base time may use.
@@ -76,8 +80,9 @@
   /// Those of the open requests that were made for a service that had waited long.
   std::set<StepName> openServiceRequests;
   bool hasLongWaitingService = false;
-  /// Steps that may still be considered in this round; the second ones are services that wait long.
-  std::size_t scansLeft = 0;
+  /// Comparisons of steps with workers that are left in this round.
+  std::size_t workerChecksLeft = 0;
+  /// Services that wait long and may be considered after that.
   std::size_t serviceScansLeft = 0;
   std::size_t stepsPassedOver = 0;
   /// Moving average of the fraction of requested workers that were granted, by queue.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -347,7 +347,7 @@
       }
       return;
     case StartResult::TicketRejected:
-      step.advice.granted.erase(worker.number);
+      step.advice.Remove(worker.number);
       break;
     case StartResult::InsufficientResources:
     case StartResult::TooLate:
@@ -487,7 +487,7 @@
   if (aNow >= this->impl->nextSweep) {
     this->impl->Sweep(aNow, round);
   }
-  std::vector<std::pair<dispatch::StepRank, Step*>> waiting;
+  std::vector<dispatch::WaitingStep> waiting;
   for (Job* job : state.openJobs) {
     if (job->IsFinished() || !FleetState::HasRules(*job->queue)) {
       continue;
@@ -501,22 +501,15 @@
       }
     }
   }
-  std::sort(waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
-    if (aLeft.first < aRight.first || aRight.first < aLeft.first) {
-      return aLeft.first < aRight.first;
-    }
-    return std::make_tuple(
-             aLeft.second->job->sequence, aLeft.second->occurrence, aLeft.second->number) <
-           std::make_tuple(
-             aRight.second->job->sequence, aRight.second->occurrence, aRight.second->number);
-  });
+  std::sort(waiting.begin(), waiting.end());
   this->impl->placement.BeginRound(aNow);
   this->impl->advicePlanner.BeginRound(
     std::any_of(waiting.begin(), waiting.end(), [aNow](const auto& aEntry) {
-      return dispatch::AdvicePlanner::IsLongWaitingService(*aEntry.second, aNow);
+      return dispatch::AdvicePlanner::IsLongWaitingService(*aEntry.step, aNow);
     }));
   std::size_t position = 0;
-  for (const auto& [rank, step] : waiting) {
+  for (const dispatch::WaitingStep& entry : waiting) {
+    Step* step = entry.step;
     if (round.starts.size() >= this->impl->settings.maxStartsPerRound) {
       break;
     }
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -6,9 +6,10 @@
 
 #include <boost/intrusive/list.hpp>
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <set>
-#include <unordered_map>
 
 namespace daisydrift::dispatch {
 
@@ -80,6 +81,8 @@
 /// Ticket of the advice service that allows a step to run on a worker.
 struct Ticket
 {
+  /// Number of the worker.
+  std::uint32_t worker = 0;
   std::string text;
   TimePoint validUntil;
 };
@@ -87,11 +90,14 @@
 /// Known advice about which workers may run a step, by worker number.
 struct StepAdvice
 {
-  /// Workers that may run the step; their tickets may have expired.
-  std::unordered_map<std::uint32_t, Ticket> granted;
+  /// Tickets, perhaps expired, for the workers that may run the step; ordered by worker. Rounds go
+  /// through those of all waiting steps, so they lie next to each other.
+  std::vector<Ticket> granted;
   /// True for the workers that may not run the step.
   std::vector<bool> denied;
   bool isRequestOpen = false;
+  /// Number of workers that the step was compared with so far.
+  std::size_t workersCompared = 0;
   /// No advice is requested before this time.
   TimePoint notBefore;
   /// Time until which the newest ticket is valid.
@@ -104,8 +110,34 @@
   /// The ticket for a worker; null when there is none.
   const Ticket* Find(std::uint32_t aWorker) const
   {
-    auto found = this->granted.find(aWorker);
-    return found == this->granted.end() ? nullptr : &found->second;
+    auto found = this->LowerBound(aWorker);
+    return found == this->granted.end() || found->worker != aWorker ? nullptr : &*found;
+  }
+  /// Adds a ticket, or replaces the earlier one for its worker.
+  void Add(Ticket aTicket)
+  {
+    auto found = this->LowerBound(aTicket.worker);
+    if (found == this->granted.end() || found->worker != aTicket.worker) {
+      found = this->granted.insert(found, Ticket());
+    }
+    auto& ticket = this->granted[static_cast<std::size_t>(found - this->granted.begin())];
+    ticket = std::move(aTicket);
+    this->validUntil = std::max(this->validUntil, ticket.validUntil);
+  }
+  void Remove(std::uint32_t aWorker)
+  {
+    std::erase_if(this->granted,
+                  [aWorker](const Ticket& aTicket) { return aTicket.worker == aWorker; });
+  }
+
+private:
+  std::vector<Ticket>::const_iterator LowerBound(std::uint32_t aWorker) const
+  {
+    return std::lower_bound(
+      this->granted.begin(),
+      this->granted.end(),
+      aWorker,
+      [](const Ticket& aTicket, std::uint32_t aNumber) { return aTicket.worker < aNumber; });
   }
 };
 
@@ -238,6 +270,8 @@
 
   /// The scheduler drains the worker.
   bool isMarkedForDrain = false;
+  /// Last scheduling round in which the worker accepts starts; 0 for none.
+  std::uint64_t acceptingRound = 0;
 
   bool IsDraining() const { return this->listing.isDraining || this->isMarkedForDrain; }
   Resources Free() const { return this->listing.capacity - this->committed; }
--- a/packages/dispatch/src/FleetState.cpp
+++ b/packages/dispatch/src/FleetState.cpp
@@ -51,8 +51,8 @@
   if (!worker) {
     worker = std::make_unique<Worker>();
     worker->listing.id = aId;
-    worker->number = this->nextWorkerNumber++;
-    this->workersByNumber[worker->number] = worker.get();
+    worker->number = static_cast<std::uint32_t>(this->workersByNumber.size());
+    this->workersByNumber.push_back(worker.get());
   }
   return *worker;
 }
@@ -216,8 +216,7 @@
 
 Worker* FleetState::FindWorker(std::uint32_t aNumber)
 {
-  auto found = this->workersByNumber.find(aNumber);
-  return found == this->workersByNumber.end() ? nullptr : found->second;
+  return aNumber < this->workersByNumber.size() ? this->workersByNumber[aNumber] : nullptr;
 }
 
 void FleetState::RemoveUnlistedWorkers()
@@ -228,7 +227,7 @@
       ++entry;
       continue;
     }
-    this->workersByNumber.erase(worker.number);
+    this->workersByNumber[worker.number] = nullptr;
     entry = this->workers.erase(entry);
   }
 }
--- a/packages/dispatch/src/FleetState.h
+++ b/packages/dispatch/src/FleetState.h
@@ -24,6 +24,8 @@
   Worker& EnsureWorker(const WorkerId& aId);
   Worker* FindWorker(const WorkerId& aId);
   Worker* FindWorker(std::uint32_t aNumber);
+  /// All worker numbers are below this.
+  std::size_t WorkerNumbers() const { return this->workersByNumber.size(); }
   /// Removes the workers that are not listed and have no attempts.
   void RemoveUnlistedWorkers();
   Job* FindJob(const JobId& aId);
@@ -72,8 +74,8 @@
   std::map<QueueName, QueuePolicy> queues;
   std::unordered_map<AttemptKey, std::unique_ptr<Attempt>> attempts;
   AttemptKey nextKey = 1;
-  std::unordered_map<std::uint32_t, Worker*> workersByNumber;
-  std::uint32_t nextWorkerNumber = 0;
+  /// Null for the numbers of removed workers.
+  std::vector<Worker*> workersByNumber;
 };
 
 } // namespace daisydrift::dispatch
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -1,6 +1,7 @@
 #include "Placement.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace daisydrift::dispatch {
 
@@ -10,6 +11,11 @@
 /// Added to the score of workers to use only when there is no other: those on which the task
 /// failed, and for tasks on spare cores those with a service over its tail latency target.
 constexpr double kAvoidancePenalty = 10;
+/// Free cores, in thousandths, of the lowest class of workers; half a core.
+constexpr std::int64_t kLowestRoomMilliCores = 512;
+/// Distance between the first workers that consecutive jobs consider; a prime, so that it has no
+/// factor in common with the number of workers.
+constexpr std::uint64_t kVisitStride = 97;
 } // namespace
 
 Placement::Placement(FleetState& aState, WorkerReliability& aReliability)
@@ -27,21 +33,105 @@
 
 void Placement::BeginRound(TimePoint aNow)
 {
-  for (auto& [service, workers] : this->accepting) {
-    workers.clear();
+  ++this->round;
+  this->roomAtRoundStart.assign(this->state.WorkerNumbers(), -1);
+  for (auto& [service, workers] : this->services) {
+    workers.accepting.clear();
+    for (std::vector<Worker*>& inClass : workers.byRoom) {
+      inClass.clear();
+    }
+    workers.mostFree = Resources();
   }
+  const std::string* service = nullptr;
+  ServiceWorkers* found = nullptr;
   for (auto& [id, worker] : this->state.workers) {
-    if (this->reliability.AcceptsStarts(*worker, aNow)) {
-      this->accepting[worker->listing.service].push_back(worker.get());
+    if (!this->reliability.AcceptsStarts(*worker, aNow)) {
+      continue;
+    }
+    worker->acceptingRound = this->round;
+    // Workers of one service mostly follow each other.
+    if (service == nullptr || *service != worker->listing.service) {
+      service = &worker->listing.service;
+      found = &this->services[*service];
     }
+    ServiceWorkers& workers = *found;
+    workers.accepting.push_back(worker.get());
+    Resources free = worker->Free();
+    this->roomAtRoundStart[worker->number] = std::max<std::int64_t>(free.milliCores, 0);
+    workers.byRoom[RoomClassOf(free.milliCores)].push_back(worker.get());
+    workers.mostFree.milliCores = std::max(workers.mostFree.milliCores, free.milliCores);
+    workers.mostFree.memoryMiB = std::max(workers.mostFree.memoryMiB, free.memoryMiB);
+    workers.mostFree.accelerators = std::max(workers.mostFree.accelerators, free.accelerators);
   }
 }
 
 const std::vector<Worker*>& Placement::Accepting(const Step& aStep) const
 {
   static const std::vector<Worker*> kNone;
-  auto found = this->accepting.find(aStep.job->queue->service);
-  return found == this->accepting.end() ? kNone : found->second;
+  auto found = this->services.find(aStep.job->queue->service);
+  return found == this->services.end() ? kNone : found->second.accepting;
+}
+
+Worker* Placement::FindAccepting(const Step& aStep, std::uint32_t aNumber) const
+{
+  Worker* worker = this->state.FindWorker(aNumber);
+  bool isAccepting = worker != nullptr && worker->acceptingRound == this->round &&
+                     worker->listing.service == aStep.job->queue->service;
+  return isAccepting ? worker : nullptr;
+}
+
+std::size_t Placement::RoomClassOf(std::int64_t aMilliCores)
+{
+  auto units =
+    static_cast<std::uint64_t>(std::max<std::int64_t>(aMilliCores, 0) / kLowestRoomMilliCores);
+  return std::min<std::size_t>(std::bit_width(units), kRoomClasses - 1);
+}
+
+void Placement::VisitAccepting(const Step& aStep, const std::function<bool(Worker&)>& aVisit) const
+{
+  auto found = this->services.find(aStep.job->queue->service);
+  if (found == this->services.end()) {
+    return;
+  }
+  const auto& byRoom = found->second.byRoom;
+  std::size_t lowest = RoomClassOf(FleetState::CommittedResources(*aStep.spec).milliCores);
+  auto visitClass = [&](std::size_t aClass) {
+    const std::vector<Worker*>& workers = byRoom[aClass];
+    std::size_t first =
+      workers.empty()
+        ? 0
+        : (aStep.job->sequence * kVisitStride + aStep.advice.workersCompared) % workers.size();
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+      if (!aVisit(*workers[(first + index) % workers.size()])) {
+        return false;
+      }
+    }
+    return true;
+  };
+  // Of those with room, long tasks get the fullest first, and short ones the emptiest.
+  bool isHighestPriority = aStep.job->queue->priority == 0;
+  for (std::size_t offset = 0; offset < kRoomClasses - lowest; ++offset) {
+    if (!visitClass(isHighestPriority ? kRoomClasses - 1 - offset : lowest + offset)) {
+      return;
+    }
+  }
+  for (std::size_t inClass = lowest; inClass-- > 0;) {
+    if (!visitClass(inClass)) {
+      return;
+    }
+  }
+}
+
+bool Placement::MayFit(const Step& aStep) const
+{
+  auto found = this->services.find(aStep.job->queue->service);
+  if (found == this->services.end()) {
+    return false;
+  }
+  Resources needed = FleetState::CommittedResources(*aStep.spec);
+  const Resources& free = found->second.mostFree;
+  return needed.milliCores <= free.milliCores && needed.memoryMiB <= free.memoryMiB &&
+         needed.accelerators <= free.accelerators;
 }
 
 bool Placement::Fits(const Step& aStep, const Worker& aWorker) const
@@ -102,34 +192,48 @@
   return score;
 }
 
-std::vector<Worker*> Placement::Candidates(Step& aStep, TimePoint aNow)
+std::vector<Worker*> Placement::Candidates(const Step& aStep, TimePoint aNow)
 {
   std::vector<Worker*> candidates;
-  bool needsTicket = aStep.job->queue->advice.has_value();
+  if (!this->MayFit(aStep)) {
+    return candidates;
+  }
+  auto addIfFree = [&](Worker* aWorker) {
+    if (!IsBusyProbe(*aWorker) && Matches(aStep, *aWorker)) {
+      candidates.push_back(aWorker);
+    }
+  };
+  if (!aStep.job->queue->advice) {
+    for (Worker* worker : this->Accepting(aStep)) {
+      addIfFree(worker);
+    }
+    return candidates;
+  }
+  TimePoint usableUntil = aNow + this->state.settings.ticketMargin;
   // On a full fleet most waiting steps have expired tickets only.
-  if (needsTicket && aStep.advice.validUntil - this->state.settings.ticketMargin <= aNow) {
+  if (aStep.advice.validUntil <= usableUntil) {
     return candidates;
   }
-  for (Worker* worker : this->Accepting(aStep)) {
-    const Ticket* ticket = needsTicket ? aStep.advice.Find(worker->number) : nullptr;
-    bool isAllowed =
-      !needsTicket ||
-      (ticket != nullptr && ticket->validUntil - this->state.settings.ticketMargin > aNow);
-    // A worker that is probed after a quarantine takes one task at a time.
-    bool isFree = !worker->isProbing || worker->attempts.empty();
-    if (isAllowed && isFree && Matches(aStep, *worker)) {
-      candidates.push_back(worker);
+  std::int64_t needed = FleetState::CommittedResources(*aStep.spec).milliCores;
+  for (const Ticket& ticket : aStep.advice.granted) {
+    if (ticket.validUntil <= usableUntil || this->RoomAtRoundStart(ticket.worker) < needed) {
+      continue;
+    }
+    if (Worker* worker = this->FindAccepting(aStep, ticket.worker)) {
+      addIfFree(worker);
     }
   }
   return candidates;
 }
 
-Worker* Placement::Choose(Step& aStep, const Task& aTask, TimePoint aNow)
+Worker* Placement::Choose(const Step& aStep,
+                          const Task& aTask,
+                          const std::vector<Worker*>& aCandidates) const
 {
   Worker* best = nullptr;
   double bestScore = 0;
-  for (Worker* worker : this->Candidates(aStep, aNow)) {
-    if (!this->Fits(aStep, *worker)) {
+  for (Worker* worker : aCandidates) {
+    if (IsBusyProbe(*worker) || !this->Fits(aStep, *worker)) {
       continue;
     }
     double score = this->Score(aStep, *worker);
@@ -146,7 +250,7 @@
   return best;
 }
 
-std::vector<Worker*> Placement::ChooseForGang(Step& aStep, TimePoint aNow)
+std::vector<Worker*> Placement::ChooseForGang(const Step& aStep, TimePoint aNow)
 {
   std::vector<Worker*> candidates = this->Candidates(aStep, aNow);
   auto needed = static_cast<std::uint32_t>(aStep.tasks.size());
--- a/packages/dispatch/src/Placement.h
+++ b/packages/dispatch/src/Placement.h
@@ -3,6 +3,9 @@
 
 #include "WorkerReliability.h"
 
+#include <array>
+#include <functional>
+
 namespace daisydrift::dispatch {
 
 /// Chooses workers on a nearly full fleet with a mix of short tasks (highest priority) and long
@@ -17,27 +20,66 @@
   void BeginRound(TimePoint aNow);
   /// Workers of the step's service that accept starts in this round.
   const std::vector<Worker*>& Accepting(const Step& aStep) const;
+  /// The worker with that number, if it is of the step's service and accepts starts in this round;
+  /// otherwise null.
+  Worker* FindAccepting(const Step& aStep, std::uint32_t aNumber) const;
   /// True when the worker has the label that the step requires.
   static bool Matches(const Step& aStep, const Worker& aWorker);
   /// Number of tasks of the step that fit on the worker now, at most aMaxSlots.
   std::uint32_t CountSlots(const Step& aStep, const Worker& aWorker, std::uint32_t aMaxSlots) const;
   /// Cost of running a task of the step on the worker; lower is better.
   double Score(const Step& aStep, const Worker& aWorker) const;
-  /// The best worker that has capacity for the task and, where needed, a valid ticket; null when
-  /// there is none.
-  Worker* Choose(Step& aStep, const Task& aTask, TimePoint aNow);
-  /// One worker for each task of a gang; empty when not all of them fit.
-  std::vector<Worker*> ChooseForGang(Step& aStep, TimePoint aNow);
   /// Workers that may get a start of the step now; with valid tickets when its queue uses advice.
-  std::vector<Worker*> Candidates(Step& aStep, TimePoint aNow);
+  /// With tickets the cost grows with their number and not with the fleet.
+  std::vector<Worker*> Candidates(const Step& aStep, TimePoint aNow);
+  /// The best of the candidates that has capacity for the task; null when there is none.
+  Worker* Choose(const Step& aStep,
+                 const Task& aTask,
+                 const std::vector<Worker*>& aCandidates) const;
+  /// One worker for each task of a gang; empty when not all of them fit.
+  std::vector<Worker*> ChooseForGang(const Step& aStep, TimePoint aNow);
+  /// Calls aVisit for the step's workers that accept starts in this round until it returns false.
+  /// Those that had room for a task as the round began come first. Each step begins with another
+  /// one, so that the steps of a backlog don't all compete for the same workers, and continues
+  /// after the workers that it was compared with before.
+  void VisitAccepting(const Step& aStep, const std::function<bool(Worker&)>& aVisit) const;
+  /// False when no worker that accepts starts in this round had room for a task of the step as the
+  /// round began; rooms only shrink in a round.
+  bool MayFit(const Step& aStep) const;
 
 private:
+  static constexpr std::size_t kRoomClasses = 12;
+
+  /// Workers of a service that accept starts in this round.
+  struct ServiceWorkers
+  {
+    std::vector<Worker*> accepting;
+    /// The same workers by the class of their free cores as the round began; each class holds twice
+    /// as many cores as the one before.
+    std::array<std::vector<Worker*>, kRoomClasses> byRoom;
+    /// The most of each resource that one of them had free as the round began.
+    Resources mostFree;
+  };
+
   bool Fits(const Step& aStep, const Worker& aWorker) const;
+  /// Free cores, in thousandths, as the round began; -1 for a worker that accepts no starts.
+  std::int64_t RoomAtRoundStart(std::uint32_t aNumber) const
+  {
+    return aNumber < this->roomAtRoundStart.size() ? this->roomAtRoundStart[aNumber] : -1;
+  }
+  static std::size_t RoomClassOf(std::int64_t aMilliCores);
+  /// True when the worker gets no more than one task, as a probe, and has it.
+  static bool IsBusyProbe(const Worker& aWorker)
+  {
+    return aWorker.isProbing && !aWorker.attempts.empty();
+  }
 
   FleetState& state;
   WorkerReliability& reliability;
-  /// Workers that accept starts in this round, by service.
-  std::unordered_map<std::string, std::vector<Worker*>> accepting;
+  std::uint64_t round = 0;
+  /// By worker number. Most waiting steps of a full fleet have tickets for workers without room.
+  std::vector<std::int64_t> roomAtRoundStart;
+  std::unordered_map<std::string, ServiceWorkers> services;
 };
 
 } // namespace daisydrift::dispatch
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -68,6 +68,14 @@
 
 void Dispatcher::Impl::PlaceStep(Step& aStep, TimePoint aNow, DispatchRound& aRound)
 {
+  // Most waiting steps of an overloaded team are at its ceiling.
+  if (aStep.job->team != nullptr && !FleetState::FitsCeiling(*aStep.job->team, aStep.spec->size)) {
+    return;
+  }
+  std::vector<Worker*> candidates = this->placement.Candidates(aStep, aNow);
+  if (candidates.empty()) {
+    return;
+  }
   for (std::uint32_t index = 0; index < aStep.tasks.size(); ++index) {
     Task& task = aStep.tasks[index];
     if (task.hasSucceeded || task.attempt != nullptr || aNow < task.notBefore) {
@@ -78,7 +86,7 @@
          !FleetState::FitsCeiling(*aStep.job->team, aStep.spec->size))) {
       return;
     }
-    Worker* worker = this->placement.Choose(aStep, task, aNow);
+    Worker* worker = this->placement.Choose(aStep, task, candidates);
     if (worker == nullptr) {
       return;
     }
--- a/packages/dispatch/src/StepRank.h
+++ b/packages/dispatch/src/StepRank.h
@@ -19,11 +19,46 @@
   /// Orders steps that are equal otherwise; earlier goes first.
   TimePoint orderTime;
 
-  auto Key() const
+  /// Orders ranks before orderTime does.
+  std::uint64_t Band() const
   {
-    return std::tie(this->isDeprioritized, this->priority, this->isLate, this->orderTime);
+    constexpr unsigned kPriorityBits = 32;
+    std::uint64_t band = this->isDeprioritized ? 1 : 0;
+    band = (band << kPriorityBits) | this->priority;
+    return (band << 1U) | (this->isLate ? 1 : 0);
   }
-  bool operator<(const StepRank& aOther) const { return this->Key() < aOther.Key(); }
+};
+
+/// A step with waiting tasks and its place in the scheduling order. A round sorts all of them, so
+/// they are compared by integers that are computed once.
+struct WaitingStep
+{
+  WaitingStep(const StepRank& aRank, Step* aStep)
+    : band(aRank.Band())
+    , orderTime(aRank.orderTime)
+    , sequence(aStep->job->sequence)
+    , step(aStep)
+  {
+  }
+  bool operator<(const WaitingStep& aOther) const
+  {
+    if (this->band != aOther.band) {
+      return this->band < aOther.band;
+    }
+    if (this->orderTime != aOther.orderTime) {
+      return this->orderTime < aOther.orderTime;
+    }
+    if (this->sequence != aOther.sequence) {
+      return this->sequence < aOther.sequence;
+    }
+    return std::tie(this->step->occurrence, this->step->number) <
+           std::tie(aOther.step->occurrence, aOther.step->number);
+  }
+
+  std::uint64_t band;
+  TimePoint orderTime;
+  std::uint64_t sequence;
+  Step* step;
 };
 
 /// Rank of a step at aNow under the given scheduling order.
