Of more work than there is room for, as many jobs as possible are in time

Cause: in a burst, or of a team above its ceiling, jobs went by their latest start until all ended shortly too late; and jobs above a team's rate went behind all long work of lower priorities, which then held the team's own ceiling. Change: OverloadSelector compares the work left with the ceiling, and that of the first priority with the room of its service, and gives up the jobs with the most work left (at most the mean counts); those go after the others while they have value, and then last. Jobs above the rate go after the others of their priority, no longer after all priorities.

--- a/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
@@ -5,7 +5,7 @@
 
 namespace daisydrift {
 
-/// Order in which steps with waiting tasks are scheduled. Arrival and EarliestDue are baselines for
+/// Order in which steps with waiting tasks are scheduled. All but the last are baselines for
 /// comparison.
 enum class SchedulingOrder
 {
@@ -15,7 +15,10 @@
   EarliestDue,
   /// By priority, then by the latest time at which a step can start for its job to meet the latency
   /// objective. Jobs that can no longer meet it come after those that can.
-  LatestStart
+  LatestStart,
+  /// The same, and of a team above its resource ceiling as many jobs as possible are in time; the
+  /// others come after those.
+  MostInTime
 };
 
 /// Settings of a dispatcher. The platform adapter overrides the values that the platform defines.
@@ -72,7 +75,7 @@
   Duration slowAdviceThreshold = std::chrono::milliseconds(150);
   /// Most workers in one advice request; defined by the platform.
   std::size_t maxWorkersPerAdviceRequest = 100;
-  SchedulingOrder order = SchedulingOrder::LatestStart;
+  SchedulingOrder order = SchedulingOrder::MostInTime;
   /// Most starts decided in one round.
   std::size_t maxStartsPerRound = 200;
   /// First run number of this term; above all run numbers of earlier leaders.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -30,6 +30,7 @@
   , reliability(this->state)
   , placement(this->state, this->reliability)
   , advicePlanner(this->state, this->placement)
+  , overloadSelector(this->state, this->reliability)
   , interference(this->state)
 {
 }
@@ -487,6 +488,7 @@
   if (aNow >= this->impl->nextSweep) {
     this->impl->Sweep(aNow, round);
   }
+  this->impl->overloadSelector.Update(aNow);
   std::vector<dispatch::WaitingStep> waiting;
   for (Job* job : state.openJobs) {
     if (job->IsFinished() || !FleetState::HasRules(*job->queue)) {
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -4,6 +4,7 @@
 
 #include "AdvicePlanner.h"
 #include "InterferenceController.h"
+#include "OverloadSelector.h"
 #include "Placement.h"
 #include "StepRank.h"
 #include "daisydrift/dispatch/Dispatcher.h"
@@ -74,6 +75,7 @@
   dispatch::WorkerReliability reliability;
   dispatch::Placement placement;
   dispatch::AdvicePlanner advicePlanner;
+  dispatch::OverloadSelector overloadSelector;
   dispatch::InterferenceController interference;
   /// Stops of runs that have no attempt here; sent with the next sweep.
   std::vector<StopCommand> unknownRunStops;
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -184,6 +184,14 @@
   }
 };
 
+/// What a job's latency objective is expected to come to, best first.
+enum class JobOutlook : std::uint8_t
+{
+  InTime,
+  Late,
+  WithoutValue
+};
+
 struct Job
 {
   JobDefinition definition;
@@ -196,6 +204,8 @@
   TimePoint addedAt;
   /// The job arrived above its team's job rate.
   bool isOverRate = false;
+  /// Judged by the work of its team.
+  JobOutlook outlook = JobOutlook::InTime;
   /// The progress has changed and is to be stored.
   bool isDirty = false;
   /// Number of occurrences created so far.
--- a/packages/dispatch/src/StepRank.cpp
+++ b/packages/dispatch/src/StepRank.cpp
@@ -5,9 +5,6 @@
 namespace daisydrift::dispatch {
 
 namespace {
-/// A job that takes more than this many times its latency objective has no value; defined by the
-/// platform.
-constexpr int kNoValueFactor = 3;
 /// Size of the token bucket in seconds of the team's rate; two seconds absorb normal bursts.
 constexpr double kBurstSeconds = 2;
 } // namespace
@@ -22,20 +19,22 @@
   }
   rank.priority = job.queue->priority;
   rank.orderTime = job.addedAt + job.latencyObjective;
-  rank.isDeprioritized = job.isOverRate;
+  rank.isOverRate = job.isOverRate;
   if (aStep.spec->isService) {
     return rank;
   }
+  bool isByStart = aOrder != SchedulingOrder::EarliestDue;
+  bool isGivenUp = aOrder == SchedulingOrder::MostInTime && job.outlook != JobOutlook::InTime;
   TimePoint noValueAt = job.addedAt + job.latencyObjective * kNoValueFactor;
-  if (aOrder == SchedulingOrder::LatestStart) {
+  if (isByStart) {
     rank.orderTime -= job.criticalPaths[aStep.number];
     noValueAt -= job.criticalPaths[aStep.number];
   }
-  rank.isLate = aNow > rank.orderTime;
-  if (rank.isLate && aOrder == SchedulingOrder::LatestStart) {
+  rank.isLate = isGivenUp || aNow > rank.orderTime;
+  if (rank.isLate && isByStart) {
     rank.orderTime = noValueAt;
   }
-  rank.isDeprioritized = rank.isDeprioritized || aNow > noValueAt;
+  rank.hasNoValue = aNow > noValueAt || (isGivenUp && job.outlook == JobOutlook::WithoutValue);
   return rank;
 }
 
--- a/packages/dispatch/src/StepRank.h
+++ b/packages/dispatch/src/StepRank.h
@@ -9,12 +9,13 @@
 
 /// Position of a step in the scheduling order; a lower rank is scheduled first. Designed for an
 /// overloaded fleet on which a team submits jobs far above its rate or its resource ceiling: jobs
-/// that can still be in time go first, and jobs above the team's rate or too late to have any value
-/// go last, but still run.
+/// that can still be in time go first, jobs above the team's rate go after those of other teams of
+/// the same priority, and jobs too late to have any value go last, but still run.
 struct StepRank
 {
-  bool isDeprioritized = false;
+  bool hasNoValue = false;
   std::uint32_t priority = 0;
+  bool isOverRate = false;
   bool isLate = false;
   /// Orders steps that are equal otherwise; earlier goes first.
   TimePoint orderTime;
@@ -23,8 +24,9 @@
   std::uint64_t Band() const
   {
     constexpr unsigned kPriorityBits = 32;
-    std::uint64_t band = this->isDeprioritized ? 1 : 0;
+    std::uint64_t band = this->hasNoValue ? 1 : 0;
     band = (band << kPriorityBits) | this->priority;
+    band = (band << 1U) | (this->isOverRate ? 1 : 0);
     return (band << 1U) | (this->isLate ? 1 : 0);
   }
 };
@@ -61,6 +63,10 @@
   Step* step;
 };
 
+/// A job that takes more than this many times its latency objective has no value; defined by the
+/// platform.
+constexpr int kNoValueFactor = 3;
+
 /// Rank of a step at aNow under the given scheduling order.
 StepRank RankOf(const Step& aStep, SchedulingOrder aOrder, TimePoint aNow);
 /// For each step, the critical path of declared run times from its start to the end of the job.
--- a/packages/dispatch/tests/SchedulingOrderTest.cpp
+++ b/packages/dispatch/tests/SchedulingOrderTest.cpp
@@ -26,15 +26,20 @@
 
 // A team submits twice as much work as its resource ceiling allows. When its jobs were scheduled by
 // due time alone, all of them were too late.
-TEST(SchedulingOrderTest, LatestStartOrderYieldsMoreValueThanTheBaselines)
+TEST(SchedulingOrderTest, MostInTimeOrderYieldsMoreValueThanTheBaselines)
 {
   ReplayResult arrival = Replay("arrival", SchedulingOrder::Arrival);
   ReplayResult earliestDue = Replay("earliest_due", SchedulingOrder::EarliestDue);
   ReplayResult latestStart = Replay("latest_start", SchedulingOrder::LatestStart);
+  ReplayResult mostInTime = Replay("most_in_time", SchedulingOrder::MostInTime);
   EXPECT_GT(latestStart.MeanValue(), arrival.MeanValue());
   EXPECT_GT(latestStart.MeanValue(), earliestDue.MeanValue());
+  // More jobs are in time, and no fewer are served at all, when some are given up for the others.
+  EXPECT_GT(mostInTime.MeanValue(), latestStart.MeanValue());
+  EXPECT_GE(mostInTime.ServedShare(), latestStart.ServedShare());
   // Wide jobs are served at least half as often as jobs in general.
   EXPECT_GE(latestStart.WidestJobsServedShare(), latestStart.ServedShare() / 2);
+  EXPECT_GE(mostInTime.WidestJobsServedShare(), mostInTime.ServedShare() / 2);
 }
 
 } // namespace
