A leader of a large fleet does not go through all workers for each poll and each write

Cause: after a poll that the store has not confirmed since, the votes of all workers were counted anew, and for each batch of records all workers were asked for unacknowledged completions: work that grows with the square of the fleet, most of all while the store is silent. Change: votes are counted once for each 32nd part of the voters that answers, which makes a proof older and never newer; workers with unacknowledged completions are kept in a set. LeadershipConfirmationTest counts the counts (before, one for each poll).

--- a/packages/coordination/src/WorkerPoller.cpp
+++ b/packages/coordination/src/WorkerPoller.cpp
@@ -150,6 +150,11 @@
   this->dispatcher.OnReport(aWorker, *aReport, aSentAt, now);
   this->hooks.onAccepted(aWorker, aReport->incarnation, aSentAt);
   bool hasNewCompletions = this->dispatcher.LastCompletion(aWorker) > poll.acknowledged;
+  if (hasNewCompletions) {
+    this->unacknowledged.insert(aWorker);
+  } else {
+    this->unacknowledged.erase(aWorker);
+  }
   bool isAcknowledgementDue = poll.sentAcknowledgement < poll.acknowledged;
   if (hasNewCompletions && !this->isStoreUnavailable && !isAcknowledgementDue) {
     poll.isWaitingForStore = true;
@@ -170,10 +175,11 @@
 ProcessedCompletions WorkerPoller::UnacknowledgedCompletions() const
 {
   ProcessedCompletions completions;
-  for (const auto& [id, poll] : this->polls) {
+  for (const WorkerId& id : this->unacknowledged) {
+    auto poll = this->polls.find(id);
     std::uint64_t last = this->dispatcher.LastCompletion(id);
-    if (last > poll.acknowledged) {
-      completions.push_back({ id, poll.incarnation, last });
+    if (poll != this->polls.end() && last > poll->second.acknowledged) {
+      completions.push_back({ id, poll->second.incarnation, last });
     }
   }
   return completions;
@@ -189,8 +195,11 @@
     }
     PollState& poll = found->second;
     poll.acknowledged = std::max(poll.acknowledged, completion.number);
-    if (poll.isWaitingForStore &&
-        this->dispatcher.LastCompletion(completion.worker) == poll.acknowledged) {
+    if (this->dispatcher.LastCompletion(completion.worker) != poll.acknowledged) {
+      continue;
+    }
+    this->unacknowledged.erase(completion.worker);
+    if (poll.isWaitingForStore) {
       this->Poll(completion.worker);
     }
   }
--- a/packages/coordination/src/WorkerPoller.h
+++ b/packages/coordination/src/WorkerPoller.h
@@ -82,6 +82,8 @@
   /// Time of the last poll of a healthy worker that got no response.
   std::optional<TimePoint> lastLostResponse;
   std::map<WorkerId, PollState> polls;
+  /// Workers of which completions were processed that are not acknowledged yet.
+  std::set<WorkerId> unacknowledged;
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
--- a/packages/dispatch/include/daisydrift/dispatch/LeadershipConfirmation.h
+++ b/packages/dispatch/include/daisydrift/dispatch/LeadershipConfirmation.h
@@ -49,6 +49,8 @@
   /// a poll which was sent at aTime or later.
   std::size_t CountVoters() const { return this->voters.size(); }
   std::size_t CountAccepted(TimePoint aTime) const;
+  /// Number of times that all votes were counted.
+  std::uint64_t Counts() const { return this->counts; }
 
 private:
   struct WorkerState
@@ -74,6 +76,9 @@
   std::map<WorkerId, WorkerState> workers;
   TimePoint storeConfirmedAt;
   TimePoint workersConfirmedAt;
+  /// Polls without a proof by the store since the votes were counted.
+  std::size_t pollsSinceCount = 0;
+  std::uint64_t counts = 0;
 };
 
 } // namespace daisydrift
--- a/packages/dispatch/src/LeadershipConfirmation.cpp
+++ b/packages/dispatch/src/LeadershipConfirmation.cpp
@@ -7,6 +7,13 @@
 
 namespace daisydrift {
 
+namespace {
+/// The votes are counted after each poll of a small fleet, and of a large one after each poll of
+/// one voter in so many: a count goes through all voters. A proof is then that much older, never
+/// newer.
+constexpr std::size_t kCountsPerPollOfAllVoters = 32;
+} // namespace
+
 LeadershipConfirmation::LeadershipConfirmation(std::optional<Voters> aEarlierVoters)
   : earlierVoterCount(aEarlierVoters ? aEarlierVoters->size() : 0)
   , earlierVotersLeft(std::move(aEarlierVoters))
@@ -49,6 +56,12 @@
   if (aSentAt <= this->ConfirmedAt()) {
     return; // Mostly so, since the store confirms the leadership with each transaction.
   }
+  ++this->pollsSinceCount;
+  if (this->pollsSinceCount * kCountsPerPollOfAllVoters < this->voters.size()) {
+    return;
+  }
+  this->pollsSinceCount = 0;
+  ++this->counts;
   TimePoint confirmed = this->ConfirmedBy(this->voters);
   if (this->sentVoters) {
     confirmed = std::min(confirmed, this->ConfirmedBy(*this->sentVoters));
--- a/packages/dispatch/tests/LeadershipConfirmationTest.cpp
+++ b/packages/dispatch/tests/LeadershipConfirmationTest.cpp
@@ -122,5 +122,30 @@
   EXPECT_FALSE(next.HaveEarlierLeadersEnded());
 }
 
+// Guards against a leader of a large fleet that counts the votes of all workers after each poll,
+// which takes all of its time while the store is silent.
+TEST_F(LeadershipConfirmationTest, VotesOfALargeFleetAreCountedFromTimeToTimeAndStayRecent)
+{
+  constexpr int kVoters = 3000;
+  constexpr int kRounds = 20;
+  std::vector<WorkerId> workers;
+  for (int number = 0; number < kVoters; ++number) {
+    workers.push_back("w" + std::to_string(number));
+  }
+  this->Store(Voters(workers.begin(), workers.end()));
+  for (const WorkerId& worker : workers) {
+    this->Accept(worker, 0);
+  }
+  this->confirmation.OnStoreConfirmed(At(1));
+  std::uint64_t before = this->confirmation.Counts();
+  for (int round = 2; round < 2 + kRounds; ++round) {
+    for (const WorkerId& worker : workers) {
+      this->Accept(worker, round);
+    }
+    EXPECT_EQ(this->confirmation.ConfirmedAt(), At(round));
+  }
+  EXPECT_LE(this->confirmation.Counts() - before, 40U * kRounds);
+}
+
 } // namespace
 } // namespace daisydrift
