--- a/packages/coordination/include/daisydrift/coordination/HttpPeerTransport.h
+++ b/packages/coordination/include/daisydrift/coordination/HttpPeerTransport.h
@@ -11,7 +11,9 @@
 class HttpPeerTransport : public PeerTransport
 {
 public:
-  explicit HttpPeerTransport(AsioLoop& aLoop);
+  /// aMaxIdle limits the idle connections to all instances for each of the three kinds of calls.
+  explicit HttpPeerTransport(AsioLoop& aLoop,
+                             std::size_t aMaxIdle = std::numeric_limits<std::size_t>::max());
 
   void Call(const SocketEndpoint& aPeer,
             const std::string& aMethod,
--- a/packages/coordination/src/HttpPeerTransport.cpp
+++ b/packages/coordination/src/HttpPeerTransport.cpp
@@ -19,10 +19,10 @@
 constexpr int kStatusConflict = 409;
 } // namespace
 
-HttpPeerTransport::HttpPeerTransport(AsioLoop& aLoop)
-  : queries(aLoop, kQueryConnections)
-  , changes(aLoop, kChangeConnections)
-  , group(aLoop, kGroupConnections)
+HttpPeerTransport::HttpPeerTransport(AsioLoop& aLoop, std::size_t aMaxIdle)
+  : queries(aLoop, kQueryConnections, aMaxIdle)
+  , changes(aLoop, kChangeConnections, aMaxIdle)
+  , group(aLoop, kGroupConnections, aMaxIdle)
 {
 }
 
--- a/packages/http/include/daisydrift/http/HttpClient.h
+++ b/packages/http/include/daisydrift/http/HttpClient.h
@@ -5,9 +5,12 @@
 #include "daisydrift/http/EventLoop.h"
 #include "daisydrift/http/HttpMessages.h"
 
+#include <boost/intrusive/list.hpp>
+
 #include <array>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -41,8 +44,12 @@
 class HttpClient
 {
 public:
-  /// aMaxConnections is the connection limit for each endpoint.
-  HttpClient(AsioLoop& aLoop, std::size_t aMaxConnections);
+  /// aMaxConnections is the connection limit for each endpoint. aMaxIdle limits the idle
+  /// connections to all endpoints together: beyond it, the one that has been idle longest is
+  /// closed, since each takes a descriptor.
+  HttpClient(AsioLoop& aLoop,
+             std::size_t aMaxConnections,
+             std::size_t aMaxIdle = std::numeric_limits<std::size_t>::max());
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -60,20 +67,34 @@
             HttpProgressHook aOnProgress = {});
   /// Closes the idle connections to aEndpoint, for example when it is no longer used.
   void CloseIdleConnections(const SocketEndpoint& aEndpoint);
+  std::size_t CountIdleConnections() const { return this->idleConnections.size(); }
+  /// Number of connections that were closed because too many were idle.
+  std::uint64_t CountEvictions() const { return this->evictions; }
 
 private:
   class Connection;
+  /// Place of a connection in the list of those that are idle.
+  struct IdleHook : public boost::intrusive::list_base_hook<>
+  {};
   struct Pool;
   struct PendingRequest;
   void StartPendingRequests(Pool& aPool);
   void OnConnectionReleased(Pool& aPool, const Ref<Connection>& aConnection, bool aIsReusable);
+  /// Takes an idle connection out of its pool.
+  void RemoveIdle(Pool& aPool, const Ref<Connection>& aConnection);
+  void EvictIdleConnections();
 
   /// Size of the buffer for long responses, which all connections share.
   static constexpr std::size_t kArrivedBufferBytes = 64 * 1024;
 
   AsioLoop& loop;
   std::size_t maxConnections;
+  std::size_t maxIdle;
+  std::uint64_t evictions = 0;
   std::unique_ptr<std::array<char, kArrivedBufferBytes>> arrivedBuffer;
+  /// The idle connections of all pools, which own them; the one that has been idle longest is
+  /// first.
+  boost::intrusive::list<IdleHook> idleConnections;
   std::map<SocketEndpoint, std::unique_ptr<Pool>> pools;
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -39,7 +39,9 @@
 };
 
 /// A connection to one endpoint; carries one request at a time.
-class HttpClient::Connection : public RefCounted<Connection>
+class HttpClient::Connection
+  : public RefCounted<Connection>
+  , public IdleHook
 {
 public:
   Connection(Pool& aPool, AsioLoop& aLoop)
@@ -253,6 +255,7 @@
 
 public:
   bool IsUnusable() const { return this->isUnusable; }
+  Pool& OwnPool() const { return *this->pool; }
 
 private:
   AsioLoop& loop;
@@ -270,9 +273,10 @@
   bool isUnusable = false;
 };
 
-HttpClient::HttpClient(AsioLoop& aLoop, std::size_t aMaxConnections)
+HttpClient::HttpClient(AsioLoop& aLoop, std::size_t aMaxConnections, std::size_t aMaxIdle)
   : loop(aLoop)
   , maxConnections(aMaxConnections)
+  , maxIdle(aMaxIdle)
   , arrivedBuffer(std::make_unique<std::array<char, kArrivedBufferBytes>>())
 {
 }
@@ -280,6 +284,7 @@
 HttpClient::~HttpClient()
 {
   *this->isAlive = false;
+  this->idleConnections.clear();
   for (auto& [endpoint, pool] : this->pools) {
     for (const Ref<Connection>& connection : pool->idleConnections) {
       connection->Detach();
@@ -331,13 +336,13 @@
 {
   while (!aPool.pendingRequests.empty()) {
     while (!aPool.idleConnections.empty() && aPool.idleConnections.back()->IsUnusable()) {
-      aPool.idleConnections.pop_back();
+      this->RemoveIdle(aPool, aPool.idleConnections.back());
       --aPool.openConnections;
     }
     Ref<Connection> connection;
     if (!aPool.idleConnections.empty()) {
       connection = aPool.idleConnections.back();
-      aPool.idleConnections.pop_back();
+      this->RemoveIdle(aPool, connection);
     } else if (aPool.openConnections < this->maxConnections) {
       connection = Ref<Connection>(new Connection(aPool, this->loop));
       ++aPool.openConnections;
@@ -357,6 +362,7 @@
 {
   if (aIsReusable) {
     aPool.idleConnections.push_back(aConnection);
+    this->idleConnections.push_back(*aConnection);
   } else {
     --aPool.openConnections;
     // A fault that makes one connection hang or resets it may also affect the idle connections to
@@ -366,6 +372,26 @@
   if (!aPool.pendingRequests.empty()) {
     this->StartPendingRequests(aPool);
   }
+  this->EvictIdleConnections();
+}
+
+void HttpClient::RemoveIdle(Pool& aPool, const Ref<Connection>& aConnection)
+{
+  Ref<Connection> connection = aConnection; // The pool may hold the last other reference.
+  this->idleConnections.erase(this->idleConnections.iterator_to(*connection));
+  std::erase(aPool.idleConnections, connection);
+}
+
+void HttpClient::EvictIdleConnections()
+{
+  while (this->idleConnections.size() > this->maxIdle) {
+    Ref<Connection> oldest(static_cast<Connection*>(&this->idleConnections.front()));
+    Pool& pool = oldest->OwnPool();
+    this->RemoveIdle(pool, oldest);
+    --pool.openConnections;
+    oldest->Close();
+    ++this->evictions;
+  }
 }
 
 void HttpClient::CloseIdleConnections(const SocketEndpoint& aEndpoint)
@@ -375,6 +401,7 @@
     return;
   }
   for (const Ref<Connection>& connection : found->second->idleConnections) {
+    this->idleConnections.erase(this->idleConnections.iterator_to(*connection));
     connection->Close();
   }
   found->second->openConnections -= found->second->idleConnections.size();
--- a/packages/http/tests/HttpTest.cpp
+++ b/packages/http/tests/HttpTest.cpp
@@ -177,6 +177,43 @@
   EXPECT_EQ(unanswered.size(), 2U);
 }
 
+// Guards against a process that runs out of descriptors on a large fleet, since it keeps idle
+// connections to each worker.
+TEST_F(HttpTest, IdleConnectionsToAllEndpointsTogetherAreLimited)
+{
+  HttpClient limited(this->loop, 2, 3);
+  std::vector<std::unique_ptr<HttpListener>> listeners;
+  std::size_t answered = 0;
+  auto callAll = [&] {
+    answered = 0;
+    for (const auto& server : listeners) {
+      limited.Send({ "127.0.0.1", server->Port() },
+                   { "GET", "/", {}, "" },
+                   seconds(20),
+                   [&](const Result<HttpResponse>& aResponse) {
+                     answered += aResponse.HasValue() ? 1 : 0;
+                     if (answered == listeners.size()) {
+                       this->loop.Stop();
+                     }
+                   });
+    }
+    this->loop.Run();
+    this->loop.Context().restart();
+  };
+  for (int number = 0; number < 8; ++number) {
+    listeners.push_back(
+      std::make_unique<HttpListener>(this->loop, Limits(), [](const Ref<HttpExchange>& aExchange) {
+        aExchange->Reply({ 200, {}, "" });
+      }));
+    ASSERT_FALSE(listeners.back()->Open({ "127.0.0.1", 0 }));
+  }
+  callAll();
+  EXPECT_EQ(limited.CountIdleConnections(), 3U);
+  EXPECT_EQ(limited.CountEvictions(), 5U);
+  callAll();
+  EXPECT_EQ(limited.CountIdleConnections(), 3U);
+}
+
 TEST_F(HttpTest, ReturnsCompleteResponses)
 {
   for (int number = 0; number < 20; ++number) {
