--- a/packages/dispatch/include/daisydrift/dispatch.h
+++ b/packages/dispatch/include/daisydrift/dispatch.h
@@ -5,3 +5,4 @@
 #include "daisydrift/dispatch/DispatchTypes.h"
 #include "daisydrift/dispatch/Dispatcher.h"
 #include "daisydrift/dispatch/LeadershipConfirmation.h"
+#include "daisydrift/dispatch/ReturnSchedule.h"
