A leader that was suspended sends no start unless it still leads

Cause: after a suspension a leader sent the starts whose records had been stored before it, and repeated those without an answer. A worker that had restarted since had forgotten the successor's fencing number and ran the task a second time. Change: starts are sent, and repeated, only while the lease of leadership can't have ended, or right after the store has shown the leader key unchanged; otherwise the store is asked first. A connection that was made after the deadline of its request sends nothing. Ruled out: the age of the last proof of leadership: the lease may end sooner after the proof than it is long.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -18,6 +18,10 @@
 /// Attempts to send a start command; a worker recognizes a repeated one. When all stay unanswered,
 /// a stop command makes the worker reject a start that arrives late.
 constexpr int kStartAttempts = 3;
+/// Delay before the store is asked again whether this instance still leads.
+constexpr std::chrono::milliseconds kConfirmRetryDelay{ 60 };
+/// Longest time from a read of the leader key until it proves nothing any more.
+constexpr std::chrono::milliseconds kMaxConfirmTime{ 300 };
 /// The store counts as unavailable when a batch takes longer than this.
 constexpr std::chrono::milliseconds kStoreUnavailableAfter{ 900 };
 constexpr std::chrono::seconds kPurgeInterval{ 1 };
@@ -427,9 +431,46 @@
   }
 }
 
+bool Leader::IsLeadershipCertain() const
+{
+  return this->env.membership.IsLeaseValid() ||
+         this->env.loop.Now() - this->startsConfirmedAt < kMaxConfirmTime;
+}
+
+void Leader::ConfirmAndSendStarts(const std::vector<AttemptKey>& aStarts)
+{
+  TimePoint sentAt = this->env.loop.Now();
+  LogLine(LogLevel::Warning, "starts_await_confirmation")
+    .Add("starts", aStarts.size())
+    .Add("term", this->record.term)
+    .Add("confirmed_age_ms", sentAt - this->ConfirmedAt());
+  this->env.metrics.Count("starts_confirmed_late_total");
+  this->env.store.Read(this->env.settings.storePrefix + "group/leader",
+                       [this, alive = this->isAlive, aStarts, sentAt](
+                         const Result<std::optional<KeyValueItem>>& aItem) {
+                         if (!*alive || this->hasEnded) {
+                           return;
+                         }
+                         if (!aItem) {
+                           this->After(kConfirmRetryDelay,
+                                       [this, aStarts] { this->SendStarts(aStarts); });
+                         } else if (!*aItem || (*aItem)->revision != this->record.revision) {
+                           this->EndTerm("replaced_in_store");
+                         } else {
+                           this->startsConfirmedAt = sentAt;
+                           this->confirmation.OnStoreConfirmed(sentAt);
+                           this->SendStarts(aStarts);
+                         }
+                       });
+}
+
 void Leader::SendStarts(const std::vector<AttemptKey>& aStarts)
 {
   TimePoint now = this->env.loop.Now();
+  if (!aStarts.empty() && !this->IsLeadershipCertain()) {
+    this->ConfirmAndSendStarts(aStarts);
+    return;
+  }
   std::map<StepName, unsigned> startedTasks;
   for (AttemptKey key : aStarts) {
     if (std::optional<StartCommand> command = this->dispatcher->TakeStartCommand(key, now)) {
@@ -482,7 +523,8 @@
   // A worker that has ended the run recognizes its start only until it restarts, so a run that is
   // over is not started again.
   bool isOver = this->dispatcher->JobOf(aCommand.attempt) == nullptr;
-  if (aResult == StartResult::Unknown && aAttempt < kStartAttempts && !isOver) {
+  bool canRepeat = aAttempt < kStartAttempts && !isOver && this->IsLeadershipCertain();
+  if (aResult == StartResult::Unknown && canRepeat) {
     this->SendStart(aCommand, aAttempt + 1);
     return;
   }
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -135,8 +135,14 @@
   void ScheduleRound();
   void RunRound();
   void Tick();
-  /// Sends the start commands that are still valid; the records of their jobs are stored.
+  /// Sends the start commands that are still valid; the records of their jobs are stored. After a
+  /// delay or a suspension another instance may lead, so the store is asked first.
   void SendStarts(const std::vector<AttemptKey>& aStarts);
+  /// True if no other instance leads: the lease of leadership can't have ended, or the store has
+  /// just shown that it has not.
+  bool IsLeadershipCertain() const;
+  /// Reads the leader key, until the store answers, and sends the starts if it is unchanged.
+  void ConfirmAndSendStarts(const std::vector<AttemptKey>& aStarts);
   void SendStart(const StartCommand& aCommand, int aAttempt);
   void OnStartResult(const StartCommand& aCommand,
                      int aAttempt,
@@ -165,6 +171,8 @@
   bool isRecovered = false;
   bool haveEarlierLeadersEnded = false;
   LeadershipConfirmation confirmation;
+  /// Time at which the last read of the leader key before starts was sent.
+  TimePoint startsConfirmedAt;
   /// Time of the last confirmation before the log said that there is none; empty otherwise.
   std::optional<TimePoint> unconfirmedSince;
   /// Longest lease on workers that may be in force, for the record of the leaders' leases.
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -115,7 +115,9 @@
       if (!self->currentRequest) {
         return;
       }
-      if (aError) {
+      // A process that was suspended meanwhile must not send what its caller has given up.
+      self->hasTimedOut = self->loop.Now() >= self->deadline;
+      if (aError || self->hasTimedOut) {
         self->Fail();
         return;
       }
