A new leader polls a part of a large fleet at a time, workers with running tasks first

Change: at most 128 first polls are open at the same time; workers on which tasks run come first, since their leases end.

--- a/packages/coordination/src/WorkerPoller.cpp
+++ b/packages/coordination/src/WorkerPoller.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds kLossyPollWait{ 250 };
 /// Time for which one lost response shortens the polls of all workers.
 constexpr std::chrono::seconds kLossWindow{ 3 };
+/// Most first polls that are open at the same time. Each needs a connection.
+constexpr std::size_t kMaxFirstPolls = 128;
 /// Time between polls while the store is unavailable, which still renew leases and collect
 /// completions.
 constexpr std::chrono::milliseconds kOutagePollInterval{ 300 };
@@ -48,10 +50,31 @@
     poll = isDone ? this->polls.erase(poll) : std::next(poll);
   }
   for (const WorkerId& id : wanted) {
-    if (this->polls.try_emplace(id).second) {
-      this->Poll(id);
+    if (!this->polls.try_emplace(id).second) {
+      continue;
+    }
+    if (this->dispatcher.CountRuns(id) > 0) {
+      this->firstPolls.push_front(id);
+    } else {
+      this->firstPolls.push_back(id);
     }
   }
+  this->StartFirstPolls();
+}
+
+void WorkerPoller::StartFirstPolls()
+{
+  while (this->openFirstPolls < kMaxFirstPolls && !this->firstPolls.empty()) {
+    WorkerId id = std::move(this->firstPolls.front());
+    this->firstPolls.pop_front();
+    auto found = this->polls.find(id);
+    if (found == this->polls.end() || found->second.wasPolled) {
+      continue;
+    }
+    this->Poll(id);
+    found->second.isFirstOpen = found->second.isOpen;
+    this->openFirstPolls += found->second.isOpen ? 1 : 0;
+  }
 }
 
 void WorkerPoller::SchedulePoll(const WorkerId& aWorker, Duration aDelay)
@@ -123,6 +146,10 @@
   bool isFirst = !poll.wasPolled;
   poll.isOpen = false;
   poll.wasPolled = true;
+  if (std::exchange(poll.isFirstOpen, false)) {
+    --this->openFirstPolls;
+    this->StartFirstPolls();
+  }
   TimePoint now = this->loop.Now();
   if (!aReport) {
     if (aReport.Error() == make_error_code(Errc::Fenced)) {
--- a/packages/coordination/src/WorkerPoller.h
+++ b/packages/coordination/src/WorkerPoller.h
@@ -4,13 +4,17 @@
 #include "CompletionTracker.h"
 #include "daisydrift/coordination/Instance.h"
 
+#include <deque>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace daisydrift::coordination {
 
 /// Keeps one long poll open to each worker, which answers when a run ends, or after about a second
-/// otherwise.
+/// otherwise. Answers a change of leader on a large fleet: the new one connects to a part of the
+/// workers at a time, so that it starts tasks on those that have answered meanwhile, and those that
+/// run tasks come first, since their leases end.
 class WorkerPoller
 {
 public:
@@ -50,6 +54,8 @@
   {
     bool isOpen = false;
     bool wasPolled = false;
+    /// The open poll counts in openFirstPolls.
+    bool isFirstOpen = false;
     /// The last poll was answered.
     bool hasAnswered = false;
     TimePoint answeredAt;
@@ -67,6 +73,8 @@
   /// Longest time that a poll may wait for a completion.
   Duration MaxPollWait(TimePoint aNow) const;
   void Poll(const WorkerId& aWorker);
+  /// Sends the first polls of workers that wait for it, up to the limit.
+  void StartFirstPolls();
   void SchedulePoll(const WorkerId& aWorker, Duration aDelay);
   void OnPollResult(const WorkerId& aWorker,
                     TimePoint aSentAt,
@@ -82,6 +90,9 @@
   /// Time of the last poll of a healthy worker that got no response.
   std::optional<TimePoint> lastLostResponse;
   std::map<WorkerId, PollState> polls;
+  /// Workers that have not been polled yet.
+  std::deque<WorkerId> firstPolls;
+  std::size_t openFirstPolls = 0;
   /// Workers of which completions were processed that are not acknowledged yet.
   std::set<WorkerId> unacknowledged;
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
--- a/packages/coordination/tests/WorkerPollerTest.cpp
+++ b/packages/coordination/tests/WorkerPollerTest.cpp
@@ -7,6 +7,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
+#include <set>
 
 namespace daisydrift::coordination {
 namespace {
@@ -161,5 +163,62 @@
   EXPECT_EQ(this->gateway.acknowledged.back(), 3U);
 }
 
+/// Keeps all polls of a large fleet.
+class CountingGateway : public ManualGateway
+{
+public:
+  void Poll(const WorkerListing& aWorker,
+            const PollRequest&,
+            Epoch,
+            std::function<void(const Result<WorkerReport>&)> aDone) override
+  {
+    this->open.emplace_back(aWorker.id, std::move(aDone));
+  }
+
+  std::deque<std::pair<WorkerId, std::function<void(const Result<WorkerReport>&)>>> open;
+};
+
+// Guards against a new leader of a large fleet that does nothing else until it has connected to all
+// workers.
+TEST(FirstPollsTest, ANewLeaderPollsAPartOfALargeFleetAtATime)
+{
+  constexpr int kWorkers = 3000;
+  constexpr std::size_t kMostOpen = 300;
+  VirtualLoop loop;
+  InstanceSettings settings;
+  CountingGateway gateway;
+  Dispatcher dispatcher(settings.dispatch, loop.Now());
+  WorkerPoller poller(loop,
+                      gateway,
+                      dispatcher,
+                      settings,
+                      1,
+                      WorkerPoller::Hooks{ [] {},
+                                           [] {},
+                                           [](const WorkerId&, std::int64_t, TimePoint) {},
+                                           [&loop] { return loop.Now(); } });
+  for (int number = 0; number < kWorkers; ++number) {
+    WorkerListing listing;
+    listing.id = "w" + std::to_string(number);
+    listing.service = "desk";
+    listing.endpoint = { "10.0.0.2", 8000 };
+    dispatcher.ListWorker(listing);
+  }
+  poller.Refresh();
+  std::set<WorkerId> polled;
+  while (!gateway.open.empty() && polled.size() < kWorkers) {
+    ASSERT_LE(gateway.open.size(), kMostOpen);
+    auto [worker, respond] = std::move(gateway.open.front());
+    gateway.open.pop_front();
+    polled.insert(worker);
+    // Half of the workers don't answer.
+    WorkerReport report;
+    report.incarnation = 1;
+    respond(polled.size() % 2 == 0 ? Result<WorkerReport>(report)
+                                   : Result<WorkerReport>(Errc::OutcomeUnknown));
+  }
+  EXPECT_EQ(polled.size(), static_cast<std::size_t>(kWorkers));
+}
+
 } // namespace
 } // namespace daisydrift::coordination
