A step finds the few workers that may run it on a large fleet

Change: a comparison that finds few candidates continues after the last worker in the next round; others begin anew. Measured: AdviceTest.AStepFindsItsFewWorkersOnALargeFleet, 3,000 workers of which two fit: red before, green.

--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -137,14 +137,19 @@
       addCandidate(*worker, slots, true);
     }
   }
-  this->placement.VisitAccepting(aStep, [&](Worker& aWorker) {
+  std::size_t visited = 0;
+  this->placement.VisitAccepting(aStep, advice.workersPassed, [&](Worker& aWorker) {
     ++aCoverage.checks;
+    ++visited;
     bool isKnown = advice.IsDenied(aWorker.number) || advice.Find(aWorker.number) != nullptr;
     if (!isKnown && Placement::Matches(aStep, aWorker)) {
       addCandidate(aWorker, this->placement.CountSlots(aStep, aWorker, waiting), false);
     }
-    return candidates.size() < kMaxCandidates && aCoverage.checks < kWorkerChecksPerStep;
+    return candidates.size() < kMaxCandidates && visited < kWorkerChecksPerStep;
   });
+  // Otherwise a step that few workers may run would never see those behind the first ones.
+  bool foundFew = candidates.size() < kMaxCandidates && visited >= kWorkerChecksPerStep;
+  aCoverage.workersPassed = foundFew ? advice.workersPassed + visited : 0;
   return candidates;
 }
 
@@ -182,7 +187,7 @@
   Coverage coverage;
   std::vector<Candidate> candidates = this->ListCandidates(aStep, aNow, coverage);
   this->workerChecksLeft -= std::min(coverage.checks, this->workerChecksLeft);
-  advice.workersCompared += coverage.checks;
+  advice.workersPassed = coverage.workersPassed;
   auto waiting = static_cast<double>(aStep.Waiting());
   if (coverage.slots >= waiting) {
     advice.notBefore = aNow + kRequestRetryDelay;
@@ -193,7 +198,8 @@
   bool isWorthwhile = coverage.hasUncoveredCapacity ||
                       (aPosition < aRequestSlots && coverage.tickets < kMaxSpareTickets);
   if (candidates.empty() || !isWorthwhile) {
-    advice.notBefore = aNow + kRequestRetryDelay;
+    bool hasSeenAll = coverage.workersPassed == 0;
+    advice.notBefore = hasSeenAll ? aNow + kRequestRetryDelay : aNow;
     return;
   }
   std::stable_sort(
--- a/packages/dispatch/src/AdvicePlanner.h
+++ b/packages/dispatch/src/AdvicePlanner.h
@@ -61,6 +61,8 @@
     bool hasUncoveredCapacity = false;
     /// Workers that the step was compared with.
     std::size_t checks = 0;
+    /// Workers to pass over in the step's next comparison.
+    std::size_t workersPassed = 0;
   };
 
   std::vector<Candidate> ListCandidates(const Step& aStep,
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -96,8 +96,8 @@
   /// True for the workers that may not run the step.
   std::vector<bool> denied;
   bool isRequestOpen = false;
-  /// Number of workers that the step was compared with so far.
-  std::size_t workersCompared = 0;
+  /// Number of workers to pass over in the next comparison, which continues after the last one.
+  std::size_t workersPassed = 0;
   /// No advice is requested before this time.
   TimePoint notBefore;
   /// Time until which the newest ticket is valid.
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -87,38 +87,42 @@
   return std::min<std::size_t>(std::bit_width(units), kRoomClasses - 1);
 }
 
-void Placement::VisitAccepting(const Step& aStep, const std::function<bool(Worker&)>& aVisit) const
+void Placement::VisitAccepting(const Step& aStep,
+                               std::size_t aPassed,
+                               const std::function<bool(Worker&)>& aVisit) const
 {
   auto found = this->services.find(aStep.job->queue->service);
-  if (found == this->services.end()) {
+  if (found == this->services.end() || found->second.accepting.empty()) {
     return;
   }
-  const auto& byRoom = found->second.byRoom;
   std::size_t lowest = RoomClassOf(FleetState::CommittedResources(*aStep.spec).milliCores);
-  auto visitClass = [&](std::size_t aClass) {
-    const std::vector<Worker*>& workers = byRoom[aClass];
-    std::size_t first =
-      workers.empty()
-        ? 0
-        : (aStep.job->sequence * kVisitStride + aStep.advice.workersCompared) % workers.size();
-    for (std::size_t index = 0; index < workers.size(); ++index) {
-      if (!aVisit(*workers[(first + index) % workers.size()])) {
-        return false;
-      }
-    }
-    return true;
-  };
   // Of those with room, long tasks get the fullest first, and short ones the emptiest.
   bool isHighestPriority = aStep.job->queue->priority == 0;
-  for (std::size_t offset = 0; offset < kRoomClasses - lowest; ++offset) {
-    if (!visitClass(isHighestPriority ? kRoomClasses - 1 - offset : lowest + offset)) {
-      return;
+  std::array<std::size_t, kRoomClasses> order;
+  for (std::size_t offset = 0; offset < kRoomClasses; ++offset) {
+    bool hasRoom = offset < kRoomClasses - lowest;
+    order[offset] = hasRoom && !isHighestPriority ? lowest + offset : kRoomClasses - 1 - offset;
+  }
+  if (!isHighestPriority) {
+    for (std::size_t inClass = 0; inClass < lowest; ++inClass) {
+      order[kRoomClasses - 1 - inClass] = inClass;
     }
   }
-  for (std::size_t inClass = lowest; inClass-- > 0;) {
-    if (!visitClass(inClass)) {
-      return;
+  std::size_t total = found->second.accepting.size();
+  std::size_t passed = aPassed % total;
+  std::size_t position = 0;
+  // Twice, so that the workers that are passed over at first come last.
+  for (std::size_t turn = 0; turn < 2 * kRoomClasses; ++turn) {
+    const std::vector<Worker*>& workers = found->second.byRoom[order[turn % kRoomClasses]];
+    std::size_t first = aStep.job->sequence * kVisitStride;
+    std::size_t begin = position < passed ? std::min(passed - position, workers.size()) : 0;
+    for (std::size_t index = begin; index < workers.size(); ++index) {
+      bool isSecondVisit = position + index >= total + passed;
+      if (isSecondVisit || !aVisit(*workers[(first + index) % workers.size()])) {
+        return;
+      }
     }
+    position += workers.size();
   }
 }
 
--- a/packages/dispatch/src/Placement.h
+++ b/packages/dispatch/src/Placement.h
@@ -39,10 +39,12 @@
   /// One worker for each task of a gang; empty when not all of them fit.
   std::vector<Worker*> ChooseForGang(const Step& aStep, TimePoint aNow);
   /// Calls aVisit for the step's workers that accept starts in this round until it returns false.
-  /// Those that had room for a task as the round began come first. Each step begins with another
-  /// one, so that the steps of a backlog don't all compete for the same workers, and continues
-  /// after the workers that it was compared with before.
-  void VisitAccepting(const Step& aStep, const std::function<bool(Worker&)>& aVisit) const;
+  /// Those that had room for a task as the round began come first, and each step begins with
+  /// another one, so that the steps of a backlog don't all compete for the same workers. aPassed:
+  /// number of workers to pass over; they come last.
+  void VisitAccepting(const Step& aStep,
+                      std::size_t aPassed,
+                      const std::function<bool(Worker&)>& aVisit) const;
   /// False when no worker that accepts starts in this round had room for a task of the step as the
   /// round began; rooms only shrink in a round.
   bool MayFit(const Step& aStep) const;
--- a/packages/dispatch/tests/AdviceTest.cpp
+++ b/packages/dispatch/tests/AdviceTest.cpp
@@ -221,5 +221,37 @@
   EXPECT_EQ(this->startedServices, 4);
 }
 
+// Guards against a step that never sees the few workers which may run it, since a step is compared
+// with a part of a large fleet only.
+TEST_F(AdviceTest, AStepFindsItsFewWorkersOnALargeFleet)
+{
+  this->AddWorkers(3000, 64000);
+  WorkerListing listing = *this->dispatcher.FindWorker("w1234");
+  for (const char* id : { "w1234", "w2345" }) {
+    listing.id = id;
+    listing.labels = { "rare" };
+    listing.capacity = { 4000, 64000, 0 };
+    this->dispatcher.ListWorker(listing);
+  }
+  for (const char* queue : { "quick", "batch" }) {
+    JobDefinition job = Job(std::string("rare-") + queue, 1);
+    job.queue = queue;
+    job.steps[0].requiredLabel = "rare";
+    this->Add(job);
+  }
+  std::set<JobId> requested;
+  for (int round = 0; round < 100 && requested.size() < 2; ++round) {
+    this->Round();
+    for (const AdviceRequest& request : this->round.adviceRequests) {
+      requested.insert(request.step.job);
+      for (const WorkerId& worker : request.workers) {
+        EXPECT_TRUE(worker == "w1234" || worker == "w2345") << worker;
+      }
+    }
+    this->Advance(milliseconds(20));
+  }
+  EXPECT_EQ(requested.size(), 2U);
+}
+
 } // namespace
 } // namespace daisydrift
