No task is started by an old list of workers

Change: before starts are sent the age of the list is compared with drain_in_force_ms less 300 ms; if it is older, the starts wait, the list is read beside the open poll, and what is to leave by then gets no start. Ruled out: dropping the starts, which would wait for another round after each outage. Measured: ClusterTest.NoTaskStartsByAnOldListOfWorkersOnOnesThatLeave, red without the check.

--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -45,6 +45,9 @@
   Duration maxConfigAge = std::chrono::seconds(2);
   /// Time between reads of the changes to the worker list and to the stored jobs.
   Duration listPollInterval = std::chrono::milliseconds(400);
+  /// Greatest age of the list of workers by which a task is started: operators expect that a worker
+  /// which is to leave gets no task after a time.
+  Duration maxWorkerListAge = std::chrono::milliseconds(1700);
   /// Longest time that a worker delays its response to a poll; each poll renews the worker's lease.
   Duration pollWait = std::chrono::milliseconds(1000);
   /// Least time for which the final state of a job can be queried.
--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -471,6 +471,13 @@
     this->ConfirmAndSendStarts(aStarts);
     return;
   }
+  if (!aStarts.empty() && now - this->workersKnownAt > this->env.settings.maxWorkerListAge) {
+    this->startsAwaitingWorkers.insert(
+      this->startsAwaitingWorkers.end(), aStarts.begin(), aStarts.end());
+    this->env.metrics.Count("starts_delayed_by_worker_list_total", aStarts.size());
+    this->RefreshWorkerList();
+    return;
+  }
   std::map<StepName, unsigned> startedTasks;
   for (AttemptKey key : aStarts) {
     if (std::optional<StartCommand> command = this->dispatcher->TakeStartCommand(key, now)) {
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -125,6 +125,11 @@
                         TimePoint aSentAt,
                         TimePoint aKnownAt);
   void PollWorkerChanges();
+  /// Reads the changes of the list of workers now, beside a poll that may wait for a lost response.
+  void RefreshWorkerList();
+  void ApplyWorkerChanges(const KeyValueChanges& aChanges, TimePoint aSentAt);
+  /// The list was read at that time; sends the starts that wait for it.
+  void OnWorkersKnown(TimePoint aSentAt);
   /// aRevision is that of the value, for the log.
   void ApplyWorker(const std::string& aKey,
                    const std::optional<std::string>& aValue,
@@ -192,6 +197,9 @@
   /// Times at which the reads of jobsRevision and workersRevision were sent.
   TimePoint jobsKnownAt;
   TimePoint workersKnownAt;
+  /// Starts that are not sent by an older list of workers.
+  std::vector<AttemptKey> startsAwaitingWorkers;
+  bool isRefreshingWorkers = false;
   TimePoint nextPurge;
   TimePoint nextSummary;
   /// Due time of the scheduled round, and the time before which none runs.
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -10,6 +10,8 @@
 namespace {
 /// Delay before a failed store call is repeated.
 constexpr std::chrono::milliseconds kStoreRetryDelay{ 100 };
+/// Delay before the list of workers is read again while starts wait for it.
+constexpr std::chrono::milliseconds kRefreshRetryDelay{ 50 };
 
 /// True when the store answered at once that it does not carry out the call. After any other error
 /// the response may have been too long for the time limit. The changes since a revision only become
@@ -126,7 +128,6 @@
     },
     [this, sentAt = this->env.loop.Now()](std::uint64_t aRevision) {
       this->workersRevision = aRevision;
-      this->workersKnownAt = sentAt;
       for (const WorkerId& id : this->dispatcher->Workers()) {
         if (this->listedWorkers.count(id) == 0) {
           this->dispatcher->UnlistWorker(id);
@@ -136,6 +137,7 @@
         return this->listedWorkers.count(this->WorkerIdOfKey(aEntry.first)) == 0;
       });
       this->workerPoller->Refresh();
+      this->OnWorkersKnown(sentAt);
       if (!this->isRecovered) {
         this->OnRecovered();
       }
@@ -246,6 +248,54 @@
     .Add("age_ms", now - aKnownAt);
 }
 
+void Leader::ApplyWorkerChanges(const KeyValueChanges& aChanges, TimePoint aSentAt)
+{
+  if (aChanges.revision < this->workersRevision) {
+    return; // A later read has been answered before.
+  }
+  for (const KeyValueChange& change : aChanges.changes) {
+    this->ApplyWorker(change.key, change.value, change.revision);
+  }
+  this->workersRevision = aChanges.revision;
+  this->workerPoller->Refresh();
+  this->OnWorkersKnown(aSentAt);
+}
+
+void Leader::OnWorkersKnown(TimePoint aSentAt)
+{
+  this->workersKnownAt = std::max(this->workersKnownAt, aSentAt);
+  this->SendStarts(std::exchange(this->startsAwaitingWorkers, {}));
+}
+
+void Leader::RefreshWorkerList()
+{
+  if (this->isRefreshingWorkers) {
+    return;
+  }
+  this->isRefreshingWorkers = true;
+  LogLine(LogLevel::Warning, "starts_await_workers")
+    .Add("term", this->record.term)
+    .Add("starts", this->startsAwaitingWorkers.size())
+    .Add("workers_age_ms", this->env.loop.Now() - this->workersKnownAt);
+  this->env.store.Watch(this->env.settings.workerPrefix,
+                        this->workersRevision,
+                        Duration(0),
+                        [this, alive = this->isAlive, sentAt = this->env.loop.Now()](
+                          const Result<KeyValueChanges>& aChanges) {
+                          if (!*alive || this->hasEnded) {
+                            return;
+                          }
+                          this->isRefreshingWorkers = false;
+                          if (aChanges) {
+                            this->ApplyWorkerChanges(*aChanges, sentAt);
+                          }
+                          if (!this->startsAwaitingWorkers.empty()) {
+                            this->After(kRefreshRetryDelay, [this] { this->RefreshWorkerList(); });
+                          }
+                        },
+                        {});
+}
+
 void Leader::PollWorkerChanges()
 {
   this->env.store.Watch(
@@ -258,12 +308,7 @@
         return;
       }
       if (aChanges) {
-        for (const KeyValueChange& change : aChanges->changes) {
-          this->ApplyWorker(change.key, change.value, change.revision);
-        }
-        this->workersRevision = aChanges->revision;
-        this->workersKnownAt = sentAt;
-        this->workerPoller->Refresh();
+        this->ApplyWorkerChanges(*aChanges, sentAt);
       } else if (aChanges.Error() == make_error_code(Errc::NotFound)) {
         LogLine(LogLevel::Warning, "worker_history_lost");
         this->LoadWorkers();
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -80,6 +80,30 @@
   this->ExpectAllCompleted({ "job" }, other, seconds(6));
 }
 
+// Guards against a leader that starts tasks by a list of workers which it has not been able to read
+// for seconds, on workers that have been leaving since.
+TEST_F(ClusterTest, NoTaskStartsByAnOldListOfWorkersOnOnesThatLeave)
+{
+  std::set<WorkerId> started;
+  this->fleet.planRun = [&started](const StartCommand& aCommand) {
+    started.insert(aCommand.worker);
+    return std::pair(std::optional<Duration>(milliseconds(600)), RunOutcome::Succeeded);
+  };
+  this->store.isPrefixUnavailable = [](const std::string& aPrefix) {
+    return aPrefix.rfind("workers/", 0) == 0;
+  };
+  for (const char* worker : { "w0", "w1", "w2" }) {
+    FakeFleet::Drain(this->store, worker);
+  }
+  this->loop.RunFor(milliseconds(2500));
+  ASSERT_EQ(this->Submit(0, "job", 8), SubmitOutcome::Accepted);
+  this->loop.RunFor(seconds(1));
+  EXPECT_TRUE(started.empty()) << *started.begin();
+  this->store.isPrefixUnavailable = nullptr;
+  this->ExpectAllCompleted({ "job" }, 0, seconds(6));
+  EXPECT_EQ(started, std::set<WorkerId>{ "w3" });
+}
+
 // Guards against a group that learns of its leader's end only when a watch has timed out.
 TEST_F(ClusterTest, ExpiredLeaderIsReplacedInTimeWhileWatchResponsesAreLost)
 {
--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -15,14 +15,16 @@
 constexpr const char* kPrefix = "workers/";
 /// Value of a worker's entry; any other is odd.
 constexpr const char* kEntry = "{}";
+constexpr const char* kDrainingEntry = "{\"draining\":true}";
 } // namespace
 
 std::optional<WorkerListing> ParseFakeWorker(const std::string& aKey, const std::string& aValue)
 {
-  if (aValue != kEntry) {
+  if (aValue != kEntry && aValue != kDrainingEntry) {
     return std::nullopt;
   }
   WorkerListing listing;
+  listing.isDraining = aValue == kDrainingEntry;
   listing.id = aKey.substr(std::string_view(kPrefix).size());
   listing.service = "desk";
   listing.endpoint = { "10.0.0.1", 80 };
@@ -46,6 +48,11 @@
   aStore.Put(kPrefix + aId, kEntry);
 }
 
+void FakeFleet::Drain(InMemoryStore& aStore, const WorkerId& aId)
+{
+  aStore.Put(kPrefix + aId, kDrainingEntry);
+}
+
 void FakeFleet::Kill(const WorkerId& aId)
 {
   this->Restart(aId);
--- a/packages/coordination/tests/FakeFleet.h
+++ b/packages/coordination/tests/FakeFleet.h
@@ -25,6 +25,8 @@
 
   /// Adds a worker with four cores and lists it in the store.
   void AddWorker(InMemoryStore& aStore, const WorkerId& aId);
+  /// Lists the worker as one that is to leave.
+  static void Drain(InMemoryStore& aStore, const WorkerId& aId);
   /// Ends the worker's process and all its runs; it no longer answers.
   void Kill(const WorkerId& aId);
   /// Starts a new process of the worker under its id, which runs and knows nothing.
