The test of an old list of workers cuts off the watch as well

Cause: said that this test was red without the check; it had not been run with the result read: the leader still learnt the list by the watch's pages, so the test failed with the check too. Change: reads and watches of the list both fail.

--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -92,6 +92,7 @@
   this->store.isPrefixUnavailable = [](const std::string& aPrefix) {
     return aPrefix.rfind("workers/", 0) == 0;
   };
+  this->store.isWatchResponseLost = this->store.isPrefixUnavailable;
   for (const char* worker : { "w0", "w1", "w2" }) {
     FakeFleet::Drain(this->store, worker);
   }
@@ -100,6 +101,7 @@
   this->loop.RunFor(seconds(1));
   EXPECT_TRUE(started.empty()) << *started.begin();
   this->store.isPrefixUnavailable = nullptr;
+  this->store.isWatchResponseLost = nullptr;
   this->ExpectAllCompleted({ "job" }, 0, seconds(6));
   EXPECT_EQ(started, std::set<WorkerId>{ "w3" });
 }
