Jobs of years do not overflow the work that is compared with a ceiling

Cause: OverloadSelector added up declared times as integers and converted products with sizes to integers. Measured: DispatcherTest.JobsOfYearsDontDisturbTheOrderOfOthers under the undefined-behaviour sanitizer, arm64: on the code before 1.29e26 outside the range of long int, and a signed overflow; none now. Without the sanitizer the test passes on both.

--- a/packages/dispatch/src/OverloadSelector.cpp
+++ b/packages/dispatch/src/OverloadSelector.cpp
@@ -13,6 +13,9 @@
 /// Share of a limit that running tasks take on average while others wait: each start takes a round
 /// and a write to the store, and rooms that are too small stay free.
 constexpr double kUsableShare = 0.9;
+/// Longer loads count as this. A caller may declare tasks of years, so that the sum of its loads,
+/// and its conversion to an integer, would overflow.
+constexpr std::chrono::duration<double, Duration::period> kLongestLoad = std::chrono::hours(24);
 
 /// The largest share that a task of that size takes of any resource of the limit.
 double ShareOf(const Resources& aSize, const Resources& aLimit)
@@ -26,18 +29,17 @@
 }
 
 /// Declared time that the unfinished tasks of a step still take, added up.
-Duration TaskTimeLeft(const Step& aStep)
+std::chrono::duration<double, Duration::period> TaskTimeLeft(const Step& aStep)
 {
-  Duration estimate = aStep.spec->estimate;
-  Duration time = estimate * static_cast<std::int64_t>(aStep.Waiting());
+  auto tasks = static_cast<double>(aStep.Waiting());
   if (aStep.active > 0) {
     for (const Task& task : aStep.tasks) {
       if (task.attempt != nullptr) {
-        time += estimate * (100 - std::min(task.attempt->progressPercent, 100)) / 100;
+        tasks += (100 - std::min(task.attempt->progressPercent, 100)) / 100.0;
       }
     }
   }
-  return time;
+  return aStep.spec->estimate * tasks;
 }
 
 Duration Scale(Duration aTime, double aFactor)
@@ -48,13 +50,13 @@
 /// Time for which the rest of the job would take all of the limit.
 Duration LoadOf(const Job& aJob, const Resources& aLimit)
 {
-  Duration load{ 0 };
+  std::chrono::duration<double, Duration::period> load{ 0 };
   for (const auto& step : aJob.steps) {
     if (!step->spec->isService) {
-      load += Scale(TaskTimeLeft(*step), ShareOf(step->spec->size, aLimit));
+      load += TaskTimeLeft(*step) * ShareOf(step->spec->size, aLimit);
     }
   }
-  return load;
+  return std::chrono::duration_cast<Duration>(std::min(load, kLongestLoad));
 }
 
 /// The occurrences of a job have due times of their own, and services have none.
--- a/packages/dispatch/tests/DispatcherTest.cpp
+++ b/packages/dispatch/tests/DispatcherTest.cpp
@@ -182,5 +182,32 @@
   EXPECT_TRUE(this->Round().empty()) << "the run still holds its lease on w1";
 }
 
+// Guards against a job of huge declared times and sizes whose work overflows when it is added up,
+// and then changes the order of all jobs of its service.
+TEST_F(DispatcherFixture, JobsOfYearsDontDisturbTheOrderOfOthers)
+{
+  constexpr std::int64_t kHugeMilliCores = 100'000'000;
+  this->policy.teams["odd"] = { "odd", 1000, { 1, 1, 1 } };
+  this->dispatcher.SetPolicy(this->policy);
+  this->AddWorker("w1", 1000);
+  for (int number = 0; number < 8; ++number) {
+    JobDefinition odd = Job("odd" + std::to_string(number), 4096, kHugeMilliCores);
+    odd.team = "odd";
+    odd.steps[0].estimate = std::chrono::hours(24) * 3653;
+    odd.steps.resize(16, odd.steps[0]);
+    this->Add(odd);
+  }
+  // Only the small one can be in time beside the other, which came first.
+  JobDefinition wide = Job("wide", 40);
+  wide.steps[0].estimate = std::chrono::milliseconds(1000);
+  this->Add(wide);
+  JobDefinition small = Job("small", 1);
+  small.steps[0].estimate = std::chrono::milliseconds(1000);
+  this->Add(small);
+  std::vector<StartCommand> commands = this->Round();
+  ASSERT_EQ(commands.size(), 1U);
+  EXPECT_EQ(commands[0].task.job, "small");
+}
+
 } // namespace
 } // namespace daisydrift
