review: case 1, a long schedule stops all work for good; stand-ins

Case: an accepted job with 64 steps and 3,600 repetitions, 900 of them due, grows its record of progress above value_bytes. The store refuses that transaction, the leader repeats it for ever and holds back all other records, so no task of any tenant is started any more (LOST). Ruled out: a slow store or load; without the job, all 150 jobs complete.

--- /dev/null
+++ b/review/run-case.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# run-case.sh CASE FOLDER: runs one case of review/bin/standin against the program of the deploy file. Exit code: 1 if the
+# rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+set -u
+root="$(cd "$(dirname "$0")/.." && pwd)"
+folder="$(cd "$2" && pwd)"
+program="$root/target/bin/daisydriftd"
+standin="$root/review/bin/standin"
+if [ ! -x "$program" ] || [ ! -x "$standin" ]; then
+  echo "build first: the build of deploy/system.toml, then review/build.sh" >&2
+  exit 2
+fi
+scratch="$(mktemp -d)" || exit 2
+trap 'rm -rf "$scratch"' EXIT
+# The instances end with the stand-in, also when it is killed.
+timeout --kill-after=2 115 "$standin" "$1" "$program" "$scratch" "$folder/record.txt"
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
