--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -39,12 +39,11 @@
 int ManyEnds(const Arguments& aArguments)
 {
   constexpr std::size_t kTasks = 1300;
-  Deployment deployment(
-    aArguments.program, aArguments.folder, aArguments.record, 3, 2, { "a" });
+  Deployment deployment(aArguments.program, aArguments.folder, aArguments.record, 3, 2, { "a" });
   deployment.world.isVerbose = false;
   bool couldRun = deployment.Start();
   std::string job = deployment.NewJobId();
-  deployment.world.jobs[job] = { milliseconds(4200), "" };
+  deployment.world.jobs[job] = { milliseconds(4200), milliseconds(80), "" };
   bool areAllStarted = false;
   bool isCompleted = false;
   deployment.world.onStart = [&](const std::shared_ptr<Run>&) {
@@ -64,10 +63,8 @@
     });
   };
   deployment.loop.After(seconds(4), [&] {
-    json steps = json::array({ { { "count", kTasks },
-                                 { "cpu", 20 },
-                                 { "mem_mb", 32 },
-                                 { "estimate_ms", 4200 } } });
+    json steps = json::array(
+      { { { "count", kTasks }, { "cpu", 20 }, { "mem_mb", 32 }, { "estimate_ms", 4200 } } });
     deployment.Submit(job, { { "spec", "notify" }, { "steps", steps } }, "a", [&](int aStatus) {
       couldRun = couldRun && aStatus == 200;
     });
@@ -93,10 +90,9 @@
     deployment.record.Add(runner + " starts=" + std::to_string(count));
   }
   std::size_t broken = CheckTwice(deployment.world);
-  deployment.record.Add("tasks=" + std::to_string(kTasks) +
-                        " starts=" + std::to_string(deployment.world.runs.size()) +
-                        " completed=" + std::to_string(isCompleted) +
-                        " broken=" + std::to_string(broken));
+  deployment.record.Add(
+    "tasks=" + std::to_string(kTasks) + " starts=" + std::to_string(deployment.world.runs.size()) +
+    " completed=" + std::to_string(isCompleted) + " broken=" + std::to_string(broken));
   return Finish(deployment, couldRun && areAllStarted);
 }
 
@@ -112,7 +108,7 @@
   deployment.loop.After(seconds(4), [&] {
     for (int number = 0; number < 4 * kRunners; ++number) {
       std::string job = deployment.NewJobId();
-      deployment.world.jobs[job] = { seconds(14), "" };
+      deployment.world.jobs[job] = { seconds(14), {}, "" };
       json steps = json::array(
         { { { "count", 1 }, { "cpu", 2500 }, { "mem_mb", 512 }, { "estimate_ms", 14000 } } });
       deployment.Submit(job, { { "spec", "pay" }, { "steps", steps } }, "a", [&](int aStatus) {
@@ -123,9 +119,9 @@
   // Small jobs go on all the while, as on any day.
   std::function<void()> send = [&] {
     std::string job = deployment.NewJobId();
-    deployment.world.jobs[job] = { milliseconds(200), "" };
-    json steps = json::array(
-      { { { "count", 1 }, { "cpu", 200 }, { "mem_mb", 64 }, { "estimate_ms", 200 } } });
+    deployment.world.jobs[job] = { milliseconds(200), {}, "" };
+    json steps =
+      json::array({ { { "count", 1 }, { "cpu", 200 }, { "mem_mb", 64 }, { "estimate_ms", 200 } } });
     deployment.Submit(job, { { "spec", "check" }, { "steps", steps } }, "b", [](int) {});
     deployment.loop.After(milliseconds(150), [&] {
       if (send) {
@@ -178,14 +174,13 @@
   constexpr seconds kTroubleAt{ 12 };
   constexpr seconds kTrafficEnd{ 42 };
   constexpr seconds kFinish{ 14 };
-  Deployment deployment(
-    aArguments.program, aArguments.folder, aArguments.record, 3, 4, { "a" });
+  Deployment deployment(aArguments.program, aArguments.folder, aArguments.record, 3, 4, { "a" });
   bool couldRun = deployment.Start();
   std::vector<std::string> accepted;
   std::map<std::string, std::string> states;
   std::function<void()> send = [&] {
     std::string job = deployment.NewJobId();
-    deployment.world.jobs[job] = { milliseconds(300), "" };
+    deployment.world.jobs[job] = { milliseconds(300), {}, "" };
     json steps = json::array(
       { { { "count", 2 }, { "cpu", 1000 }, { "mem_mb", 256 }, { "estimate_ms", 300 } } });
     deployment.Submit(job, { { "spec", "check" }, { "steps", steps } }, "a", [&, job](int aStatus) {
@@ -204,7 +199,7 @@
   if (aArguments.hasTrouble) {
     deployment.loop.After(kTroubleAt, [&] {
       std::string job = deployment.NewJobId();
-      deployment.world.jobs[job] = { milliseconds(300), "" };
+      deployment.world.jobs[job] = { milliseconds(300), {}, "" };
       json steps = json::array();
       for (int step = 0; step < 64; ++step) {
         json entry{ { "count", 1 }, { "cpu", 100 }, { "mem_mb", 64 }, { "estimate_ms", 300 } };
@@ -243,16 +238,16 @@
           }
           if (states[job] != "completed" && !hasRun) {
             ++open;
-            deployment.record.Violation("LOST: job " + job + " (accepted) is '" + states[job] +
-                                        "' and nothing of it has ever run; starts in 3 s: " +
-                                        std::to_string(begun) +
-                                        ", tasks running: " + std::to_string(running));
+            deployment.record.Violation(
+              "LOST: job " + job + " (accepted) is '" + states[job] +
+              "' and nothing of it has ever run; starts in 3 s: " + std::to_string(begun) +
+              ", tasks running: " + std::to_string(running));
           }
         }
         deployment.record.Add("accepted=" + std::to_string(accepted.size()) +
-                              " never run=" + std::to_string(open) + " values refused=" +
-                              std::to_string(deployment.front->refusedValues) + " largest value=" +
-                              std::to_string(deployment.front->largestValue));
+                              " never run=" + std::to_string(open) +
+                              " values refused=" + std::to_string(deployment.front->refusedValues) +
+                              " largest value=" + std::to_string(deployment.front->largestValue));
         deployment.loop.Stop();
       });
       return;
@@ -290,7 +285,7 @@
   };
   std::function<void()> send = [&] {
     std::string job = deployment.NewJobId();
-    deployment.world.jobs[job] = { milliseconds(700), "a" };
+    deployment.world.jobs[job] = { milliseconds(700), {}, "a" };
     json steps = json::array({ { { "count", 6 },
                                  { "cpu", 2000 },
                                  { "mem_mb", 256 },
@@ -418,18 +413,20 @@
   (*ask)(0);
 }
 
-/// One runner of a kind that a lasting task and batch jobs need fails all that it starts for a while.
+/// One runner of a kind that a lasting task and batch jobs need fails all that it starts for a
+/// while.
 int GreyThenLasting(const Arguments& aArguments)
 {
   constexpr int kRunners = 12;
   constexpr seconds kTrafficEnd{ 38 };
   std::vector<std::string> kinds(kRunners, "a");
   kinds[0] = "g";
-  Deployment deployment(aArguments.program, aArguments.folder, aArguments.record, 3, kRunners, kinds);
+  Deployment deployment(
+    aArguments.program, aArguments.folder, aArguments.record, 3, kRunners, kinds);
   bool couldRun = deployment.Start();
   auto late = std::make_shared<std::vector<std::string>>();
   std::string watch = deployment.NewJobId();
-  deployment.world.jobs[watch] = { milliseconds(300), "g", true };
+  deployment.world.jobs[watch] = { milliseconds(300), {}, "g", true };
   deployment.loop.After(seconds(4), [&] {
     json steps = json::array({ { { "count", 1 },
                                  { "cpu", 1000 },
@@ -447,7 +444,7 @@
   std::function<void()> send = [&] {
     std::string job = deployment.NewJobId();
     bool isLate = ++sent > 50; // Handed in from some 10 s after the disruption on.
-    deployment.world.jobs[job] = { milliseconds(300), "g", false };
+    deployment.world.jobs[job] = { milliseconds(300), {}, "g", false };
     json steps = json::array({ { { "count", 1 },
                                  { "cpu", 1000 },
                                  { "mem_mb", 256 },
@@ -473,7 +470,8 @@
   deployment.loop.After(kTrafficEnd, [&] { send = nullptr; });
   if (aArguments.hasTrouble) {
     deployment.loop.After(seconds(8), [&] { deployment.runners[0]->SetGrey(true); });
-    deployment.loop.After(milliseconds(8000 + 6500), [&] { deployment.runners[0]->SetGrey(false); });
+    deployment.loop.After(milliseconds(8000 + 6500),
+                          [&] { deployment.runners[0]->SetGrey(false); });
   }
   deployment.loop.After(kTrafficEnd + seconds(14), [&] {
     CheckWaiting(deployment, late, "batch", [&] { deployment.loop.Stop(); });
@@ -492,7 +490,7 @@
   bool couldRun = deployment.Start();
   auto jobs = std::make_shared<std::vector<std::string>>();
   std::string watch = deployment.NewJobId();
-  deployment.world.jobs[watch] = { milliseconds(300), "", true };
+  deployment.world.jobs[watch] = { milliseconds(300), {}, "", true };
   deployment.loop.After(seconds(4), [&] {
     json steps = json::array({ { { "count", 7 },
                                  { "cpu", 500 },
@@ -518,7 +516,7 @@
   }
   std::function<void()> send = [&] {
     std::string job = deployment.NewJobId();
-    deployment.world.jobs[job] = { milliseconds(500), "", false };
+    deployment.world.jobs[job] = { milliseconds(500), {}, "", false };
     json steps = json::array(
       { { { "count", 1 }, { "cpu", 14500 }, { "mem_mb", 1024 }, { "estimate_ms", 500 } } });
     deployment.Submit(
@@ -561,7 +559,7 @@
   deployment.loop.After(seconds(8), [&] {
     for (int number = 0; number < 2; ++number) {
       std::string job = deployment.NewJobId();
-      deployment.world.jobs[job] = { length, "", false };
+      deployment.world.jobs[job] = { length, {}, "", false };
       json steps = json::array({ { { "count", 1 },
                                    { "cpu", 2500 },
                                    { "mem_mb", 1024 },
@@ -580,7 +578,7 @@
   });
   std::function<void()> send = [&] {
     std::string job = deployment.NewJobId();
-    deployment.world.jobs[job] = { milliseconds(300), "", false };
+    deployment.world.jobs[job] = { milliseconds(300), {}, "", false };
     json steps = json::array(
       { { { "count", 1 }, { "cpu", 1000 }, { "mem_mb", 256 }, { "estimate_ms", 300 } } });
     deployment.Submit(job, { { "spec", "check" }, { "steps", steps } }, "a", [](int) {});
@@ -639,29 +637,74 @@
     }
     auto idle = std::chrono::duration_cast<milliseconds>(longestIdle[job]);
     deployment.record.Add("job " + job + " runs=" + std::to_string(runs) +
-                          " stopped=" + std::to_string(stopped) + " completed=" +
-                          std::to_string(completed.count(job)) + " longest time without a run, ms=" +
-                          std::to_string(idle.count()));
+                          " stopped=" + std::to_string(stopped) +
+                          " completed=" + std::to_string(completed.count(job)) +
+                          " longest time without a run, ms=" + std::to_string(idle.count()));
     if (idle >= kBound) {
-      deployment.record.Violation("LOST: job " + job + " (accepted) has had nothing running for " +
-                                  std::to_string(idle.count()) +
-                                  " ms on four sound runners that ran nothing else; its one task was "
-                                  "stopped " + std::to_string(stopped) + " times");
+      deployment.record.Violation(
+        "LOST: job " + job + " (accepted) has had nothing running for " +
+        std::to_string(idle.count()) +
+        " ms on four sound runners that ran nothing else; its one task was "
+        "stopped " +
+        std::to_string(stopped) + " times");
     }
   }
   return Finish(deployment, couldRun && large.size() == 2);
 }
 
+/// A call to a runner is carried out late by its next life, which grants the longest lease; then
+/// the runner is cut off (KNOWN-RED.txt, dispatch.RestartedWorkerTest).
+int LateCallToNextLife(const Arguments& aArguments)
+{
+  constexpr int kRunners = 8;
+  Deployment deployment(
+    aArguments.program, aArguments.folder, aArguments.record, 3, kRunners, { "a" });
+  bool couldRun = deployment.Start();
+  Runner& struck = *deployment.runners[0];
+  bool wasCut = false;
+  std::function<void()> send = [&] {
+    std::string job = deployment.NewJobId();
+    deployment.world.jobs[job] = { seconds(9), {}, "" };
+    json steps = json::array(
+      { { { "count", 2 }, { "cpu", 1500 }, { "mem_mb", 256 }, { "estimate_ms", 9000 } } });
+    deployment.Submit(job, { { "spec", "pay" }, { "steps", steps } }, "a", [](int) {});
+    deployment.loop.After(milliseconds(300), [&] {
+      if (send) {
+        send();
+      }
+    });
+  };
+  deployment.loop.After(seconds(4), send);
+  deployment.loop.After(seconds(30), [&] { send = nullptr; });
+  if (aArguments.hasTrouble) {
+    deployment.loop.After(seconds(20), [&] { struck.HoldBackNextCall(); });
+    deployment.loop.After(milliseconds(21500), [&] {
+      struck.CrashAndRestart(milliseconds(500), "", milliseconds(100));
+    });
+    deployment.loop.After(milliseconds(24500), [&] {
+      couldRun = couldRun && struck.HasHeldCall();
+      if (!struck.HasHeldCall()) {
+        return;
+      }
+      struck.ReleaseHeldCall();
+      wasCut = true;
+      deployment.loop.After(milliseconds(5), [&] { struck.Cut(); });
+      deployment.loop.After(milliseconds(6505), [&] { struck.Heal(); });
+    });
+  }
+  deployment.loop.After(seconds(60), [&] { deployment.loop.Stop(); });
+  deployment.loop.Run();
+  CheckTwice(deployment.world);
+  return Finish(deployment, couldRun && wasCut == aArguments.hasTrouble);
+}
+
 int RunCase(const std::string& aCase, const Arguments& aArguments)
 {
   static const std::map<std::string, int (*)(const Arguments&)> kCases{
-    { "many-ends", ManyEnds },
-    { "draining-cut", DrainingCut },
-    { "long-schedule", LongSchedule },
-    { "other-kind", OtherKind },
-    { "two-waves", TwoWaves },
-    { "grey-then-lasting", GreyThenLasting },
-    { "headroom", Headroom },
+    { "many-ends", ManyEnds },         { "draining-cut", DrainingCut },
+    { "long-schedule", LongSchedule }, { "other-kind", OtherKind },
+    { "two-waves", TwoWaves },         { "grey-then-lasting", GreyThenLasting },
+    { "headroom", Headroom },          { "late-call-to-next-life", LateCallToNextLife },
     { "long-tasks", LongTasks },
   };
   auto found = kCases.find(aCase);
--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <iostream>
 #include <tuple>
 
@@ -30,12 +31,13 @@
   return aTask.substr(0, aTask.find('.'));
 }
 
-/// A loopback address that only this run uses, so that its instances meet neither those of other runs
-/// nor ports that the system chooses on 127.0.0.1. A process id has at most 22 bits.
+/// A loopback address that only this run uses, so that its instances meet neither those of other
+/// runs nor ports that the system chooses on 127.0.0.1. A process id has at most 22 bits.
 std::string AddressOfRun()
 {
   in_addr address{};
-  address.s_addr = htonl((127U << 24U) + (128U << 16U) + (static_cast<unsigned>(::getpid()) & 0x3fffffU));
+  address.s_addr =
+    htonl((127U << 24U) + (128U << 16U) + (static_cast<unsigned>(::getpid()) & 0x3fffffU));
   char text[INET_ADDRSTRLEN];
   ::inet_ntop(AF_INET, &address, text, sizeof(text));
   return text;
@@ -63,7 +65,10 @@
   }
 }
 
-Runner::Runner(World& aWorld, daisydrift::soak::SoakStore& aStore, std::string aId, std::string aKind)
+Runner::Runner(World& aWorld,
+               daisydrift::soak::SoakStore& aStore,
+               std::string aId,
+               std::string aKind)
   : world(aWorld)
   , store(aStore)
   , id(std::move(aId))
@@ -152,6 +157,14 @@
   }
 }
 
+void Runner::ReleaseHeldCall()
+{
+  auto [status, answer] = this->Execute("/hold", *this->heldCall);
+  this->world.record.Add("the /hold held back is carried out: " + std::to_string(status) +
+                         " lease_left_ms=" + std::to_string(this->leaseEnd - this->Clock()));
+  this->heldCall.reset();
+}
+
 void Runner::Cut()
 {
   this->isCut = true;
@@ -280,6 +293,13 @@
     aExchange->Reply({ 421, {}, "" });
     return;
   }
+  if (request.target == "/hold" && this->isHoldingBack && body.contains("deadline_ms")) {
+    this->isHoldingBack = false;
+    this->heldCall = body;
+    this->heldExchange = aExchange;
+    this->world.record.Add("a /hold to " + this->id + " is held back: " + request.body);
+    return;
+  }
   auto [status, answer] = this->Execute(request.target, body);
   if (request.target == "/hold" && status == 200) {
     TimePoint until = this->world.loop.Now() + milliseconds(Number(body, "wait_ms"));
@@ -421,7 +441,9 @@
   if (job->second.isService && !this->isGrey) {
     return { 200, answer };
   }
-  Duration duration = this->isGrey ? Duration(milliseconds(50)) : job->second.duration;
+  int index = std::atoi(task.substr(task.rfind('.') + 1).c_str());
+  Duration length = job->second.duration - job->second.spread * (index % 8);
+  Duration duration = this->isGrey ? Duration(milliseconds(50)) : length;
   std::string how = this->isGrey ? "failed" : "done";
   this->world.loop.After(duration, [this, run, how, started = this->life] {
     auto found = this->running.find(run->task);
@@ -452,13 +474,14 @@
   : record(aRecord)
   , store(std::move(aStore))
   , client(aLoop, 1000)
-  , listener(aLoop,
-             [] {
-               daisydrift::HttpServerLimits limits;
-               limits.maxBodyBytes = 64 * 1024 * 1024;
-               return limits;
-             }(),
-             [this](const Ref<HttpExchange>& aExchange) { this->Handle(aExchange); })
+  , listener(
+      aLoop,
+      [] {
+        daisydrift::HttpServerLimits limits;
+        limits.maxBodyBytes = 64 * 1024 * 1024;
+        return limits;
+      }(),
+      [this](const Ref<HttpExchange>& aExchange) { this->Handle(aExchange); })
 {
 }
 
@@ -504,7 +527,9 @@
   : world(aWorld)
   , store(aStore)
   , runners(aRunners)
-  , listener(aWorld.loop, {}, [this](const Ref<HttpExchange>& aExchange) { this->Handle(aExchange); })
+  , listener(aWorld.loop, {}, [this](const Ref<HttpExchange>& aExchange) {
+    this->Handle(aExchange);
+  })
 {
   for (std::size_t number = 0; number < aRunners.size(); ++number) {
     this->machines["m-" + std::to_string(number)].runner = aRunners[number].get();
@@ -518,13 +543,14 @@
   int status = 200;
   if (request.target.rfind("/machines", 0) == 0) {
     for (const auto& [name, machine] : this->machines) {
-      answer["machines"].push_back({ { "machine", name },
-                                     { "pool", "desk" },
-                                     { "state", machine.isUp ? "up" : "upkeep" },
-                                     { "zone", "z0" },
-                                     { "labels", json::array({ "a", "r0" }) },
-                                     { "capacity", { { "cpu", 16000 }, { "mem_mb", 65536 }, { "gpu", 0 } } },
-                                     { "id", machine.runner->Id() } });
+      answer["machines"].push_back(
+        { { "machine", name },
+          { "pool", "desk" },
+          { "state", machine.isUp ? "up" : "upkeep" },
+          { "zone", "z0" },
+          { "labels", json::array({ "a", "r0" }) },
+          { "capacity", { { "cpu", 16000 }, { "mem_mb", 65536 }, { "gpu", 0 } } },
+          { "id", machine.runner->Id() } });
     }
   } else if (request.target == "/machine-upkeep") {
     std::tie(status, answer) = this->Upkeep(request);
@@ -609,14 +635,14 @@
        << "  \"address\": \"" << this->address
        << "\", \"callers\": " << at(this->address, this->firstPort)
        << ", \"readiness\": " << at(this->address, this->firstPort + 1)
-       << ",\n  \"peer_port\": " << this->firstPort + 2 << ", \"metrics_port\": " << this->firstPort + 3
+       << ",\n  \"peer_port\": " << this->firstPort + 2
+       << ", \"metrics_port\": " << this->firstPort + 3
        << ", \"cores\": 0.25, \"max_descriptors\": 4100,\n"
        << "  \"store\": " << at(loopback, this->storePort) << ",\n";
   if (this->cloudPort != 0) {
     file << "  \"machines\": " << at(loopback, this->cloudPort) << ",\n";
   }
-  file
-       << "  \"longest_lease_ms\": " << kHoldMaxMs
+  file << "  \"longest_lease_ms\": " << kHoldMaxMs
        << ", \"config_in_force_ms\": 2000, \"drain_in_force_ms\": 2000,\n"
        << "  \"order_pause_ms\": 3000, \"remote_penalty\": 2 }\n";
   file.close();
@@ -666,11 +692,11 @@
   , client(this->loop, 1000)
 {
   for (int number = 0; number < aRunners; ++number) {
-    this->runners.push_back(std::make_unique<Runner>(
-      this->world,
-      this->store,
-      "i-" + std::to_string(number),
-      aKinds[static_cast<std::size_t>(number) % aKinds.size()]));
+    this->runners.push_back(
+      std::make_unique<Runner>(this->world,
+                               this->store,
+                               "i-" + std::to_string(number),
+                               aKinds[static_cast<std::size_t>(number) % aKinds.size()]));
   }
   if (aHasCloud) {
     this->cloud = std::make_unique<Cloud>(this->world, this->store, this->runners);
@@ -710,12 +736,11 @@
     runner->Beat();
   }
   for (int number = 0; number < this->instanceCount; ++number) {
-    this->instances.push_back(std::make_unique<Instance>(
-      this->program,
-                                 this->folder,
-                                 number,
-                                 this->front->Port(),
-                                 this->cloud ? this->cloud->Port() : 0));
+    this->instances.push_back(std::make_unique<Instance>(this->program,
+                                                         this->folder,
+                                                         number,
+                                                         this->front->Port(),
+                                                         this->cloud ? this->cloud->Port() : 0));
     if (!this->instances.back()->Start()) {
       return false;
     }
@@ -731,10 +756,14 @@
                                  { "health_path", "/health" },
                                  { "rejects_overload", false },
                                  { "standby", false } } }) },
-               { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 262144 },
-                             { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
+               { "limits",
+                 { { "max_header_bytes", 16384 },
+                   { "max_body_bytes", 262144 },
+                   { "header_timeout_ms", 3000 },
+                   { "idle_timeout_ms", 15000 } } } };
   config["routes"] = json::array();
-  for (const auto& [queue, priority] : std::map<std::string, int>{ { "jobs", 0 }, { "watch", 1 }, { "batch", 2 } }) {
+  for (const auto& [queue, priority] :
+       std::map<std::string, int>{ { "jobs", 0 }, { "watch", 1 }, { "batch", 2 } }) {
     config["routes"].push_back({ { "name", "r-" + queue },
                                  { "host", "desk.example" },
                                  { "prefix", "/" + queue + "/" },
@@ -749,12 +778,11 @@
   }
   config["tenants"] = json::array();
   for (const char* tenant : { "a", "b" }) {
-    config["tenants"].push_back(
-      { { "name", tenant },
-        { "api_keys", json::array({ std::string("key-of-") + tenant }) },
-        { "priority", 1 },
-        { "weight", 1000 },
-        { "maximum", { { "cpu", 0 }, { "mem_mb", 0 }, { "gpu", 0 } } } });
+    config["tenants"].push_back({ { "name", tenant },
+                                  { "api_keys", json::array({ std::string("key-of-") + tenant }) },
+                                  { "priority", 1 },
+                                  { "weight", 1000 },
+                                  { "maximum", { { "cpu", 0 }, { "mem_mb", 0 }, { "gpu", 0 } } } });
   }
   this->store.Put("op/config", config.dump());
 }
@@ -783,20 +811,21 @@
                         int aTries)
 {
   SocketEndpoint to = this->instances[this->next++ % this->instances.size()]->Callers();
-  this->client.Send(to,
-                    this->Call("POST", "/" + aQueue + "/" + aJob, aTenant, aBody.dump()),
-                    milliseconds(3000),
-                    [this, aJob, aBody, aTenant, aDone, aQueue, aTries](const Result<HttpResponse>& aAnswer) {
-                      int status = aAnswer ? aAnswer->status : 0;
-                      this->record.Add("POST " + aJob + " -> " + std::to_string(status));
-                      if (status / 100 == 2 || aTries <= 1) {
-                        aDone(status);
-                        return;
-                      }
-                      this->loop.After(milliseconds(1000), [this, aJob, aBody, aTenant, aDone, aQueue, aTries] {
-                        this->Submit(aJob, aBody, aTenant, aDone, aQueue, aTries - 1);
-                      });
-                    });
+  this->client.Send(
+    to,
+    this->Call("POST", "/" + aQueue + "/" + aJob, aTenant, aBody.dump()),
+    milliseconds(3000),
+    [this, aJob, aBody, aTenant, aDone, aQueue, aTries](const Result<HttpResponse>& aAnswer) {
+      int status = aAnswer ? aAnswer->status : 0;
+      this->record.Add("POST " + aJob + " -> " + std::to_string(status));
+      if (status / 100 == 2 || aTries <= 1) {
+        aDone(status);
+        return;
+      }
+      this->loop.After(milliseconds(1000), [this, aJob, aBody, aTenant, aDone, aQueue, aTries] {
+        this->Submit(aJob, aBody, aTenant, aDone, aQueue, aTries - 1);
+      });
+    });
 }
 
 void Deployment::Query(const std::string& aJob,
@@ -812,7 +841,8 @@
                       int status = aAnswer ? aAnswer->status : 0;
                       json body = aAnswer ? json::parse(aAnswer->body, nullptr, false) : json();
                       std::string state = body.is_object() ? body.value("state", "") : "";
-                      this->record.Add("GET " + aJob + " -> " + std::to_string(status) + " " + state);
+                      this->record.Add("GET " + aJob + " -> " + std::to_string(status) + " " +
+                                       state);
                       aDone(status, state);
                     });
 }
@@ -850,12 +880,13 @@
         TimePoint firstEnd = first.isEnded ? first.endedAt : now;
         if (first.how == "done" && first.isNoted && second.begunAt >= first.endedAt) {
           ++broken;
-          aWorld.record.Violation("TWICE: " + text(second) +
-                                  " starts after a run has ended done that is taken note of: " +
-                                  text(first));
+          aWorld.record.Violation(
+            "TWICE: " + text(second) +
+            " starts after a run has ended done that is taken note of: " + text(first));
         } else if (second.begunAt < firstEnd) {
           ++broken;
-          auto overlap = (second.isEnded ? std::min(firstEnd, second.endedAt) : firstEnd) - second.begunAt;
+          auto overlap =
+            (second.isEnded ? std::min(firstEnd, second.endedAt) : firstEnd) - second.begunAt;
           aWorld.record.Violation(
             "TWICE: " + text(second) + " runs at the same time as " + text(first) + " for " +
             std::to_string(std::chrono::duration_cast<milliseconds>(overlap).count()) + " ms");
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -58,6 +59,8 @@
 struct TaskSpec
 {
   Duration duration{ milliseconds(1000) };
+  /// Tasks of a job take up to seven times this less, by their index.
+  Duration spread{ 0 };
   std::string label;
   /// The tasks last; they are at work after a short startup.
   bool isService = false;
@@ -120,6 +123,11 @@
   bool IsCut() const { return this->isCut; }
   TimePoint LastBeat() const { return this->lastBeat; }
   std::function<void()> onHold;
+  /// The next /hold gets no answer; ReleaseHeldCall carries it out (PROTOCOL.md: "It may also be
+  /// executed seconds later, after newer calls").
+  void HoldBackNextCall() { this->isHoldingBack = true; }
+  bool HasHeldCall() const { return this->heldCall.has_value(); }
+  void ReleaseHeldCall();
   /// The runner fails all that it runs and starts, and still beats (PROTOCOL.md, grown page).
   void SetGrey(bool aIsGrey);
   std::int64_t capacityMilliCores = 16000;
@@ -164,6 +172,10 @@
   std::uint64_t beatTimer = 0;
   bool isCut = false;
   bool isGrey = false;
+  bool isHoldingBack = false;
+  std::optional<json> heldCall;
+  /// Keeps the connection of the held call open, without an answer.
+  Ref<HttpExchange> heldExchange;
   bool isDown = false;
   bool isListed = false;
   std::uint64_t fence = 0;
