--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -1,10 +1,9 @@
-// Runs one case of the review: standin CASE PROGRAM FOLDER RECORD, with TROUBLE=0 without the
-// disruption. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+// Runs one case of the review: standin CASE PROGRAM FOLDER RECORD TROUBLE, with TROUBLE 0 without
+// the disruption. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 #include "Standin.h"
 
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 
 namespace review {
@@ -715,13 +714,13 @@
 
 int main(int aCount, char** aArguments)
 {
-  if (aCount != 5) {
+  if (aCount != 6) {
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  review::Arguments arguments{ aArguments[2], aArguments[3], aArguments[4], true };
-  const char* trouble = std::getenv("TROUBLE");
-  arguments.hasTrouble = trouble == nullptr || std::string(trouble) != "0";
+  review::Arguments arguments{
+    aArguments[2], aArguments[3], aArguments[4], std::string(aArguments[5]) != "0"
+  };
   try {
     return review::RunCase(aArguments[1], arguments);
   } catch (const std::exception& error) {
