A draining worker that refuses connections keeps its runs until their leases end

Cause: OnPollFailed took a draining, unlisted worker that refuses connections for one that has shut down, and ended all leases on it at once. A cut refuses connections as well, and an entry expires when its writer does not reach the store. Change: No failed poll shortens a lease. Ruled out: a lease bound that is too short in itself; a second leader (the term did not change). A proof by the time between the last entry and its removal: beats do not change an entry, so their times are not known.

--- a/packages/coordination/src/WorkerPoller.cpp
+++ b/packages/coordination/src/WorkerPoller.cpp
@@ -157,7 +157,7 @@
       return;
     }
     bool wasNeverSent = aReport.Error() == make_error_code(Errc::Unreachable);
-    this->dispatcher.OnPollFailed(aWorker, wasNeverSent, now);
+    this->dispatcher.OnPollFailed(aWorker);
     // A single lost response does not prove that the worker is unreachable.
     bool wasHealthy = poll.hasAnswered;
     poll.hasAnswered = false;
--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -87,6 +87,22 @@
   this->workers[aId].isUnreachable = aIsUnreachable;
 }
 
+void FakeFleet::SetRefusing(const WorkerId& aId, bool aIsRefusing)
+{
+  this->workers[aId].isUnreachable = aIsRefusing;
+  this->workers[aId].isRefusing = aIsRefusing;
+}
+
+Errc FakeFleet::FailureOf(const WorkerId& aId) const
+{
+  return this->workers.at(aId).isRefusing ? Errc::Unreachable : Errc::OutcomeUnknown;
+}
+
+Duration FakeFleet::FailureDelay(const WorkerId& aId) const
+{
+  return this->workers.at(aId).isRefusing ? kNetworkDelay : kNoResponseTimeout;
+}
+
 bool FakeFleet::IsReachable(const WorkerId& aId) const
 {
   const Worker& worker = this->workers.at(aId);
@@ -251,7 +267,9 @@
 {
   StartFault fault = this->startFault ? this->startFault(aCommand) : StartFault::None;
   if (!this->IsReachable(aWorker.id)) {
-    this->loop.After(kNoResponseTimeout, [aDone] { aDone(StartResult::Unknown, false); });
+    StartResult result =
+      this->workers[aWorker.id].isRefusing ? StartResult::NotSent : StartResult::Unknown;
+    this->loop.After(this->FailureDelay(aWorker.id), [result, aDone] { aDone(result, false); });
     return;
   }
   std::int64_t incarnation = this->workers[aWorker.id].incarnation;
@@ -305,7 +323,9 @@
     this->onStop();
   }
   if (!this->IsReachable(aWorker.id)) {
-    this->loop.After(kNoResponseTimeout, [aDone] { aDone(make_error_code(Errc::OutcomeUnknown)); });
+    this->loop.After(this->FailureDelay(aWorker.id), [error = this->FailureOf(aWorker.id), aDone] {
+      aDone(make_error_code(error));
+    });
     return;
   }
   this->loop.After(kNetworkDelay, [this, id = aWorker.id, aCommand, aFencingToken, aDone] {
@@ -338,7 +358,8 @@
                      std::function<void(const Result<WorkerReport>&)> aDone)
 {
   if (!this->IsReachable(aWorker.id)) {
-    this->loop.After(kNoResponseTimeout, [aDone] { aDone(Errc::OutcomeUnknown); });
+    this->loop.After(this->FailureDelay(aWorker.id),
+                     [error = this->FailureOf(aWorker.id), aDone] { aDone(error); });
     return;
   }
   bool isLost = this->isPollResponseLost && this->isPollResponseLost(aWorker.id);
--- a/packages/coordination/tests/FakeFleet.h
+++ b/packages/coordination/tests/FakeFleet.h
@@ -33,6 +33,8 @@
   void Restart(const WorkerId& aId);
   /// Sets whether the worker, which keeps running, is unreachable.
   void SetUnreachable(const WorkerId& aId, bool aIsUnreachable);
+  /// The same, but connections to the worker are refused.
+  void SetRefusing(const WorkerId& aId, bool aIsRefusing);
   std::size_t CountRuns(const WorkerId& aId) const { return this->workers.at(aId).running.size(); }
 
   void Start(const WorkerListing& aWorker,
@@ -91,6 +93,8 @@
   {
     bool isDown = false;
     bool isUnreachable = false;
+    /// Connections are refused; for an unreachable worker.
+    bool isRefusing = false;
     std::int64_t incarnation = 1;
     Epoch fencingToken = 0;
     TimePoint leaseEnd;
@@ -103,6 +107,9 @@
   };
 
   bool IsReachable(const WorkerId& aId) const;
+  /// Delay until a call to an unreachable worker fails, and its error.
+  Duration FailureDelay(const WorkerId& aId) const;
+  Errc FailureOf(const WorkerId& aId) const;
   std::chrono::milliseconds Clock() const;
   void StartRun(const WorkerId& aId, const StartCommand& aCommand);
   void EndRun(const WorkerId& aId,
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -78,8 +78,8 @@
                 const WorkerReport& aReport,
                 TimePoint aSentAt,
                 TimePoint aNow);
-  /// A poll failed. aNeverSent is true when no connection could be made.
-  void OnPollFailed(const WorkerId& aWorker, bool aNeverSent, TimePoint aNow);
+  /// A poll failed, in whatever way.
+  void OnPollFailed(const WorkerId& aWorker);
   /// Extends the worker's lease for a poll or command that is sent now. aConfirmedAt is the latest
   /// time at which this leader is known to have led, not in the future; the lease ends at most its
   /// duration later, or when an earlier call has said. Returns the lease end on the worker's clock;
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -147,16 +147,13 @@
   this->impl->interference.OnReport(*worker, aNow);
 }
 
-void Dispatcher::OnPollFailed(const WorkerId& aWorker, bool aNeverSent, TimePoint aNow)
+void Dispatcher::OnPollFailed(const WorkerId& aWorker)
 {
   Worker* worker = this->impl->state.FindWorker(aWorker);
-  if (worker == nullptr) {
-    return;
-  }
-  worker->isUnresponsive = true;
-  // A draining worker that is unlisted and refuses connections has shut down.
-  if (aNeverSent && !worker->isListed && worker->listing.isDraining) {
-    worker->leaseExpiryBound = std::min(worker->leaseExpiryBound, aNow);
+  if (worker != nullptr) {
+    // Its runs count until their leases end. Neither a refused connection nor a missing entry, not
+    // even of a draining worker, shows that it has shut down.
+    worker->isUnresponsive = true;
   }
 }
 
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -205,6 +205,9 @@
       .Add("worker", aWorker.listing.id)
       .Add("restored", attempt->state == AttemptState::Restored)
       .Add("has_reported", aWorker.hasReported)
+      .Add("report_age_ms", aNow - aWorker.reportedAt)
+      .Add("listed", aWorker.isListed)
+      .Add("draining", aWorker.IsDraining())
       .Add("term_age_ms", aNow - this->termStart);
     if (attempt->step->spec->isGang) {
       this->StopGang(*attempt->step);
--- a/packages/dispatch/tests/DispatcherTest.cpp
+++ b/packages/dispatch/tests/DispatcherTest.cpp
@@ -75,7 +75,7 @@
   this->Add(Job("job", 1));
   std::vector<StartCommand> commands = this->RoundAccepted();
   const WorkerId other = commands[0].worker == "w1" ? "w2" : "w1";
-  this->dispatcher.OnPollFailed(commands[0].worker, false, this->now);
+  this->dispatcher.OnPollFailed(commands[0].worker);
   TimePoint startedAt = this->now;
   std::vector<StartCommand> next;
   while (next.empty() && this->now - startedAt < seconds(20)) {
--- a/packages/dispatch/tests/RestartedWorkerTest.cpp
+++ b/packages/dispatch/tests/RestartedWorkerTest.cpp
@@ -32,7 +32,7 @@
   this->Report("w1", { Running(commands[0]) });
   // Now the late command is carried out, and the worker is cut off.
   TimePoint leaseEnd = this->now + this->settings.maxLease;
-  this->dispatcher.OnPollFailed("w1", false, this->now);
+  this->dispatcher.OnPollFailed("w1");
   this->incarnation = 1;
   this->AddWorker("w3");
   while (this->Round().empty()) {
--- a/packages/dispatch/tests/WorkerRulesTest.cpp
+++ b/packages/dispatch/tests/WorkerRulesTest.cpp
@@ -248,7 +248,7 @@
     running.run = 1;
     TimePoint lostAt = this->now;
     this->ReportToNext("w1", { running });
-    restored.OnPollFailed("w1", false, this->now);
+    restored.OnPollFailed("w1");
     while (this->now - lostAt < seconds(20)) {
       this->Advance(milliseconds(50));
       this->ReportToNext("w2", {});
