--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -104,7 +104,11 @@
   /// Logs when leadership was last confirmed long ago, and when it is confirmed again.
   void CheckConfirmation(TimePoint aNow);
   void LoadProgress();
+  /// Adds a stored head, or a part, of a job's progress to what is known of it.
+  void LoadProgressItem(const KeyValueItem& aItem);
   void LoadDefinitions();
+  /// Has parts deleted that an earlier leader left when it ended.
+  void DropPartsOfClosedJobs();
   void LoadWorkers();
   void OnRecovered();
   void PollJobChanges();
@@ -157,6 +161,10 @@
   void SendThrottle(const ThrottleCommand& aCommand);
   std::map<std::string, std::string> TakeBatch(std::uint64_t aBatch);
   void OnBatchStored(std::uint64_t aBatch);
+  /// The store refuses a record as invalid. Ends its job, and no other.
+  void OnRecordRefused(std::uint64_t aBatch, const std::string& aKey, std::size_t aBytes);
+  /// Has the stored parts of a job's progress before aEnd, or all, deleted.
+  void DropParts(const JobId& aJob, std::optional<std::uint64_t> aEnd);
   void EndTerm(const char* aReason);
   /// Removes finished jobs from the dispatcher, and deletes their records after the retention time.
   void PurgeFinishedJobs();
@@ -227,11 +235,18 @@
     std::map<JobId, FinishedJob> finished;
     /// Jobs whose records the batch deletes.
     std::vector<JobId> expired;
+    /// First part of the progress that is needed once the batch is stored, of jobs stored in parts.
+    std::map<JobId, std::uint64_t> firstParts;
   };
   std::map<std::uint64_t, BatchInFlight> batchesInFlight;
   /// Jobs with a record in flight, and jobs with changes that no batch contains yet.
   std::set<JobId> jobsInFlight;
   std::set<JobId> deferredJobs;
+  /// Parts of jobs' progress that may be stored.
+  std::map<JobId, std::set<std::uint64_t>> storedParts;
+  /// Keys of stored parts that are not needed any more. Deleted some at a time, beside other
+  /// records.
+  std::set<std::string> obsoleteParts;
   /// Starts whose records are not part of a batch yet.
   std::map<JobId, std::vector<AttemptKey>> pendingStarts;
   CompletionTracker completionTracker;
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -5,6 +5,8 @@
 
 #include "RecordCodec.h"
 
+#include <iterator>
+
 namespace daisydrift::coordination {
 
 namespace {
@@ -67,25 +69,39 @@
 
 void Leader::LoadProgress()
 {
-  std::string prefix = ProgressPrefix(this->env.settings.storePrefix);
   this->ReadPrefix(
-    prefix,
-    [this, prefix](const KeyValueItem& aItem) {
-      std::string error;
-      std::optional<JobProgress> progress = JobProgressFromText(aItem.value, &error);
-      if (!progress) {
-        this->env.membership.Unreadable().AddEntry("progress", aItem.key, aItem.revision, error);
-        return;
-      }
-      JobId id = aItem.key.substr(prefix.size());
-      if (IsFinal(progress->state)) {
-        this->finished[id] = { progress->state, progress->finishedAt };
-      }
-      this->progress[id] = std::move(*progress);
-    },
+    ProgressPrefix(this->env.settings.storePrefix),
+    [this](const KeyValueItem& aItem) { this->LoadProgressItem(aItem); },
     [this](std::uint64_t) { this->LoadDefinitions(); });
 }
 
+void Leader::LoadProgressItem(const KeyValueItem& aItem)
+{
+  const std::string& prefix = this->env.settings.storePrefix;
+  std::string error;
+  if (auto part = ParseProgressPartKey(prefix, aItem.key)) {
+    this->storedParts[part->first].insert(part->second);
+    std::optional<std::vector<StepProgress>> steps = ProgressPartFromText(aItem.value, &error);
+    if (steps) {
+      JobProgress& known = this->progress[part->first];
+      known.isDivided = true;
+      std::move(steps->begin(), steps->end(), std::back_inserter(known.steps));
+    }
+  } else if (std::optional<JobProgress> head = JobProgressFromText(aItem.value, &error)) {
+    JobId id = aItem.key.substr(ProgressPrefix(prefix).size());
+    if (IsFinal(head->state)) {
+      this->finished[id] = { head->state, head->finishedAt };
+    }
+    JobProgress& known = this->progress[id];
+    head->isDivided = head->isDivided || known.isDivided;
+    std::move(known.steps.begin(), known.steps.end(), std::back_inserter(head->steps));
+    known = std::move(*head);
+  }
+  if (!error.empty()) {
+    this->env.membership.Unreadable().AddEntry("progress", aItem.key, aItem.revision, error);
+  }
+}
+
 void Leader::LoadDefinitions()
 {
   if (this->env.config.Config() == nullptr) {
@@ -108,10 +124,24 @@
       this->jobsRevision = aRevision;
       this->jobsKnownAt = sentAt;
       this->progress.clear();
+      this->DropPartsOfClosedJobs();
       this->LoadWorkers();
     });
 }
 
+void Leader::DropPartsOfClosedJobs()
+{
+  std::vector<JobId> closed;
+  for (const auto& [id, parts] : this->storedParts) {
+    if (!this->dispatcher->State(id)) {
+      closed.push_back(id);
+    }
+  }
+  for (const JobId& id : closed) {
+    this->DropParts(id, std::nullopt);
+  }
+}
+
 std::string Leader::WorkerIdOfKey(const std::string& aKey) const
 {
   return aKey.substr(this->env.settings.workerPrefix.size());
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -201,6 +201,17 @@
   return step;
 }
 
+std::vector<StepProgress> StepsFrom(JsonFields& aFields)
+{
+  std::vector<StepProgress> steps;
+  ReadItems(aFields, "steps", [&](const json& aItem) {
+    JsonFields step(aItem);
+    steps.push_back(StepProgressFrom(step));
+    aFields.Adopt("steps", step);
+  });
+  return steps;
+}
+
 json ToJson(const QueuePolicy& aRules)
 {
   json record{ { "version", aRules.version },       { "service", aRules.service },
@@ -358,6 +369,8 @@
   for (const StepProgress& step : aProgress.steps) {
     record["steps"].push_back(ToJson(step));
   }
+  AddUnlessDefault(record, "first_occurrence", aProgress.firstOccurrence, 0U);
+  AddUnlessDefault(record, "divided", aProgress.isDivided, false);
   return record;
 }
 
@@ -369,11 +382,9 @@
   progress.state = static_cast<DispatchState>(
     fields.Integer("state", 0, static_cast<int>(DispatchState::Cancelled)));
   progress.finishedAt = WallTimeFrom(fields, "finished_ms");
-  ReadItems(fields, "steps", [&](const json& aItem) {
-    JsonFields step(aItem);
-    progress.steps.push_back(StepProgressFrom(step));
-    fields.Adopt("steps", step);
-  });
+  progress.steps = StepsFrom(fields);
+  progress.firstOccurrence = fields.Integer<std::uint32_t>("first_occurrence", 0, kMaxNumber);
+  progress.isDivided = fields.Flag("divided");
   return IfValid(fields, progress, aError);
 }
 
@@ -386,6 +397,56 @@
   return parsed ? JobProgressFromJson(*parsed, aError) : std::nullopt;
 }
 
+std::string ProgressPartToText(const std::vector<StepProgress>& aSteps)
+{
+  json record = json::object();
+  for (const StepProgress& step : aSteps) {
+    if (!step.isDone) {
+      record["steps"].push_back(ToJson(step));
+      continue;
+    }
+    // Occurrence, first and last step of a run of steps that have succeeded.
+    json& runs = record["done"];
+    bool continuesLast = !runs.empty() && runs.back()[0] == step.occurrence &&
+                         runs.back()[2].get<std::uint32_t>() + 1 == step.step;
+    if (continuesLast) {
+      runs.back()[2] = step.step;
+    } else {
+      runs.push_back(json::array({ step.occurrence, step.step, step.step }));
+    }
+  }
+  return record.dump();
+}
+
+std::optional<std::vector<StepProgress>> ProgressPartFromText(const std::string& aText,
+                                                              std::string* aError)
+{
+  std::optional<json> parsed = ParseJson(aText);
+  if (!parsed) {
+    if (aError != nullptr) {
+      *aError = kJsonUnreadable;
+    }
+    return std::nullopt;
+  }
+  JsonFields fields(*parsed);
+  std::vector<StepProgress> steps = StepsFrom(fields);
+  ReadItems(fields, "done", [&](const json& aItem) {
+    JsonFields run(aItem, 3);
+    auto occurrence = run.Integer<std::uint32_t>(0, 0, kMaxOccurrences);
+    auto first = run.Integer<std::uint32_t>(1, 0, kMaxSteps);
+    auto last = run.Integer<std::uint32_t>(2, 0, kMaxSteps);
+    for (std::uint32_t number = first; run.IsValid() && number <= last; ++number) {
+      StepProgress step;
+      step.occurrence = occurrence;
+      step.step = number;
+      step.isDone = true;
+      steps.push_back(std::move(step));
+    }
+    fields.Adopt("done", run);
+  });
+  return IfValid(fields, steps, aError);
+}
+
 json ToJson(const AdviceRequest& aRequest)
 {
   return { { "job", aRequest.step.job },
--- a/packages/coordination/src/RecordCodec.h
+++ b/packages/coordination/src/RecordCodec.h
@@ -33,6 +33,11 @@
 std::optional<JobProgress> JobProgressFromText(const std::string& aText,
                                                std::string* aError = nullptr);
 
+/// Text of one part of the progress of a job that is stored in parts.
+std::string ProgressPartToText(const std::vector<StepProgress>& aSteps);
+std::optional<std::vector<StepProgress>> ProgressPartFromText(const std::string& aText,
+                                                              std::string* aError = nullptr);
+
 nlohmann::json ToJson(const AdviceRequest& aRequest);
 std::optional<AdviceRequest> AdviceRequestFromJson(const nlohmann::json& aRecord,
                                                    std::string* aError = nullptr);
--- a/packages/coordination/src/RecordWriter.cpp
+++ b/packages/coordination/src/RecordWriter.cpp
@@ -1,5 +1,7 @@
 #include "RecordWriter.h"
 
+#include <charconv>
+
 namespace daisydrift::coordination {
 
 namespace {
@@ -22,6 +24,9 @@
 /// Rate by which the delay of a repetition grows with the size; the slowest links are faster.
 constexpr double kHedgeBytesPerSecond = 512 * 1024;
 
+/// Attempts to write a single record that the store refuses as invalid, before it is given up.
+constexpr int kMaxRefusals = 3;
+
 /// Time for the transfer of a transaction before it is sent again.
 Duration HedgeDelay(std::size_t aBytes)
 {
@@ -50,6 +55,28 @@
   return ProgressPrefix(aPrefix) + aJob;
 }
 
+std::string ProgressPartKey(const std::string& aPrefix, const JobId& aJob, std::uint64_t aPart)
+{
+  return ProgressKey(aPrefix, aJob) + "/" + std::to_string(aPart);
+}
+
+std::optional<std::pair<JobId, std::uint64_t>> ParseProgressPartKey(const std::string& aPrefix,
+                                                                    const std::string& aKey)
+{
+  std::size_t begin = ProgressPrefix(aPrefix).size();
+  std::size_t slash = aKey.rfind('/');
+  if (slash == std::string::npos || slash < begin) {
+    return std::nullopt;
+  }
+  std::uint64_t part = 0;
+  const char* end = aKey.data() + aKey.size();
+  auto [last, error] = std::from_chars(aKey.data() + slash + 1, end, part);
+  if (error != std::errc() || last != end) {
+    return std::nullopt;
+  }
+  return std::make_pair(aKey.substr(begin, slash - begin), part);
+}
+
 RecordWriter::RecordWriter(EventLoop& aLoop,
                            KeyValueStore& aStore,
                            KeyValueTransaction::Condition aLeadership,
@@ -131,30 +158,41 @@
   std::size_t bytes = 0;
   for (auto& [key, value] : records) {
     if (entries >= kRecordsPerTransaction || bytes + value.size() > kBytesPerTransaction) {
-      BatchPart& part = parts.emplace_back();
-      part.batch = number;
-      part.position = this->ReserveGuardPosition();
-      part.transaction.conditions = {
-        this->leadership, { this->GuardKey(part.position), this->guardRevisions[part.position] }
-      };
-      part.transaction.puts.push_back({ this->GuardKey(part.position), std::to_string(number), 0 });
+      parts.push_back(this->NewPart(number));
       entries = 0;
       bytes = 0;
     }
     ++entries;
     bytes += value.size();
-    parts.back().bytes += value.size();
-    if (value.empty()) {
-      parts.back().transaction.removals.push_back(key);
-    } else {
-      parts.back().transaction.puts.push_back({ key, std::move(value), 0 });
-    }
+    AddRecord(parts.back(), key, std::move(value));
   }
   this->inFlight[number] = { this->lastBatchStart, parts.size() };
   this->waiting.insert(this->waiting.end(), parts.begin(), parts.end());
   this->SendWaiting();
 }
 
+RecordWriter::BatchPart RecordWriter::NewPart(std::uint64_t aBatch)
+{
+  BatchPart part;
+  part.batch = aBatch;
+  part.position = this->ReserveGuardPosition();
+  std::string guard = this->GuardKey(part.position);
+  part.transaction.conditions = { this->leadership,
+                                  { guard, this->guardRevisions[part.position] } };
+  part.transaction.puts.push_back({ guard, std::to_string(aBatch), 0 });
+  return part;
+}
+
+void RecordWriter::AddRecord(BatchPart& aPart, const std::string& aKey, std::string aValue)
+{
+  aPart.bytes += aValue.size();
+  if (aValue.empty()) {
+    aPart.transaction.removals.push_back(aKey);
+  } else {
+    aPart.transaction.puts.push_back({ aKey, std::move(aValue), 0 });
+  }
+}
+
 void RecordWriter::SendWaiting()
 {
   while (!this->waiting.empty()) {
@@ -205,11 +243,46 @@
     this->OnPartStored(aPart, *aRevision);
   } else if (aRevision.Error() == make_error_code(Errc::Conflict)) {
     this->ResolveConflict(aPart);
+  } else if (aRevision.Error() == make_error_code(Errc::InvalidArgument)) {
+    this->OnPartRefused(aPart);
   } else {
     this->SendAfterDelay(aPart);
   }
 }
 
+void RecordWriter::OnPartRefused(const BatchPart& aPart)
+{
+  const KeyValueTransaction& transaction = aPart.transaction;
+  std::size_t records = transaction.puts.size() - 1 + transaction.removals.size();
+  if (records == 1 && ++*aPart.refusals < kMaxRefusals) {
+    this->SendAfterDelay(aPart);
+    return;
+  }
+  // The guard position is not used again: an attempt whose response was lost may change it yet.
+  *aPart.isStored = true;
+  std::shared_ptr<bool> alive = this->isAlive;
+  if (records == 1) {
+    bool isRemoval = !transaction.removals.empty();
+    const std::string& key = isRemoval ? transaction.removals[0] : transaction.puts[1].key;
+    this->hooks.onRecordRefused(aPart.batch, key, aPart.bytes);
+    if (*alive) {
+      this->FinishPart(aPart);
+    }
+    return;
+  }
+  this->inFlight[aPart.batch].partsLeft += records;
+  auto addPart = [this, &aPart](const std::string& aKey, const std::string& aValue) {
+    AddRecord(this->waiting.emplace_back(this->NewPart(aPart.batch)), aKey, aValue);
+  };
+  for (std::size_t index = 1; index < transaction.puts.size(); ++index) {
+    addPart(transaction.puts[index].key, transaction.puts[index].value);
+  }
+  for (const std::string& key : transaction.removals) {
+    addPart(key, "");
+  }
+  this->FinishPart(aPart);
+}
+
 void RecordWriter::ResolveConflict(const BatchPart& aPart)
 {
   this->store.Read(
@@ -233,6 +306,11 @@
   *aPart.isStored = true;
   this->guardRevisions[aPart.position] = aRevision;
   this->freeGuardPositions.insert(aPart.position);
+  this->FinishPart(aPart);
+}
+
+void RecordWriter::FinishPart(const BatchPart& aPart)
+{
   this->bytesInFlight -= aPart.bytes;
   this->SendWaiting();
   auto batch = this->inFlight.find(aPart.batch);
--- a/packages/coordination/src/RecordWriter.h
+++ b/packages/coordination/src/RecordWriter.h
@@ -13,6 +13,11 @@
 /// Keys of a job's records.
 std::string DefinitionKey(const std::string& aPrefix, const JobId& aJob);
 std::string ProgressKey(const std::string& aPrefix, const JobId& aJob);
+/// Key of one part of a job's progress, and the reverse: the job and the part. Nothing for the key
+/// of a whole record.
+std::string ProgressPartKey(const std::string& aPrefix, const JobId& aJob, std::uint64_t aPart);
+std::optional<std::pair<JobId, std::uint64_t>> ParseProgressPartKey(const std::string& aPrefix,
+                                                                    const std::string& aKey);
 std::string DefinitionPrefix(const std::string& aPrefix);
 std::string ProgressPrefix(const std::string& aPrefix);
 
@@ -21,7 +26,9 @@
 /// response delays few records. A key must not be part of two batches in flight. A transaction is
 /// retried until it is stored or another instance leads. A transaction whose response was lost may
 /// still be applied seconds later; every transaction therefore checks and changes a guard key, so
-/// that a late one cannot overwrite newer records.
+/// that a late one cannot overwrite newer records. One that the store refuses as invalid is
+/// divided; a single record that it refuses again and again is given up, so that it holds back no
+/// others.
 class RecordWriter
 {
 public:
@@ -36,6 +43,10 @@
     std::function<void()> onLeadershipLost;
     /// This instance led when a transaction that was sent at aSentAt was applied.
     std::function<void(TimePoint aSentAt)> onLeadershipConfirmed;
+    /// The store refuses a record of the batch, whose value has aBytes bytes. Called before
+    /// onBatchStored of the batch, which is then stored without it.
+    std::function<void(std::uint64_t aBatch, const std::string& aKey, std::size_t aBytes)>
+      onRecordRefused;
   };
 
   RecordWriter(EventLoop& aLoop,
@@ -62,6 +73,8 @@
     std::shared_ptr<bool> isStored = std::make_shared<bool>(false);
     /// Remaining attempts that may be sent in parallel to an unanswered one.
     std::shared_ptr<int> hedgesLeft = std::make_shared<int>(3);
+    /// Attempts that the store has refused as invalid.
+    std::shared_ptr<int> refusals = std::make_shared<int>(0);
   };
 
   struct Batch
@@ -82,6 +95,14 @@
   /// Handles a failed condition: either an earlier attempt was applied, or another instance leads.
   void ResolveConflict(const BatchPart& aPart);
   void OnPartStored(const BatchPart& aPart, std::uint64_t aRevision);
+  /// Handles a transaction that the store refuses as invalid, whatever the other ones are.
+  void OnPartRefused(const BatchPart& aPart);
+  /// The part needs no more attempts.
+  void FinishPart(const BatchPart& aPart);
+  /// Adds a record to a part; an empty value deletes the key.
+  static void AddRecord(BatchPart& aPart, const std::string& aKey, std::string aValue);
+  /// An empty part of a batch with its conditions.
+  BatchPart NewPart(std::uint64_t aBatch);
   std::string GuardKey(std::size_t aPosition) const;
 
   EventLoop& loop;
--- a/packages/coordination/tests/Cluster.cpp
+++ b/packages/coordination/tests/Cluster.cpp
@@ -196,18 +196,23 @@
 {
   JobDefinition job;
   job.id = aId;
-  job.queue = "queue";
-  job.team = "team";
   StepSpec step;
   step.taskCount = aTasks;
   step.size = { 1000, 100, 0 };
   step.estimate = milliseconds(600);
   step.isService = this->isServiceSubmitted;
   job.steps.push_back(step);
-  job.acceptedAt = this->loop.WallClockNow();
+  return this->Submit(aInstance, std::move(job));
+}
+
+SubmitOutcome Cluster::Submit(int aInstance, JobDefinition aJob)
+{
+  aJob.queue = "queue";
+  aJob.team = "team";
+  aJob.acceptedAt = this->loop.WallClockNow();
   std::optional<SubmitOutcome> outcome;
   this->instances[aInstance]->Submit(
-    job, kCallTimeout, [&outcome](SubmitOutcome aOutcome) { outcome = aOutcome; });
+    aJob, kCallTimeout, [&outcome](SubmitOutcome aOutcome) { outcome = aOutcome; });
   while (!outcome) {
     this->loop.RunFor(milliseconds(1));
   }
--- a/packages/coordination/tests/Cluster.h
+++ b/packages/coordination/tests/Cluster.h
@@ -81,6 +81,7 @@
   int LeaderNumber();
   /// Submits a job through an instance and runs until the result is known.
   SubmitOutcome Submit(int aInstance, const JobId& aId, std::uint32_t aTasks);
+  SubmitOutcome Submit(int aInstance, JobDefinition aJob);
   Result<DispatchState> State(int aInstance, const JobId& aId);
   std::error_code Cancel(int aInstance, const JobId& aId);
 
--- a/packages/coordination/tests/InMemoryStore.cpp
+++ b/packages/coordination/tests/InMemoryStore.cpp
@@ -133,14 +133,32 @@
   return this->revision;
 }
 
+std::size_t InMemoryStore::CountKeys(const std::string& aPrefix) const
+{
+  std::size_t count = 0;
+  for (auto item = this->items.lower_bound(aPrefix);
+       item != this->items.end() && item->first.rfind(aPrefix, 0) == 0;
+       ++item) {
+    ++count;
+  }
+  return count;
+}
+
 void InMemoryStore::Commit(const KeyValueTransaction& aTransaction,
                            std::function<void(const Result<std::uint64_t>&)> aDone)
 {
   CommitFault fault = this->commitFault ? this->commitFault(aTransaction) : CommitFault::None;
+  bool isTooLong =
+    std::any_of(aTransaction.puts.begin(), aTransaction.puts.end(), [this](const auto& aPut) {
+      return aPut.value.size() > this->maxValueBytes;
+    });
+  this->tooLongValues += isTooLong ? 1 : 0;
   if (this->isSilent) {
     this->LoseResponse(kLostResponseTimeout, aDone);
   } else if (this->isDown || fault == CommitFault::Refused) {
     this->loop.After(this->responseTime, [aDone] { aDone(Errc::Unreachable); });
+  } else if (isTooLong || fault == CommitFault::Invalid) {
+    this->loop.After(this->responseTime, [aDone] { aDone(Errc::InvalidArgument); });
   } else if (fault == CommitFault::None) {
     this->loop.After(this->responseTime,
                      [this, aTransaction, aDone] { aDone(this->Apply(aTransaction)); });
--- a/packages/coordination/tests/InMemoryStore.h
+++ b/packages/coordination/tests/InMemoryStore.h
@@ -14,6 +14,8 @@
   None,
   /// Not applied; the response says so.
   Refused,
+  /// Not applied; the response says that it is invalid.
+  Invalid,
   /// Applied; the response is lost.
   ResponseLost,
   /// The response is lost, and the transaction is applied after `lateDelay` if its conditions still
@@ -50,6 +52,7 @@
   void Put(const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aKey);
   std::string Value(const std::string& aKey) const;
+  std::size_t CountKeys(const std::string& aPrefix) const;
   /// Drops the history: watches from an earlier revision fail with NotFound.
   void Compact() { this->oldestRevision = this->revision; }
 
@@ -81,6 +84,10 @@
   std::size_t pageSize = 500;
   Duration lateDelay = std::chrono::seconds(2);
   Duration responseTime = std::chrono::milliseconds(4);
+  /// Most bytes of a value; a transaction with a longer one is invalid. Defined by the platform.
+  std::size_t maxValueBytes = 1048576;
+  /// Number of transactions with a longer value.
+  std::size_t tooLongValues = 0;
   /// Number of applied transactions.
   std::size_t commits = 0;
 
--- a/packages/coordination/tests/RecordCodecTest.cpp
+++ b/packages/coordination/tests/RecordCodecTest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace daisydrift {
 namespace {
 
@@ -57,5 +59,94 @@
   EXPECT_EQ(job->steps[0].taskCount, 3U);
 }
 
+// Guards against a part of a job's progress that the store refuses: the largest one, with the
+// longest ids of workers and checkpoints that are stored, is shorter than the platform's limit of a
+// value.
+TEST(RecordCodecTest, TheLargestPartOfAJobsProgressFitsIntoAValue)
+{
+  constexpr std::size_t kMaxValueBytes = 1048576;
+  constexpr std::size_t kMaxWorkerIdBytes = 200;
+  constexpr std::uint32_t kTasks = 512;
+  constexpr RunNumber kMaxRun = 1'000'000'000'000'000'000;
+  std::vector<StepProgress> steps;
+  for (std::uint32_t number = 0; number < kTasks; ++number) {
+    StepProgress& step = steps.emplace_back();
+    step.occurrence = 99'999;
+    step.step = 63;
+    step.failures[number] = 4'000'000'000;
+    step.lastCompletedRuns[number] = kMaxRun;
+    step.checkpoints[number] = std::string(512, 'x');
+    step.open.push_back({ number, kMaxRun, std::string(kMaxWorkerIdBytes, 'w') });
+  }
+  std::string text = coordination::ProgressPartToText(steps);
+  EXPECT_LE(text.size(), kMaxValueBytes);
+  std::optional<std::vector<StepProgress>> read = coordination::ProgressPartFromText(text);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->size(), steps.size());
+}
+
+TEST(RecordCodecTest, StepsThatHaveSucceededAreReadBackFromRuns)
+{
+  std::vector<StepProgress> steps;
+  for (std::uint32_t number : { 0U, 1U, 2U, 5U, 6U }) {
+    StepProgress& step = steps.emplace_back();
+    step.occurrence = number < 6 ? 7 : 8;
+    step.step = number;
+    step.isDone = true;
+  }
+  steps.emplace_back().succeeded = { 3 };
+  std::optional<std::vector<StepProgress>> read =
+    coordination::ProgressPartFromText(coordination::ProgressPartToText(steps));
+  ASSERT_TRUE(read);
+  std::set<std::pair<std::uint32_t, std::uint32_t>> done;
+  for (const StepProgress& step : *read) {
+    if (step.isDone) {
+      done.emplace(step.occurrence, step.step);
+    } else {
+      EXPECT_EQ(step.succeeded, std::vector<std::uint32_t>{ 3 });
+    }
+  }
+  std::set<std::pair<std::uint32_t, std::uint32_t>> expected{
+    { 7, 0 }, { 7, 1 }, { 7, 2 }, { 7, 5 }, { 8, 6 }
+  };
+  EXPECT_EQ(done, expected);
+}
+
+TEST(RecordCodecTest, OddPartsOfAJobsProgressAreRefused)
+{
+  for (const char* text : { "",
+                            "[]",
+                            R"({"steps":3})",
+                            R"({"done":[[0,1]]})",
+                            R"({"done":[[0,-1,2]]})",
+                            R"({"done":[[0,0,4000000000]]})",
+                            R"({"steps":[{"step":0}]})" }) {
+    std::string error;
+    EXPECT_FALSE(coordination::ProgressPartFromText(text, &error)) << text;
+    EXPECT_FALSE(error.empty()) << text;
+  }
+}
+
+// Guards against the record of a large job that an earlier version wrote in one piece, and that
+// parts would replace only bit by bit.
+TEST(RecordCodecTest, AnUndividedRecordOfALargeJobStaysUndivided)
+{
+  JobDefinition job;
+  job.id = "job";
+  job.queue = "queue";
+  job.steps.resize(1);
+  job.steps[0].taskCount = 2000;
+  std::optional<JobProgress> progress = coordination::JobProgressFromText(
+    R"({"state":1,"steps":[{"occurrence":0,"step":0,"succeeded":[0,1999]}]})");
+  ASSERT_TRUE(progress);
+  Dispatcher dispatcher(DispatchSettings{}, TimePoint{});
+  dispatcher.RestoreJob(job, *progress, TimePoint(), WallTime());
+  std::optional<ChangedProgress> changed = dispatcher.TakeChangedProgress("job");
+  ASSERT_TRUE(changed);
+  EXPECT_TRUE(changed->parts.empty());
+  ASSERT_EQ(changed->head.steps.size(), 1U);
+  EXPECT_EQ(changed->head.steps[0].succeeded, (std::vector<std::uint32_t>{ 0, 1999 }));
+}
+
 } // namespace
 } // namespace daisydrift
--- a/packages/coordination/tests/RecordWriterTest.cpp
+++ b/packages/coordination/tests/RecordWriterTest.cpp
@@ -30,7 +30,10 @@
       RecordWriter::Hooks{ [this](std::uint64_t) { return std::exchange(this->pending, {}); },
                            [this](std::uint64_t) { ++this->storedBatches; },
                            [this] { this->hasLostLeadership = true; },
-                           [this](TimePoint aSentAt) { this->confirmedAt = aSentAt; } });
+                           [this](TimePoint aSentAt) { this->confirmedAt = aSentAt; },
+                           [this](std::uint64_t, const std::string& aKey, std::size_t) {
+                             this->refusedKeys.push_back(aKey);
+                           } });
   }
 
   void WriteRecord(const std::string& aKey, const std::string& aValue)
@@ -47,6 +50,7 @@
   int storedBatches = 0;
   bool hasLostLeadership = false;
   TimePoint confirmedAt;
+  std::vector<std::string> refusedKeys;
 };
 
 // Guards against leases that last too long: a transaction proves leadership only for the time at
@@ -69,6 +73,35 @@
   EXPECT_EQ(this->confirmedAt, sentAt);
 }
 
+// Guards against a record that the store refuses for ever and that holds back all others, of its
+// transaction and of later ones.
+TEST_F(RecordWriterTest, RefusedRecordHoldsBackNoOther)
+{
+  this->pending["a"] = "value";
+  this->pending["b"] = std::string(this->store.maxValueBytes + 1, 'x');
+  this->pending["c"] = "value";
+  this->pending["d"] = "";
+  this->writer->Flush();
+  this->loop.RunFor(milliseconds(100));
+  this->WriteRecord("e", "value");
+  this->loop.RunFor(seconds(1));
+  for (const char* key : { "a", "c", "e" }) {
+    EXPECT_EQ(this->store.Value(key), "value") << key;
+  }
+  EXPECT_EQ(this->storedBatches, 2);
+  EXPECT_EQ(this->refusedKeys, std::vector<std::string>{ "b" });
+  EXPECT_FALSE(this->hasLostLeadership);
+  // A record is given up only when it is refused again and again.
+  int calls = 0;
+  this->store.commitFault = [&calls](const KeyValueTransaction&) {
+    return ++calls == 1 ? CommitFault::Invalid : CommitFault::None;
+  };
+  this->WriteRecord("f", "value");
+  this->loop.RunFor(seconds(1));
+  EXPECT_EQ(this->store.Value("f"), "value");
+  EXPECT_EQ(this->refusedKeys.size(), 1U);
+}
+
 TEST_F(RecordWriterTest, LateAppliedWriteDoesNotOverwriteNewerOne)
 {
   int calls = 0;
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
@@ -76,6 +76,9 @@
   /// Most workers in one advice request; defined by the platform.
   std::size_t maxWorkersPerAdviceRequest = 100;
   SchedulingOrder order = SchedulingOrder::MostInTime;
+  /// Most tasks of the unfinished occurrences of one job that are considered at the same time, but
+  /// at least one occurrence. Bounds the memory and the time that a late schedule takes.
+  std::uint64_t maxOpenTasksPerSchedule = 16384;
   /// Most starts decided in one round.
   std::size_t maxStartsPerRound = 200;
   /// First run number of this term; above all run numbers of earlier leaders.
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
@@ -328,15 +328,34 @@
   std::map<std::uint32_t, RunNumber> lastCompletedRuns;
   std::map<std::uint32_t, std::string> checkpoints;
   std::vector<OpenRun> open;
+  /// All tasks have succeeded; none are listed.
+  bool isDone = false;
 };
 
 /// Progress of a job that must survive a change of leader; stored beside its definition.
 struct JobProgress
 {
   DispatchState state = DispatchState::Queued;
+  /// Steps with any progress.
   std::vector<StepProgress> steps;
   /// Time at which the job reached a final state.
   WallTime finishedAt;
+  /// The occurrences before this one have succeeded; none of their steps are listed.
+  std::uint32_t firstOccurrence = 0;
+  /// The steps are stored in parts.
+  bool isDivided = false;
+};
+
+/// What is to be stored of a job after a change.
+struct ChangedProgress
+{
+  /// Without steps if they are stored in parts. It has to be stored before parts are deleted, but
+  /// in no order with those that are written.
+  JobProgress head;
+  /// Steps of the parts that have changed, by number of the part.
+  std::map<std::uint64_t, std::vector<StepProgress>> parts;
+  /// The parts before this one are not needed any more.
+  std::uint64_t firstPart = 0;
 };
 
 } // namespace daisydrift
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -95,7 +95,8 @@
 
   /// Adds an accepted job. Returns false, without any change, when the id is already known.
   bool AddJob(const JobDefinition& aDefinition, TimePoint aNow, WallTime aWall);
-  /// Adds a job with its stored progress after a change of leader; does nothing when it is known.
+  /// Adds a job with its stored progress, the steps of all parts included, after a change of
+  /// leader; does nothing when it is known.
   void RestoreJob(const JobDefinition& aDefinition,
                   const JobProgress& aProgress,
                   TimePoint aNow,
@@ -128,8 +129,13 @@
 
   /// Returns the jobs whose progress has changed since the last call.
   std::vector<JobId> TakeChangedJobs();
-  /// Progress of a job for storage; empty when the job is unknown.
+  /// Whole progress of a job; empty when the job is unknown.
   std::optional<JobProgress> Progress(const JobId& aJob) const;
+  /// Progress of a job that has changed since the last call, for storage: the parts of a large job,
+  /// whose records would grow without bound, and the head. Empty when the job is unknown.
+  std::optional<ChangedProgress> TakeChangedProgress(const JobId& aJob);
+  /// Ends an accepted job whose progress can't be stored; its runs are stopped.
+  void FailJob(const JobId& aJob, TimePoint aNow, WallTime aWall);
   /// State of a job; empty when unknown.
   std::optional<DispatchState> State(const JobId& aJob) const;
   /// Number of jobs of a queue that have not started yet.
--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -84,10 +84,9 @@
   if (!job.queue->advice || aStep.spec->dependencies.empty()) {
     return false;
   }
-  std::size_t first = aStep.occurrence * job.definition.steps.size();
   Duration lead = job.queue->advice->TimeFor(aStep.tasks.size());
   for (std::uint32_t number : aStep.spec->dependencies) {
-    const Step& earlier = *job.steps[first + number];
+    const Step& earlier = job.StepAt(aStep.occurrence, number);
     if (earlier.Waiting() > 0) {
       return false;
     }
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -233,6 +233,8 @@
   job->addedAt = aNow;
   job->latencyObjective = dispatch::LatencyObjectiveOf(aDefinition, *job->queue);
   job->criticalPaths = dispatch::CriticalPathsOf(aDefinition);
+  job->layout = dispatch::ProgressLayout(aDefinition);
+  job->finiteTasks = dispatch::CountFiniteTasks(aDefinition);
   if (!aDefinition.team.empty()) {
     job->team = &this->state.EnsureTeam(aDefinition.team);
     if (aDefinition.teamRules) {
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -63,6 +63,8 @@
   /// Adopts rules of a queue unless newer ones are known.
   void AdoptRules(const QueuePolicy& aRules);
   void FailIfAttemptsAreUsedUp(dispatch::Job& aJob);
+  /// Restores the stored progress of a step, or of some of its tasks.
+  void RestoreStep(dispatch::Job& aJob, const StepProgress& aPart, TimePoint aNow);
   dispatch::Job& InsertJob(const JobDefinition& aDefinition, TimePoint aNow);
 
   DispatchSettings settings;
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -1,12 +1,14 @@
 #pragma once
 // Records of the dispatcher. Only FleetState changes the sums that they contain.
 
+#include "ProgressLayout.h"
 #include "daisydrift/dispatch/DispatchSettings.h"
 #include "daisydrift/dispatch/DispatchTypes.h"
 
 #include <boost/intrusive/list.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -160,6 +162,8 @@
   std::string gangCheckpoint;
   /// Time since which the step is ready and has waiting tasks; max when it has none.
   TimePoint waitingSince = TimePoint::max();
+  /// The step can succeed: neither it nor a step that it depends on is a service.
+  bool isFinite = true;
 
   bool IsDone() const { return this->succeeded == this->tasks.size(); }
   std::size_t Waiting() const { return this->tasks.size() - this->succeeded - this->active; }
@@ -210,8 +214,20 @@
   bool isDirty = false;
   /// Number of occurrences created so far.
   std::uint32_t startedOccurrences = 0;
-  /// Steps of all created occurrences, in order.
-  std::vector<std::unique_ptr<Step>> steps;
+  /// The occurrences before this one have succeeded, and their steps are gone.
+  std::uint32_t firstOccurrence = 0;
+  /// Steps of the created occurrences from firstOccurrence on, in order.
+  std::deque<std::unique_ptr<Step>> steps;
+  /// Tasks of one occurrence that can succeed: not those of services and of steps after them.
+  std::uint64_t finiteTasks = 0;
+  /// Number of those that have not succeeded, for each occurrence from firstOccurrence on, and the
+  /// number of occurrences that have any.
+  std::deque<std::uint64_t> openTasks;
+  std::uint64_t openOccurrences = 0;
+  /// Where the job's progress is stored.
+  ProgressLayout layout;
+  /// Parts of the progress that have changed and are to be stored.
+  std::set<std::uint64_t> changedParts;
   /// Latency objective, counted from addedAt.
   Duration latencyObjective{ 0 };
   /// Critical path of declared run times from the start of each step to the end of the job.
@@ -222,6 +238,12 @@
     return this->state == DispatchState::Completed || this->state == DispatchState::Failed ||
            this->state == DispatchState::Cancelled;
   }
+  /// A step of an occurrence whose steps exist.
+  Step& StepAt(std::uint32_t aOccurrence, std::uint32_t aNumber) const
+  {
+    std::size_t position = aOccurrence - this->firstOccurrence;
+    return *this->steps[position * this->definition.steps.size() + aNumber];
+  }
 };
 
 inline StepName Step::Name() const
--- a/packages/dispatch/src/FleetState.cpp
+++ b/packages/dispatch/src/FleetState.cpp
@@ -73,10 +73,10 @@
 {
   Job* job = this->FindJob(aName.job);
   if (job == nullptr || aName.step >= job->definition.steps.size() ||
-      aName.occurrence >= job->startedOccurrences) {
+      aName.occurrence < job->firstOccurrence || aName.occurrence >= job->startedOccurrences) {
     return nullptr;
   }
-  return job->steps[aName.occurrence * job->definition.steps.size() + aName.step].get();
+  return &job->StepAt(aName.occurrence, aName.step);
 }
 
 Attempt* FleetState::FindAttempt(AttemptKey aKey)
@@ -107,8 +107,16 @@
     step->occurrence = aOccurrence;
     step->number = number;
     step->tasks.resize(step->spec->taskCount);
+    step->isFinite =
+      !step->spec->isService && std::all_of(step->spec->dependencies.begin(),
+                                            step->spec->dependencies.end(),
+                                            [&](std::uint32_t aEarlier) {
+                                              return aJob.StepAt(aOccurrence, aEarlier).isFinite;
+                                            });
     aJob.steps.push_back(std::move(step));
   }
+  aJob.openTasks.push_back(aJob.finiteTasks);
+  aJob.openOccurrences += aJob.finiteTasks > 0 ? 1 : 0;
 }
 
 Resources FleetState::CommittedResources(const StepSpec& aSpec)
@@ -137,6 +145,7 @@
   attempt->decidedAt = aNow;
   attempt->progressChangedAt = aNow;
   task.attempt = attempt.get();
+  MarkPartChanged(aStep, aIndex);
   task.lastRun = std::max(task.lastRun, aRun);
   ++aStep.active;
   ++aStep.tasksByWorker[&aWorker];
@@ -159,6 +168,7 @@
   Task& task = step.tasks[aAttempt.index];
   assert(task.attempt == &aAttempt);
   task.attempt = nullptr;
+  MarkPartChanged(step, aAttempt.index);
   task.lastCompletedRun = std::max(task.lastCompletedRun, aAttempt.run);
   --step.active;
   auto count = step.tasksByWorker.find(aAttempt.worker);
@@ -175,12 +185,26 @@
   this->attempts.erase(aAttempt.key);
 }
 
-void FleetState::MarkSucceeded(Step& aStep, Task& aTask)
+void FleetState::MarkSucceeded(Step& aStep, std::uint32_t aIndex)
 {
-  assert(aTask.attempt == nullptr);
-  if (!aTask.hasSucceeded) {
-    aTask.hasSucceeded = true;
+  Task& task = aStep.tasks[aIndex];
+  assert(task.attempt == nullptr);
+  if (!task.hasSucceeded) {
+    task.hasSucceeded = true;
     ++aStep.succeeded;
+    MarkPartChanged(aStep, aIndex);
+    Job& job = *aStep.job;
+    if (aStep.isFinite && --job.openTasks[aStep.occurrence - job.firstOccurrence] == 0) {
+      --job.openOccurrences;
+    }
+  }
+}
+
+void FleetState::MarkPartChanged(Step& aStep, std::uint32_t aIndex)
+{
+  Job& job = *aStep.job;
+  if (job.layout.IsLarge()) {
+    job.changedParts.insert(job.layout.PartOf(aStep.occurrence, aStep.number, aIndex));
   }
 }
 
@@ -192,18 +216,34 @@
   }
 }
 
-void FleetState::UpdateReadySteps(Job& aJob)
+void FleetState::UpdateReadySteps(Job& aJob, std::uint32_t aOccurrence)
 {
-  std::size_t perOccurrence = aJob.definition.steps.size();
-  for (const std::unique_ptr<Step>& step : aJob.steps) {
-    if (step->isReady) {
+  for (std::uint32_t number = 0; number < aJob.definition.steps.size(); ++number) {
+    Step& step = aJob.StepAt(aOccurrence, number);
+    if (step.isReady) {
       continue;
     }
-    std::size_t first = step->occurrence * perOccurrence;
-    step->isReady =
-      std::all_of(step->spec->dependencies.begin(),
-                  step->spec->dependencies.end(),
-                  [&](std::uint32_t aEarlier) { return aJob.steps[first + aEarlier]->IsDone(); });
+    step.isReady = std::all_of(
+      step.spec->dependencies.begin(), step.spec->dependencies.end(), [&](std::uint32_t aEarlier) {
+        return aJob.StepAt(aOccurrence, aEarlier).IsDone();
+      });
+  }
+}
+
+void FleetState::RetireOccurrences(Job& aJob)
+{
+  std::uint32_t count = aJob.layout.IsLarge() ? aJob.layout.OccurrencesPerPart() : 1;
+  std::size_t steps = count * aJob.definition.steps.size();
+  while (aJob.definition.occurrences > 0 && aJob.steps.size() >= steps &&
+         std::all_of(aJob.steps.begin(),
+                     aJob.steps.begin() + static_cast<std::ptrdiff_t>(steps),
+                     [](const auto& aStep) { return aStep->IsDone(); })) {
+    aJob.steps.erase(aJob.steps.begin(), aJob.steps.begin() + static_cast<std::ptrdiff_t>(steps));
+    aJob.openTasks.erase(aJob.openTasks.begin(), aJob.openTasks.begin() + count);
+    aJob.firstOccurrence += count;
+    aJob.changedParts.erase(
+      aJob.changedParts.begin(),
+      aJob.changedParts.lower_bound(aJob.layout.FirstPartOf(aJob.firstOccurrence)));
   }
 }
 
--- a/packages/dispatch/src/FleetState.h
+++ b/packages/dispatch/src/FleetState.h
@@ -44,11 +44,16 @@
                       TimePoint aNow);
   /// Removes an attempt that has provably ended or can no longer start, and releases its resources.
   void RemoveAttempt(Attempt& aAttempt);
-  static void MarkSucceeded(Step& aStep, Task& aTask);
+  static void MarkSucceeded(Step& aStep, std::uint32_t aIndex);
   /// Records that the job's progress must be stored.
   void MarkChanged(Job& aJob);
-  /// Marks steps as ready once all steps that they depend on have succeeded.
-  static void UpdateReadySteps(Job& aJob);
+  /// Records that the part of the job's progress with that task must be stored.
+  static void MarkPartChanged(Step& aStep, std::uint32_t aIndex);
+  /// Marks steps of an occurrence as ready once all steps that they depend on have succeeded.
+  static void UpdateReadySteps(Job& aJob, std::uint32_t aOccurrence);
+  /// Removes the steps of the earliest occurrences that have succeeded, whole parts of the progress
+  /// at a time.
+  static void RetireOccurrences(Job& aJob);
   /// Puts a job into a final state. Its waiting tasks are no longer started, and the next sweep
   /// stops its running ones.
   void Finish(Job& aJob, DispatchState aState, WallTime aWall);
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -3,6 +3,7 @@
 #include "DispatcherImpl.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace daisydrift {
 
@@ -10,110 +11,246 @@
 using dispatch::AttemptState;
 using dispatch::FleetState;
 using dispatch::Job;
+using dispatch::ProgressLayout;
 using dispatch::Step;
 using dispatch::Task;
 using dispatch::Worker;
 
-std::optional<JobProgress> Dispatcher::Progress(const JobId& aJob) const
+namespace {
+/// Longer checkpoints are not stored, so that a record has a bounded size; a task whose leader
+/// changes then starts from the beginning.
+constexpr std::size_t kMaxStoredCheckpointBytes = 512;
+
+void AddCheckpoint(StepProgress& aPart, std::uint32_t aIndex, const std::string& aCheckpoint)
 {
-  Job* job = this->impl->state.FindJob(aJob);
-  if (job == nullptr) {
-    return std::nullopt;
+  if (!aCheckpoint.empty() && aCheckpoint.size() <= kMaxStoredCheckpointBytes) {
+    aPart.checkpoints[aIndex] = aCheckpoint;
   }
-  JobProgress progress;
-  progress.state = job->state;
-  progress.finishedAt = job->finishedAt;
-  for (const auto& step : job->steps) {
-    StepProgress part;
-    part.occurrence = step->occurrence;
-    part.step = step->number;
+}
+
+/// Adds the progress of the task to that of its step.
+void AddTask(StepProgress& aPart, const Step& aStep, std::uint32_t aIndex)
+{
+  const Task& task = aStep.tasks[aIndex];
+  if (task.hasSucceeded) {
+    aPart.succeeded.push_back(aIndex);
+    return;
+  }
+  if (task.failures > 0) {
+    aPart.failures[aIndex] = task.failures;
+  }
+  if (task.lastCompletedRun > 0) {
+    aPart.lastCompletedRuns[aIndex] = task.lastCompletedRun;
+  }
+  AddCheckpoint(aPart, aIndex, task.checkpoint);
+  if (task.attempt != nullptr) {
+    aPart.open.push_back({ aIndex, task.attempt->run, task.attempt->worker->listing.id });
+  }
+}
+
+StepProgress WithoutTasks(const Step& aStep)
+{
+  StepProgress part;
+  part.occurrence = aStep.occurrence;
+  part.step = aStep.number;
+  return part;
+}
+
+bool IsEmpty(const StepProgress& aPart)
+{
+  return !aPart.isDone && aPart.succeeded.empty() && aPart.failures.empty() &&
+         aPart.lastCompletedRuns.empty() && aPart.checkpoints.empty() && aPart.open.empty();
+}
+
+/// Progress of all steps.
+std::vector<StepProgress> StepsOf(const Job& aJob)
+{
+  std::vector<StepProgress> steps;
+  for (const auto& step : aJob.steps) {
+    StepProgress part = WithoutTasks(*step);
     for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
-      const Task& task = step->tasks[index];
-      if (task.hasSucceeded) {
-        part.succeeded.push_back(index);
-        continue;
-      }
-      if (task.failures > 0) {
-        part.failures[index] = task.failures;
-      }
-      if (task.lastCompletedRun > 0) {
-        part.lastCompletedRuns[index] = task.lastCompletedRun;
+      AddTask(part, *step, index);
+    }
+    if (step->spec->isGang) {
+      AddCheckpoint(part, 0, step->gangCheckpoint);
+    }
+    if (!IsEmpty(part)) {
+      steps.push_back(std::move(part));
+    }
+  }
+  return steps;
+}
+
+/// Progress of the steps, or of those of their tasks, that one part holds.
+std::vector<StepProgress> StepsOfPart(const Job& aJob, std::uint64_t aPart)
+{
+  std::vector<StepProgress> steps;
+  std::uint32_t first = std::max(aJob.layout.FirstOccurrenceOf(aPart), aJob.firstOccurrence);
+  std::uint32_t end =
+    std::min(aJob.layout.FirstOccurrenceOf(aPart) + aJob.layout.OccurrencesPerPart(),
+             aJob.startedOccurrences);
+  for (std::uint32_t occurrence = first; occurrence < end; ++occurrence) {
+    for (std::uint32_t number = 0; number < aJob.definition.steps.size(); ++number) {
+      const Step& step = aJob.StepAt(occurrence, number);
+      StepProgress part = WithoutTasks(step);
+      for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (aJob.layout.PartOf(occurrence, number, index) == aPart) {
+          AddTask(part, step, index);
+          if (index == 0 && step.spec->isGang) {
+            AddCheckpoint(part, 0, step.gangCheckpoint);
+          }
+        }
       }
-      if (!task.checkpoint.empty()) {
-        part.checkpoints[index] = task.checkpoint;
+      if (step.IsDone() && !part.succeeded.empty()) {
+        part.isDone = true;
+        part.succeeded.clear();
       }
-      if (task.attempt != nullptr) {
-        part.open.push_back({ index, task.attempt->run, task.attempt->worker->listing.id });
+      if (!IsEmpty(part)) {
+        steps.push_back(std::move(part));
       }
     }
-    if (step->spec->isGang && !step->gangCheckpoint.empty()) {
-      part.checkpoints[0] = step->gangCheckpoint;
-    }
-    progress.steps.push_back(std::move(part));
   }
+  return steps;
+}
+
+JobProgress HeadOf(const Job& aJob)
+{
+  JobProgress progress;
+  progress.state = aJob.state;
+  progress.finishedAt = aJob.finishedAt;
+  progress.firstOccurrence = aJob.firstOccurrence;
+  progress.isDivided = aJob.layout.IsLarge();
+  return progress;
+}
+} // namespace
+
+std::optional<JobProgress> Dispatcher::Progress(const JobId& aJob) const
+{
+  Job* job = this->impl->state.FindJob(aJob);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  JobProgress progress = HeadOf(*job);
+  progress.steps = StepsOf(*job);
   return progress;
 }
 
+std::optional<ChangedProgress> Dispatcher::TakeChangedProgress(const JobId& aJob)
+{
+  Job* job = this->impl->state.FindJob(aJob);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  ChangedProgress changed;
+  changed.head = HeadOf(*job);
+  if (!job->layout.IsLarge()) {
+    changed.head.steps = StepsOf(*job);
+    return changed;
+  }
+  changed.firstPart = job->layout.FirstPartOf(job->firstOccurrence);
+  std::set<std::uint64_t> parts = std::exchange(job->changedParts, {});
+  if (job->state != DispatchState::Completed) {
+    for (std::uint64_t part : parts) {
+      changed.parts[part] = StepsOfPart(*job, part);
+    }
+  }
+  return changed;
+}
+
+void Dispatcher::FailJob(const JobId& aJob, TimePoint aNow, WallTime aWall)
+{
+  Job* job = this->impl->state.FindJob(aJob);
+  if (job != nullptr && !job->IsFinished()) {
+    this->impl->state.Finish(*job, DispatchState::Failed, aWall);
+    this->impl->nextSweep = aNow;
+  }
+}
+
+void Dispatcher::Impl::RestoreStep(Job& aJob, const StepProgress& aPart, TimePoint aNow)
+{
+  std::uint32_t occurrences = std::max<std::uint32_t>(aJob.definition.occurrences, 1);
+  if (aPart.step >= aJob.definition.steps.size() || aPart.occurrence < aJob.firstOccurrence ||
+      aPart.occurrence >= occurrences) {
+    return;
+  }
+  while (aPart.occurrence >= aJob.startedOccurrences) {
+    this->state.AddOccurrence(aJob, aJob.startedOccurrences);
+  }
+  Step& step = aJob.StepAt(aPart.occurrence, aPart.step);
+  auto valid = [&step](std::uint32_t aIndex) { return aIndex < step.tasks.size(); };
+  for (std::uint32_t index = 0; aPart.isDone && valid(index); ++index) {
+    FleetState::MarkSucceeded(step, index);
+  }
+  for (std::uint32_t index : aPart.succeeded) {
+    if (valid(index)) {
+      FleetState::MarkSucceeded(step, index);
+    }
+  }
+  for (const auto& [index, failures] : aPart.failures) {
+    if (valid(index)) {
+      step.tasks[index].failures = failures;
+    }
+  }
+  for (const auto& [index, run] : aPart.lastCompletedRuns) {
+    if (valid(index)) {
+      step.tasks[index].lastCompletedRun = run;
+      step.tasks[index].lastRun = run;
+    }
+  }
+  for (const auto& [index, checkpoint] : aPart.checkpoints) {
+    if (valid(index) && step.spec->isGang) {
+      step.gangCheckpoint = checkpoint;
+    } else if (valid(index)) {
+      step.tasks[index].checkpoint = checkpoint;
+    }
+  }
+  for (const OpenRun& open : aPart.open) {
+    if (!valid(open.index) || step.tasks[open.index].hasSucceeded ||
+        step.tasks[open.index].attempt != nullptr) {
+      continue;
+    }
+    Worker& worker = this->state.EnsureWorker(open.worker);
+    if (worker.leaseExpiryBound == TimePoint()) {
+      worker.leaseExpiryBound = this->restoredLeaseBound;
+    }
+    Attempt& attempt = this->state.AddAttempt(step, open.index, worker, open.run, aNow);
+    attempt.state = AttemptState::Restored;
+  }
+}
+
 void Dispatcher::RestoreJob(const JobDefinition& aDefinition,
                             const JobProgress& aProgress,
                             TimePoint aNow,
                             WallTime aWall)
 {
-  FleetState& state = this->impl->state;
-  if (state.FindJob(aDefinition.id) != nullptr) {
+  if (this->impl->state.FindJob(aDefinition.id) != nullptr) {
     return;
   }
   this->impl->wall = aWall;
   Job& job = this->impl->InsertJob(aDefinition, aNow);
   job.state = aProgress.state;
   job.finishedAt = aProgress.finishedAt;
+  job.firstOccurrence = std::min(aProgress.firstOccurrence, aDefinition.occurrences);
+  job.startedOccurrences = job.firstOccurrence;
+  if (!aProgress.isDivided && !aProgress.steps.empty()) {
+    // The record of an earlier version, which knew no parts. They can't replace it, since they
+    // would not be stored together.
+    job.layout = ProgressLayout();
+  }
   // The latency objective counts from when the job was accepted. The clocks of two instances may
   // differ, so a negative age counts as zero.
   auto age = std::chrono::duration_cast<Duration>(aWall - aDefinition.acceptedAt);
   job.addedAt = aNow - std::max(age, Duration(0));
   for (const StepProgress& part : aProgress.steps) {
-    if (part.step >= aDefinition.steps.size() || part.occurrence > job.startedOccurrences) {
-      continue;
-    }
-    if (part.occurrence == job.startedOccurrences) {
-      state.AddOccurrence(job, part.occurrence);
-    }
-    Step& step = *state.FindStep({ aDefinition.id, part.occurrence, part.step });
-    auto valid = [&step](std::uint32_t aIndex) { return aIndex < step.tasks.size(); };
-    for (std::uint32_t index : part.succeeded) {
-      if (valid(index)) {
-        FleetState::MarkSucceeded(step, step.tasks[index]);
-      }
-    }
-    for (const auto& [index, failures] : part.failures) {
-      if (valid(index)) {
-        step.tasks[index].failures = failures;
-      }
-    }
-    for (const auto& [index, run] : part.lastCompletedRuns) {
-      if (valid(index)) {
-        step.tasks[index].lastCompletedRun = run;
-        step.tasks[index].lastRun = run;
-      }
-    }
-    for (const auto& [index, checkpoint] : part.checkpoints) {
-      if (valid(index) && step.spec->isGang) {
-        step.gangCheckpoint = checkpoint;
-      } else if (valid(index)) {
-        step.tasks[index].checkpoint = checkpoint;
-      }
-    }
-    for (const OpenRun& open : part.open) {
-      if (!valid(open.index) || step.tasks[open.index].hasSucceeded) {
-        continue;
-      }
-      Worker& worker = state.EnsureWorker(open.worker);
-      if (worker.leaseExpiryBound == TimePoint()) {
-        worker.leaseExpiryBound = this->impl->restoredLeaseBound;
-      }
-      Attempt& attempt = state.AddAttempt(step, open.index, worker, open.run, aNow);
-      attempt.state = AttemptState::Restored;
-    }
+    this->impl->RestoreStep(job, part, aNow);
+  }
+  for (std::uint32_t number = job.firstOccurrence; number < job.startedOccurrences; ++number) {
+    FleetState::UpdateReadySteps(job, number);
+  }
+  job.changedParts.clear();
+  if (job.state == DispatchState::Queued && aProgress.isDivided && !aProgress.steps.empty()) {
+    // Parts are stored in no order with the head.
+    job.state = DispatchState::Running;
   }
   this->impl->StartDueOccurrences(job, aWall);
   this->impl->CompleteIfDone(job);
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -69,17 +69,17 @@
   if (step.spec->isService) {
     return; // A service runs until it is cancelled, whatever the outcome of its tasks.
   }
-  FleetState::MarkSucceeded(step, step.tasks[index]);
+  FleetState::MarkSucceeded(step, index);
   if (step.spec->isGang) {
     // The success of one member implies that of all others, which end at the same time.
-    for (Task& task : step.tasks) {
-      if (task.attempt != nullptr) {
-        this->CloseAttempt(*task.attempt);
+    for (std::uint32_t member = 0; member < step.tasks.size(); ++member) {
+      if (step.tasks[member].attempt != nullptr) {
+        this->CloseAttempt(*step.tasks[member].attempt);
       }
-      FleetState::MarkSucceeded(step, task);
+      FleetState::MarkSucceeded(step, member);
     }
   }
-  FleetState::UpdateReadySteps(job);
+  FleetState::UpdateReadySteps(job, step.occurrence);
   this->CompleteIfDone(job);
 }
 
@@ -90,8 +90,10 @@
   std::uint32_t index = aAttempt.index;
   this->reliability.OnFailure(aAttempt, aNow);
   // Failures of a gang are counted for its first task, since the members fail together.
-  Task& counted = step.tasks[step.spec->isGang ? 0 : index];
+  std::uint32_t countedIndex = step.spec->isGang ? 0 : index;
+  Task& counted = step.tasks[countedIndex];
   ++counted.failures;
+  FleetState::MarkPartChanged(step, countedIndex);
   step.tasks[index].failedPlacements.push_back(aAttempt.worker->listing.id);
   if (step.spec->isGang) {
     this->StopGang(step);
@@ -177,9 +179,9 @@
         task.attempt->isStopping = true;
         continue;
       }
-      FleetState::MarkSucceeded(*step, task);
+      FleetState::MarkSucceeded(*step, completion.task.index);
       this->state.MarkChanged(*step->job);
-      FleetState::UpdateReadySteps(*step->job);
+      FleetState::UpdateReadySteps(*step->job, step->occurrence);
       this->CompleteIfDone(*step->job);
     }
   }
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -37,7 +37,12 @@
 {
   const JobDefinition& definition = aJob.definition;
   std::uint32_t wanted = std::max<std::uint32_t>(definition.occurrences, 1);
-  while (aJob.startedOccurrences < wanted && !aJob.IsFinished()) {
+  // The other due occurrences follow when one of these has succeeded.
+  auto hasRoom = [&] {
+    return aJob.openOccurrences == 0 ||
+           (aJob.openOccurrences + 1) * aJob.finiteTasks <= this->settings.maxOpenTasksPerSchedule;
+  };
+  while (aJob.startedOccurrences < wanted && !aJob.IsFinished() && hasRoom()) {
     if (definition.occurrences > 0) {
       WallTime due = definition.firstDue + std::chrono::duration_cast<std::chrono::milliseconds>(
                                              definition.interval * aJob.startedOccurrences);
@@ -46,8 +51,8 @@
       }
     }
     this->state.AddOccurrence(aJob, aJob.startedOccurrences);
+    FleetState::UpdateReadySteps(aJob, aJob.startedOccurrences - 1);
   }
-  FleetState::UpdateReadySteps(aJob);
 }
 
 void Dispatcher::Impl::PlanStart(Step& aStep,
@@ -220,6 +225,7 @@
 {
   this->nextSweep = aNow + kSweepInterval;
   for (auto job = this->state.openJobs.begin(); job != this->state.openJobs.end();) {
+    FleetState::RetireOccurrences(**job);
     this->StartDueOccurrences(**job, this->wall);
     bool hasAttempts = std::any_of((*job)->steps.begin(),
                                    (*job)->steps.end(),
--- a/packages/dispatch/src/StepRank.cpp
+++ b/packages/dispatch/src/StepRank.cpp
@@ -67,6 +67,20 @@
          aQueue.targetLatency;
 }
 
+std::uint64_t CountFiniteTasks(const JobDefinition& aDefinition)
+{
+  std::vector<bool> isFinite;
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : aDefinition.steps) {
+    isFinite.push_back(!step.isService &&
+                       std::all_of(step.dependencies.begin(),
+                                   step.dependencies.end(),
+                                   [&](std::uint32_t aEarlier) { return isFinite[aEarlier]; }));
+    tasks += isFinite.back() ? step.taskCount : 0;
+  }
+  return tasks;
+}
+
 bool TakeJobToken(Team& aTeam, TimePoint aNow)
 {
   double capacity = std::max(aTeam.rules.weight * kBurstSeconds, 1.0);
--- a/packages/dispatch/src/StepRank.h
+++ b/packages/dispatch/src/StepRank.h
@@ -74,6 +74,9 @@
 /// Latency objective of a job: its critical path times the queue's stretch factor, plus the queue's
 /// target latency.
 Duration LatencyObjectiveOf(const JobDefinition& aDefinition, const QueuePolicy& aQueue);
+/// Number of tasks of one occurrence that can succeed: those of steps that neither are services nor
+/// depend on one.
+std::uint64_t CountFiniteTasks(const JobDefinition& aDefinition);
 /// Takes a token from the team's token bucket for a job that arrives at aNow. Returns false when
 /// the job is above the team's rate.
 bool TakeJobToken(Team& aTeam, TimePoint aNow);
