A report that may leave completions out ends no run

Cause: A worker lists 500 unacknowledged completions at most, and none can be acknowledged while the store is unavailable. A run that is in neither list of a report was taken for vanished, though the list was full and its completion beyond the end. Change: The adapter says whether a report may leave completions out. Such a report closes no run, not of an earlier leader nor one whose stop is confirmed, and what it does not list is no stall. Unreadable rows of a full list count as listed. The soak's workers list 500 completions at most, too. Ruled out: leases (the workers answer all the time), a second leader (the term does not change). Conclusion: the wait ends when the listed completions are acknowledged, as soon as the store has what follows from them, or with the leases of a worker that does not answer.

--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -412,6 +412,10 @@
   report.incarnation = worker.incarnation;
   report.clock = this->Clock();
   report.completions = worker.completions;
+  if (report.completions.size() >= this->maxCompletionsPerReport) {
+    report.completions.resize(this->maxCompletionsPerReport);
+    report.hasAllCompletions = false;
+  }
   for (const auto& [task, run] : worker.running) {
     RunningTask running;
     running.task = task;
--- a/packages/coordination/tests/FakeFleet.h
+++ b/packages/coordination/tests/FakeFleet.h
@@ -55,6 +55,8 @@
             Epoch aFencingToken,
             std::function<void(const Result<WorkerReport>&)> aDone) override;
 
+  /// Most completions that a worker lists in one report.
+  std::size_t maxCompletionsPerReport = 500;
   /// Longest lease that a worker grants.
   Duration maxLease = std::chrono::milliseconds(6000);
   /// Run time of each task.
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
@@ -215,7 +215,13 @@
   /// The worker's monotonic clock.
   std::chrono::milliseconds clock{ 0 };
   std::vector<RunningTask> running;
+  /// Completions in the order of their numbers, from the first that is not acknowledged.
   std::vector<RunCompletion> completions;
+  /// False if the worker may have more completions than one report lists. The others follow once
+  /// these are acknowledged.
+  bool hasAllCompletions = true;
+  /// Highest number in the worker's list, including completions that could not be read.
+  std::uint64_t lastCompletion = 0;
 };
 
 /// Result of a start command.
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -55,6 +55,8 @@
   TimePoint stopSentAt{ -std::chrono::hours(24) };
   int progressPercent = 0;
   TimePoint progressChangedAt;
+  /// Time of the last report that listed the run as running.
+  TimePoint listedAt;
   /// Tail latency of a service task's responses.
   double tailLatencyMs = 0;
   /// Speed to which the task is throttled.
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -185,6 +185,10 @@
       this->CompleteIfDone(*step->job);
     }
   }
+  if (!aReport.hasAllCompletions) {
+    // A full list of completions that could not be read would hide all later ones for ever.
+    aWorker.lastCompletion = std::max(aWorker.lastCompletion, aReport.lastCompletion);
+  }
 }
 
 void Dispatcher::Impl::OnUnknownRun(Worker& aWorker, const RunningTask& aRunning, TimePoint aNow)
@@ -211,6 +215,7 @@
     this->state.AddAttempt(*step, aRunning.task.index, aWorker, aRunning.run, aNow);
   attempt.state = AttemptState::Running;
   attempt.confirmedAt = aNow;
+  attempt.listedAt = aNow;
   this->state.MarkChanged(*step->job);
 }
 
@@ -227,6 +232,7 @@
       continue;
     }
     reported.insert(attempt);
+    attempt->listedAt = aNow;
     if (attempt->state != AttemptState::Running) {
       attempt->state = AttemptState::Running;
       attempt->confirmedAt = aNow;
@@ -243,6 +249,11 @@
         running.checkpoint;
     }
   }
+  if (!aReport.hasAllCompletions) {
+    // A run that is in neither list may have ended with any outcome. What becomes of it shows when
+    // the completions before its own are acknowledged, or when the leases end.
+    return;
+  }
   std::vector<Attempt*> missing;
   for (Attempt& attempt : aWorker.attempts) {
     if (reported.count(&attempt) != 0) {
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -151,7 +151,7 @@
       aNow - aAttempt.confirmedAt < kMinObservationTime) {
     return;
   }
-  if (worker.reportedAt - aAttempt.progressChangedAt > this->settings.stallTimeout) {
+  if (aAttempt.listedAt - aAttempt.progressChangedAt > this->settings.stallTimeout) {
     this->reliability.OnStall(worker, aNow);
     aAttempt.isStopping = true;
     LogLine(LogLevel::Info, "task_stalled")
@@ -165,7 +165,7 @@
     return;
   }
   double secondsElapsed =
-    std::chrono::duration<double>(worker.reportedAt - aAttempt.confirmedAt).count();
+    std::chrono::duration<double>(aAttempt.listedAt - aAttempt.confirmedAt).count();
   double secondsLeft = secondsElapsed * (100 - aAttempt.progressPercent) / aAttempt.progressPercent;
   double estimatedSeconds = std::chrono::duration<double>(spec.estimate).count();
   double remainingFraction = spec.canCheckpoint ? (100 - aAttempt.progressPercent) / 100.0 : 1.0;
