The record of a part is made from its own tasks only

Cause: For each changed part all tasks of the occurrence were gone through, so that a job of 64 steps of 4,096 tasks took the longer the more of its parts changed. Change: ProgressLayout says which tasks of a step a part holds.

--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -93,13 +93,12 @@
     for (std::uint32_t number = 0; number < aJob.definition.steps.size(); ++number) {
       const Step& step = aJob.StepAt(occurrence, number);
       StepProgress part = WithoutTasks(step);
-      for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-        if (aJob.layout.PartOf(occurrence, number, index) == aPart) {
-          AddTask(part, step, index);
-          if (index == 0 && step.spec->isGang) {
-            AddCheckpoint(part, 0, step.gangCheckpoint);
-          }
-        }
+      auto [begin, last] = aJob.layout.IndicesOf(aPart, number);
+      for (std::uint32_t index = begin; index < last; ++index) {
+        AddTask(part, step, index);
+      }
+      if (begin == 0 && last > 0 && step.spec->isGang) {
+        AddCheckpoint(part, 0, step.gangCheckpoint);
       }
       if (step.IsDone() && !part.succeeded.empty()) {
         part.isDone = true;
--- a/packages/dispatch/src/ProgressLayout.h
+++ b/packages/dispatch/src/ProgressLayout.h
@@ -3,6 +3,8 @@
 
 #include "daisydrift/dispatch/DispatchTypes.h"
 
+#include <utility>
+
 namespace daisydrift::dispatch {
 
 /// Divides the tasks of a job among parts, each of which is stored as one record. Without it the
@@ -24,6 +26,9 @@
   bool IsLarge() const { return this->isLarge; }
   /// Part of a task.
   std::uint64_t PartOf(std::uint32_t aOccurrence, std::uint32_t aStep, std::uint32_t aIndex) const;
+  /// First and last index, exclusive, of the tasks of a step of one occurrence that a part holds,
+  /// which holds tasks of that occurrence.
+  std::pair<std::uint32_t, std::uint32_t> IndicesOf(std::uint64_t aPart, std::uint32_t aStep) const;
   /// First part of an occurrence. Several occurrences may share it.
   std::uint64_t FirstPartOf(std::uint32_t aOccurrence) const;
   /// Number of occurrences that share each part; 1 when an occurrence has a part or more.
@@ -35,7 +40,7 @@
   bool isLarge = false;
   std::uint32_t occurrencesPerPart = 1;
   std::uint64_t partsPerOccurrence = 1;
-  /// Number of tasks in the steps before each step.
+  /// Number of tasks in the steps before each step, and in all steps.
   std::vector<std::uint64_t> tasksBefore;
 };
 
