The success of an earlier run counts although its task runs again

Cause: A success whose run had been given up was acknowledged to its worker, and only stopped the later run; the task was not marked as succeeded and started again. For a gang it was dropped. Change: The task has succeeded as soon as the later run, which is stopped, has ended in any way. Until then its resources stay counted, and the store has both, so that a new leader goes on. The success of one member of a gang counts for all, also when only some parts of a large gang were stored; restoring one would have ended the process. Ruled out: to forget the later run at once (it still takes resources of its worker).

--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -66,6 +66,8 @@
 struct Task
 {
   bool hasSucceeded = false;
+  /// An earlier run than the current attempt has succeeded; the attempt is being stopped.
+  bool hasEarlierSuccess = false;
   std::uint32_t failures = 0;
   /// Consecutive early exits of a service task, soon after its start.
   std::uint32_t earlyExits = 0;
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -3,6 +3,7 @@
 #include "DispatcherImpl.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace daisydrift {
@@ -28,12 +29,20 @@
   }
 }
 
+void AddOpenRun(StepProgress& aPart, const Attempt& aAttempt)
+{
+  aPart.open.push_back({ aAttempt.index, aAttempt.run, aAttempt.worker->listing.id });
+}
+
 /// Adds the progress of the task to that of its step.
 void AddTask(StepProgress& aPart, const Step& aStep, std::uint32_t aIndex)
 {
   const Task& task = aStep.tasks[aIndex];
-  if (task.hasSucceeded) {
+  if (task.hasSucceeded || task.hasEarlierSuccess) {
     aPart.succeeded.push_back(aIndex);
+    if (task.attempt != nullptr) {
+      AddOpenRun(aPart, *task.attempt);
+    }
     return;
   }
   if (task.failures > 0) {
@@ -44,7 +53,7 @@
   }
   AddCheckpoint(aPart, aIndex, task.checkpoint);
   if (task.attempt != nullptr) {
-    aPart.open.push_back({ aIndex, task.attempt->run, task.attempt->worker->listing.id });
+    AddOpenRun(aPart, *task.attempt);
   }
 }
 
@@ -180,8 +189,14 @@
   for (std::uint32_t index = 0; aPart.isDone && valid(index); ++index) {
     FleetState::MarkSucceeded(step, index);
   }
+  std::set<std::uint32_t> open;
+  for (const OpenRun& run : aPart.open) {
+    open.insert(run.index);
+  }
   for (std::uint32_t index : aPart.succeeded) {
-    if (valid(index)) {
+    if (valid(index) && open.count(index) != 0) {
+      step.tasks[index].hasEarlierSuccess = true;
+    } else if (valid(index)) {
       FleetState::MarkSucceeded(step, index);
     }
   }
@@ -203,17 +218,18 @@
       step.tasks[index].checkpoint = checkpoint;
     }
   }
-  for (const OpenRun& open : aPart.open) {
-    if (!valid(open.index) || step.tasks[open.index].hasSucceeded ||
-        step.tasks[open.index].attempt != nullptr) {
+  for (const OpenRun& run : aPart.open) {
+    if (!valid(run.index) || step.tasks[run.index].hasSucceeded ||
+        step.tasks[run.index].attempt != nullptr) {
       continue;
     }
-    Worker& worker = this->state.EnsureWorker(open.worker);
+    Worker& worker = this->state.EnsureWorker(run.worker);
     if (worker.leaseExpiryBound == TimePoint()) {
       worker.leaseExpiryBound = this->restoredLeaseBound;
     }
-    Attempt& attempt = this->state.AddAttempt(step, open.index, worker, open.run, aNow);
+    Attempt& attempt = this->state.AddAttempt(step, run.index, worker, run.run, aNow);
     attempt.state = AttemptState::Restored;
+    attempt.isStopping = step.tasks[run.index].hasEarlierSuccess;
   }
 }
 
@@ -243,6 +259,15 @@
   for (const StepProgress& part : aProgress.steps) {
     this->impl->RestoreStep(job, part, aNow);
   }
+  for (const auto& step : job.steps) {
+    // The success of one member of a gang implies that of the others, whose part may not have been
+    // stored.
+    for (std::uint32_t index = 0;
+         step->spec->isGang && step->succeeded > 0 && index < step->tasks.size();
+         ++index) {
+      this->impl->OnEarlierSuccess(*step, index);
+    }
+  }
   for (std::uint32_t number = job.firstOccurrence; number < job.startedOccurrences; ++number) {
     FleetState::UpdateReadySteps(job, number);
   }
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -27,9 +27,37 @@
 
 void Dispatcher::Impl::CloseAttempt(Attempt& aAttempt)
 {
-  Job& job = *aAttempt.step->job;
+  Step& step = *aAttempt.step;
+  std::uint32_t index = aAttempt.index;
   this->state.RemoveAttempt(aAttempt);
-  this->state.MarkChanged(job);
+  this->state.MarkChanged(*step.job);
+  if (step.tasks[index].hasEarlierSuccess) {
+    this->OnStepProgress(step, index);
+  }
+}
+
+void Dispatcher::Impl::OnStepProgress(Step& aStep, std::uint32_t aIndex)
+{
+  FleetState::MarkSucceeded(aStep, aIndex);
+  this->state.MarkChanged(*aStep.job);
+  FleetState::UpdateReadySteps(*aStep.job, aStep.occurrence);
+  this->CompleteIfDone(*aStep.job);
+}
+
+void Dispatcher::Impl::OnEarlierSuccess(Step& aStep, std::uint32_t aIndex)
+{
+  Task& task = aStep.tasks[aIndex];
+  if (task.hasSucceeded) {
+    return;
+  }
+  if (task.attempt == nullptr) {
+    this->OnStepProgress(aStep, aIndex);
+    return;
+  }
+  task.hasEarlierSuccess = true;
+  task.attempt->isStopping = true;
+  FleetState::MarkPartChanged(aStep, aIndex);
+  this->state.MarkChanged(*aStep.job);
 }
 
 void Dispatcher::Impl::CompleteIfDone(Job& aJob)
@@ -116,6 +144,10 @@
 {
   Step& step = *aAttempt.step;
   Task& task = step.tasks[aAttempt.index];
+  if (task.hasEarlierSuccess) {
+    this->CloseAttempt(aAttempt);
+    return;
+  }
   if (!aCompletion.checkpoint.empty()) {
     (step.spec->isGang ? step.gangCheckpoint : task.checkpoint) = aCompletion.checkpoint;
   }
@@ -172,17 +204,21 @@
     if (step == nullptr || completion.task.index >= step->tasks.size()) {
       continue;
     }
-    Task& task = step->tasks[completion.task.index];
-    if (completion.outcome == RunOutcome::Succeeded && !task.hasSucceeded &&
-        !step->spec->isService && !step->spec->isGang) {
-      if (task.attempt != nullptr) {
-        task.attempt->isStopping = true;
-        continue;
-      }
-      FleetState::MarkSucceeded(*step, completion.task.index);
-      this->state.MarkChanged(*step->job);
-      FleetState::UpdateReadySteps(*step->job, step->occurrence);
-      this->CompleteIfDone(*step->job);
+    if (completion.outcome != RunOutcome::Succeeded || step->spec->isService) {
+      continue;
+    }
+    LogLine(LogLevel::Info, "earlier_run_succeeded")
+      .Add("job", completion.task.job)
+      .Add("step", completion.task.step)
+      .Add("task", completion.task.index)
+      .Add("run", completion.run)
+      .Add("worker", aWorker.listing.id);
+    // The success of one member of a gang implies that of all others.
+    std::uint32_t first = step->spec->isGang ? 0 : completion.task.index;
+    std::uint32_t end =
+      step->spec->isGang ? static_cast<std::uint32_t>(step->tasks.size()) : first + 1;
+    for (std::uint32_t index = first; index < end; ++index) {
+      this->OnEarlierSuccess(*step, index);
     }
   }
   if (!aReport.hasAllCompletions) {
