--- a/packages/coordination/src/RecordWriter.cpp
+++ b/packages/coordination/src/RecordWriter.cpp
@@ -23,7 +23,6 @@
 constexpr std::size_t kMaxBytesInFlight = kBytesPerTransaction;
 /// Rate by which the delay of a repetition grows with the size; the slowest links are faster.
 constexpr double kHedgeBytesPerSecond = 512 * 1024;
-
 /// Attempts to write a single record that the store refuses as invalid, before it is given up.
 constexpr int kMaxRefusals = 3;
 
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -25,7 +25,7 @@
                              TimePoint aNow);
   void OnCompletion(dispatch::Attempt& aAttempt, const RunCompletion& aCompletion, TimePoint aNow);
   /// Marks a task without an attempt as succeeded, with all that follows from it.
-  void OnStepProgress(dispatch::Step& aStep, std::uint32_t aIndex);
+  void MarkTaskSucceeded(dispatch::Step& aStep, std::uint32_t aIndex);
   /// A run of the task that has no attempt any more has succeeded.
   void OnEarlierSuccess(dispatch::Step& aStep, std::uint32_t aIndex);
   void OnTaskSucceeded(dispatch::Attempt& aAttempt, TimePoint aNow);
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -32,11 +32,11 @@
   this->state.RemoveAttempt(aAttempt);
   this->state.MarkChanged(*step.job);
   if (step.tasks[index].hasEarlierSuccess) {
-    this->OnStepProgress(step, index);
+    this->MarkTaskSucceeded(step, index);
   }
 }
 
-void Dispatcher::Impl::OnStepProgress(Step& aStep, std::uint32_t aIndex)
+void Dispatcher::Impl::MarkTaskSucceeded(Step& aStep, std::uint32_t aIndex)
 {
   FleetState::MarkSucceeded(aStep, aIndex);
   this->state.MarkChanged(*aStep.job);
@@ -51,7 +51,7 @@
     return;
   }
   if (task.attempt == nullptr) {
-    this->OnStepProgress(aStep, aIndex);
+    this->MarkTaskSucceeded(aStep, aIndex);
     return;
   }
   task.hasEarlierSuccess = true;
