--- a/review/standin-2/Fleet.h
+++ b/review/standin-2/Fleet.h
@@ -724,8 +724,8 @@
     std::string path = request.target;
     if (std::optional<int> delay = this->onOrder ? this->onOrder(path, *body) : std::nullopt) {
       this->open.push_back(aExchange); // No answer.
-      this->shared.loop.After(milliseconds(*delay), [this, path, body = *body] {
-        if (this->isUp) {
+      this->shared.loop.After(milliseconds(*delay), [this, path, body = *body, boot = this->born] {
+        if (this->isUp && boot == this->born) {
           auto [status, answer] = this->Execute(path, body);
           this->shared.record.Line("runner " + this->id + " carries out late " + path + " " +
                                    body.dump().substr(0, 200) + " -> " + std::to_string(status));
@@ -1173,7 +1173,8 @@
             const std::string& aPath,
             const std::string& aKeyOfTenant,
             const std::string& aBody,
-            int aTimeoutMs)
+            int aTimeoutMs,
+            int aPatienceMs = 0)
   {
     this->request = aMethod + " " + aPath + " HTTP/1.1\r\nHost: " + kHost +
                     "\r\nAuthorization: Bearer " + aKeyOfTenant +
@@ -1184,7 +1185,8 @@
     }
     this->request += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
     auto self = this->shared_from_this();
-    this->timer.expires_after(milliseconds(aTimeoutMs));
+    // A client may leave before its deadline.
+    this->timer.expires_after(milliseconds(aPatienceMs > 0 ? aPatienceMs : aTimeoutMs));
     this->timer.async_wait([self](std::error_code aError) {
       if (!aError) {
         self->Finish();
@@ -1352,20 +1354,17 @@
             const std::string& aPath,
             const std::string& aBody,
             ClientCall::Done aDone,
-            int aTimeoutMs = 3000,
-            bool aIsLogged = true)
+            int aPatienceMs = 0)
   {
     auto call = std::make_shared<ClientCall>(
-      this->loop, [this, aMethod, aPath, aDone, aIsLogged, name = aProcess.Name()](
+      this->loop, [this, aMethod, aPath, aDone, name = aProcess.Name()](
                     int aStatus, const std::string& aAnswer) {
-        if (aIsLogged) {
-          this->record.Line("client: " + aMethod + " " + aPath + " at " + name + " -> " +
-                            (aStatus == 0 ? "no answer" : std::to_string(aStatus)) + " " +
-                            aAnswer.substr(0, 120));
-        }
+        this->record.Line("client: " + aMethod + " " + aPath + " at " + name + " -> " +
+                          (aStatus == 0 ? "no answer" : std::to_string(aStatus)) + " " +
+                          aAnswer.substr(0, 120));
         aDone(aStatus, aAnswer);
       });
-    call->Send(aProcess.Callers(), aMethod, aPath, kKey, aBody, aTimeoutMs);
+    call->Send(aProcess.Callers(), aMethod, aPath, kKey, aBody, 3000, aPatienceMs);
   }
   /// Hands a job in; after no response, 502 or 504 (and 503) again, at the next process.
   void Submit(const std::string& aQueue,
