--- a/review/standin-2/Fleet.h
+++ b/review/standin-2/Fleet.h
@@ -525,9 +525,10 @@
     }
     this->shared.record.Line("runner " + this->id + " crashes");
   }
-  /// A new boot under the same id.
-  void Restart()
+  /// A new boot under the same id, perhaps of another kind.
+  void Restart(const std::string& aNewKind = "")
   {
+    this->kind = aNewKind.empty() ? this->kind : aNewKind;
     this->Boot();
     this->isUp = true;
     this->shared.record.Line("runner " + this->id + " starts again, born " +
