--- a/review/standin-2/Fleet.h
+++ b/review/standin-2/Fleet.h
@@ -501,6 +501,8 @@
   bool isCut = false;
   /// Answers starts with 503 and does nothing for them.
   bool isUnhealthy = false;
+  /// Fails all members of gangs that it has started.
+  bool failsGangs = false;
   bool isDraining = false;
   /// An order gets no answer and is carried out after the returned time.
   std::function<std::optional<int>(const std::string&, const json&)> onOrder;
@@ -867,8 +869,13 @@
       }
       std::vector<Shared::Member> members = std::move(found->second);
       this->shared.gangs.erase(found);
+      bool isBroken = std::any_of(members.begin(), members.end(), [](const Shared::Member& aMember) {
+        return aMember.runner->failsGangs;
+      });
+      // A runner that fails all that it started ends its members `failed`, the others are `broken`.
       for (const Shared::Member& member : members) {
-        member.runner->End(member.task, member.localId, how);
+        std::string end = member.runner->failsGangs ? "failed" : isBroken ? "broken" : how;
+        member.runner->End(member.task, member.localId, end);
       }
     });
   }
