A run of a gang that fails is one failure of the gang

OnTaskFailed added one failure for each member that was listed as failed. Change: FailureCount counts runs, each once, whichever member, worker or leader it is seen by; the last runs are stored with the count. Records of earlier versions are read; earlier versions read the count. Ruled out: to count only the first member's end, since it may never be listed; a run that is compared with the last one only, since the end of an earlier run may be listed later.

--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -72,20 +72,19 @@
 }
 
 /// Numbers of the named list, all below aEnd.
-std::vector<std::uint32_t> IndicesFrom(JsonFields& aFields,
-                                       JsonFields::Name aName,
-                                       std::uint32_t aEnd)
+template<std::unsigned_integral Number>
+std::vector<Number> NumbersFrom(JsonFields& aFields, JsonFields::Name aName, Number aEnd)
 {
-  std::vector<std::uint32_t> indices;
+  std::vector<Number> numbers;
   ReadItems(aFields, aName, [&](const json& aItem) {
-    bool isIndex = aItem.is_number_unsigned() && std::cmp_less(aItem.get<std::uint64_t>(), aEnd);
-    if (isIndex) {
-      indices.push_back(aItem.get<std::uint32_t>());
+    bool isInRange = aItem.is_number_unsigned() && std::cmp_less(aItem.get<std::uint64_t>(), aEnd);
+    if (isInRange) {
+      numbers.push_back(aItem.get<Number>());
     } else {
       aFields.Fail(aName, "not a list of numbers in range");
     }
   });
-  return indices;
+  return numbers;
 }
 
 std::vector<std::string> TextsFrom(JsonFields& aFields, JsonFields::Name aName)
@@ -132,7 +131,7 @@
   step.taskCount = aFields.Integer<std::uint32_t>("tasks", 0, kMaxTasks);
   step.size = ResourcesFrom(aFields, "size");
   step.estimate = aFields.ClampedMicroseconds("estimate_us");
-  step.dependencies = IndicesFrom(aFields, "after", aPosition);
+  step.dependencies = NumbersFrom(aFields, "after", aPosition);
   step.canCheckpoint = aFields.Flag("checkpoint");
   step.isGang = aFields.Flag("gang");
   step.isRackLocal = aFields.Flag("rack_local");
@@ -160,6 +159,7 @@
     }
   };
   addPairs("failures", aStep.failures);
+  addPairs("failed_runs", aStep.failedRuns);
   addPairs("settled", aStep.lastCompletedRuns);
   addPairs("checkpoints", aStep.checkpoints);
   for (const OpenRun& open : aStep.open) {
@@ -174,7 +174,7 @@
   StepProgress step;
   step.occurrence = aFields.Integer<std::uint32_t>("occurrence", 0, kMaxNumber);
   step.step = aFields.Integer<std::uint32_t>("step", 0, kMaxNumber);
-  step.succeeded = IndicesFrom(aFields, "succeeded", kMaxNumber);
+  step.succeeded = NumbersFrom(aFields, "succeeded", kMaxNumber);
   auto readPairs = [&aFields](const char* aName, const auto& aRead) {
     ReadItems(aFields, aName, [&](const json& aItem) {
       JsonFields pair(aItem, 2);
@@ -185,6 +185,9 @@
   readPairs("failures", [&step](std::uint32_t aIndex, JsonFields& aPair) {
     step.failures[aIndex] = aPair.Integer<std::uint32_t>(1, 0, kMaxNumber);
   });
+  readPairs("failed_runs", [&step](std::uint32_t aIndex, JsonFields& aPair) {
+    step.failedRuns[aIndex] = NumbersFrom<RunNumber>(aPair, 1, kMaxRun);
+  });
   readPairs("settled", [&step](std::uint32_t aIndex, JsonFields& aPair) {
     step.lastCompletedRuns[aIndex] = aPair.Integer<RunNumber>(1, 0, kMaxRun);
   });
--- a/packages/coordination/tests/RecordCodecTest.cpp
+++ b/packages/coordination/tests/RecordCodecTest.cpp
@@ -74,6 +74,7 @@
     step.occurrence = 99'999;
     step.step = 63;
     step.failures[number] = 4'000'000'000;
+    step.failedRuns[number] = std::vector<RunNumber>(8, kMaxRun);
     step.lastCompletedRuns[number] = kMaxRun;
     step.checkpoints[number] = std::string(512, 'x');
     step.open.push_back({ number, kMaxRun, std::string(kMaxWorkerIdBytes, 'w') });
@@ -82,7 +83,8 @@
   EXPECT_LE(text.size(), kMaxValueBytes);
   std::optional<std::vector<StepProgress>> read = coordination::ProgressPartFromText(text);
   ASSERT_TRUE(read);
-  EXPECT_EQ(read->size(), steps.size());
+  ASSERT_EQ(read->size(), steps.size());
+  EXPECT_EQ(read->at(0).failedRuns, steps[0].failedRuns);
 }
 
 TEST(RecordCodecTest, StepsThatHaveSucceededAreReadBackFromRuns)
@@ -120,7 +122,9 @@
                             R"({"done":[[0,1]]})",
                             R"({"done":[[0,-1,2]]})",
                             R"({"done":[[0,0,4000000000]]})",
-                            R"({"steps":[{"step":0}]})" }) {
+                            R"({"steps":[{"step":0}]})",
+                            R"({"steps":[{"occurrence":0,"step":0,"failed_runs":[[0,7]]}]})",
+                            R"({"steps":[{"occurrence":0,"step":0,"failed_runs":[[0,[-1]]]}]})" }) {
     std::string error;
     EXPECT_FALSE(coordination::ProgressPartFromText(text, &error)) << text;
     EXPECT_FALSE(error.empty()) << text;
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
@@ -336,6 +336,9 @@
   std::vector<OpenRun> open;
   /// All tasks have succeeded; none are listed.
   bool isDone = false;
+  /// The failed runs by index, the last ones if there are many; empty in records of earlier
+  /// versions.
+  std::map<std::uint32_t, std::vector<RunNumber>> failedRuns;
 };
 
 /// Progress of a job that must survive a change of leader; stored beside its definition.
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -30,6 +30,9 @@
   void OnEarlierSuccess(dispatch::Step& aStep, std::uint32_t aIndex);
   void OnTaskSucceeded(dispatch::Attempt& aAttempt, TimePoint aNow);
   void OnTaskFailed(dispatch::Attempt& aAttempt, TimePoint aNow);
+  /// Counts a failed run of a task, or of the gang that it belongs to, unless it was counted
+  /// before.
+  void CountFailure(dispatch::Step& aStep, std::uint32_t aIndex, RunNumber aRun, TimePoint aNow);
   /// Removes an attempt that has ended, or that never started.
   void CloseAttempt(dispatch::Attempt& aAttempt);
   /// Adopts a reported run that has no attempt here, or stops it.
@@ -66,7 +69,8 @@
   RunNumber NextRunNumber(const dispatch::Task& aTask) const;
   /// Adopts rules of a queue unless newer ones are known.
   void AdoptRules(const QueuePolicy& aRules);
-  void FailIfAttemptsAreUsedUp(dispatch::Job& aJob);
+  /// Fails the job of a task that has failed as often as its queue allows.
+  void FailIfAttemptsAreUsedUp(dispatch::Step& aStep, std::uint32_t aIndex);
   /// Restores the stored progress of a step, or of some of its tasks.
   void RestoreStep(dispatch::Job& aJob, const StepProgress& aPart, TimePoint aNow);
   dispatch::Job& InsertJob(const JobDefinition& aDefinition, TimePoint aNow);
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -1,6 +1,7 @@
 #pragma once
 // Records of the dispatcher. Only FleetState changes the sums that they contain.
 
+#include "FailureCount.h"
 #include "ProgressLayout.h"
 #include "daisydrift/dispatch/DispatchSettings.h"
 #include "daisydrift/dispatch/DispatchTypes.h"
@@ -68,7 +69,8 @@
   bool hasSucceeded = false;
   /// An earlier run than the current attempt has succeeded; the attempt is being stopped.
   bool hasEarlierSuccess = false;
-  std::uint32_t failures = 0;
+  /// Failed runs; those of a gang are counted for its first task.
+  FailureCount failures;
   /// Consecutive early exits of a service task, soon after its start.
   std::uint32_t earlyExits = 0;
   /// Highest run number that was used.
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -45,8 +45,9 @@
     }
     return;
   }
-  if (task.failures > 0) {
-    aPart.failures[aIndex] = task.failures;
+  if (task.failures.Count() > 0) {
+    aPart.failures[aIndex] = task.failures.Count();
+    aPart.failedRuns[aIndex] = task.failures.Runs();
   }
   if (task.lastCompletedRun > 0) {
     aPart.lastCompletedRuns[aIndex] = task.lastCompletedRun;
@@ -202,7 +203,12 @@
   }
   for (const auto& [index, failures] : aPart.failures) {
     if (valid(index)) {
-      step.tasks[index].failures = failures;
+      auto runs = aPart.failedRuns.find(index);
+      auto lastCompletedRun = aPart.lastCompletedRuns.find(index);
+      step.tasks[index].failures = dispatch::FailureCount(
+        failures,
+        runs == aPart.failedRuns.end() ? std::vector<RunNumber>() : runs->second,
+        lastCompletedRun == aPart.lastCompletedRuns.end() ? 0 : lastCompletedRun->second);
     }
   }
   for (const auto& [index, run] : aPart.lastCompletedRuns) {
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -71,19 +71,38 @@
   }
 }
 
-void Dispatcher::Impl::FailIfAttemptsAreUsedUp(Job& aJob)
+void Dispatcher::Impl::FailIfAttemptsAreUsedUp(Step& aStep, std::uint32_t aIndex)
 {
-  for (const auto& step : aJob.steps) {
-    bool isUsedUp = !step->spec->isService &&
-                    std::any_of(step->tasks.begin(), step->tasks.end(), [&](const Task& aTask) {
-                      return !aTask.hasSucceeded && aTask.failures >= aJob.queue->maxAttempts;
-                    });
-    if (isUsedUp && !aJob.IsFinished()) {
-      LogLine(LogLevel::Info, "job_failed")
-        .Add("job", aJob.definition.id)
-        .Add("step", step->number);
-      this->state.Finish(aJob, DispatchState::Failed, this->wall);
-    }
+  const Task& task = aStep.tasks[aIndex];
+  Job& job = *aStep.job;
+  if (aStep.spec->isService || task.hasSucceeded || task.hasEarlierSuccess || job.IsFinished() ||
+      task.failures.Count() < job.queue->maxAttempts) {
+    return;
+  }
+  LogLine(LogLevel::Info, "job_failed")
+    .Add("job", job.definition.id)
+    .Add("step", aStep.number)
+    .Add("task", aIndex)
+    .Add("failures", task.failures.Count())
+    .Add("last_failed_run", task.failures.LastRun());
+  this->state.Finish(job, DispatchState::Failed, this->wall);
+}
+
+void Dispatcher::Impl::CountFailure(Step& aStep,
+                                    std::uint32_t aIndex,
+                                    RunNumber aRun,
+                                    TimePoint aNow)
+{
+  // The members of a gang fail together, and each of them may be listed as failed.
+  std::uint32_t countedIndex = aStep.spec->isGang ? 0 : aIndex;
+  if (aStep.spec->isService || !aStep.tasks[countedIndex].failures.Add(aRun)) {
+    return;
+  }
+  FleetState::MarkPartChanged(aStep, countedIndex);
+  this->state.MarkChanged(*aStep.job);
+  this->FailIfAttemptsAreUsedUp(aStep, countedIndex);
+  if (aStep.job->IsFinished()) {
+    this->nextSweep = aNow; // Stops the other runs of the job.
   }
 }
 
@@ -114,28 +133,15 @@
 void Dispatcher::Impl::OnTaskFailed(Attempt& aAttempt, TimePoint aNow)
 {
   Step& step = *aAttempt.step;
-  Job& job = *step.job;
   std::uint32_t index = aAttempt.index;
   this->reliability.OnFailure(aAttempt, aNow);
-  // Failures of a gang are counted for its first task, since the members fail together.
-  std::uint32_t countedIndex = step.spec->isGang ? 0 : index;
-  Task& counted = step.tasks[countedIndex];
-  ++counted.failures;
-  FleetState::MarkPartChanged(step, countedIndex);
+  RunNumber run = aAttempt.run;
   step.tasks[index].failedPlacements.push_back(aAttempt.worker->listing.id);
   if (step.spec->isGang) {
     this->StopGang(step);
   }
   this->CloseAttempt(aAttempt);
-  if (!step.spec->isService && counted.failures >= job.queue->maxAttempts && !job.IsFinished()) {
-    LogLine(LogLevel::Info, "job_failed")
-      .Add("job", job.definition.id)
-      .Add("step", step.number)
-      .Add("task", index)
-      .Add("failures", counted.failures);
-    this->state.Finish(job, DispatchState::Failed, this->wall);
-    this->nextSweep = aNow;
-  }
+  this->CountFailure(step, index, run, aNow);
 }
 
 void Dispatcher::Impl::OnCompletion(Attempt& aAttempt,
@@ -197,13 +203,16 @@
       this->OnCompletion(*attempt, completion, aNow);
       continue;
     }
-    // The attempt of this run was given up, or removed before a change of leader. A success still
+    // The attempt of this run was given up, or removed before a change of leader. Its outcome still
     // counts.
     Step* step = this->state.FindStep(
       { completion.task.job, completion.task.occurrence, completion.task.step });
     if (step == nullptr || completion.task.index >= step->tasks.size()) {
       continue;
     }
+    if (completion.outcome == RunOutcome::Failed) {
+      this->CountFailure(*step, completion.task.index, completion.run, aNow);
+    }
     if (completion.outcome != RunOutcome::Succeeded || step->spec->isService) {
       continue;
     }
