A job is restored from any combination of older and newer parts

Change: all successes of a record are known before any run is restored; a task that has succeeded keeps its open run until that has ended. Entries that fit no task, occurrences and definitions too large for memory are left out with a log line. Ruled out: parts that say nothing of other parts' tasks: a success may still be newer than an open run of the same task's record of another form, and the records in the store stay as they are.

--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t kMaxAmount = 1'000'000'000;
 constexpr std::uint32_t kMaxTasks = 65'536;
 constexpr std::size_t kMaxSteps = 1024;
+/// Most tasks of one occurrence; four times as many as are accepted from callers.
+constexpr std::uint64_t kMaxTasksOfJob = 1 << 20;
 constexpr std::uint32_t kMaxNumber = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint32_t kMaxOccurrences = 100'000;
 constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
@@ -340,6 +342,13 @@
   if (definition.steps.size() > kMaxSteps) {
     fields.Fail("steps", "too many");
   }
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : definition.steps) {
+    tasks += step.taskCount;
+  }
+  if (tasks > kMaxTasksOfJob) {
+    fields.Fail("steps", "too many tasks");
+  }
   definition.occurrences = fields.ClampedInteger<std::uint32_t>("occurrences", 0, kMaxOccurrences);
   definition.firstDue = WallTimeFrom(fields, "first_due_ms");
   definition.interval = fields.ClampedMicroseconds("interval_us", kMaxInterval);
--- a/packages/coordination/tests/RecordCodecTest.cpp
+++ b/packages/coordination/tests/RecordCodecTest.cpp
@@ -59,6 +59,27 @@
   EXPECT_EQ(job->steps[0].taskCount, 3U);
 }
 
+// Guards against a record that ends each leader which restores it, since its tasks take more memory
+// than a process has.
+TEST(RecordCodecTest, AJobWithMoreTasksThanAnyThatIsAcceptedIsRefused)
+{
+  JobDefinition job;
+  job.id = "job";
+  job.queue = "queue";
+  job.steps.resize(64);
+  for (StepSpec& step : job.steps) {
+    step.taskCount = 4096;
+  }
+  EXPECT_TRUE(coordination::JobDefinitionFromJson(coordination::ToJson(job)));
+  job.steps.resize(1024);
+  for (StepSpec& step : job.steps) {
+    step.taskCount = 65'536;
+  }
+  std::string error;
+  EXPECT_FALSE(coordination::JobDefinitionFromJson(coordination::ToJson(job), &error));
+  EXPECT_EQ(error, "steps: too many tasks");
+}
+
 // Guards against a part of a job's progress that the store refuses: the largest one, with the
 // longest ids of workers and checkpoints that are stored, is shorter than the platform's limit of a
 // value.
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -71,8 +71,14 @@
   void AdoptRules(const QueuePolicy& aRules);
   /// Fails the job of a task that has failed as often as its queue allows.
   void FailIfAttemptsAreUsedUp(dispatch::Step& aStep, std::uint32_t aIndex);
-  /// Restores the stored progress of a step, or of some of its tasks.
-  void RestoreStep(dispatch::Job& aJob, const StepProgress& aPart, TimePoint aNow);
+  /// Restores the stored progress of all steps, the parts in any order.
+  void RestoreSteps(dispatch::Job& aJob, const std::vector<StepProgress>& aParts, TimePoint aNow);
+  /// Marks the tasks that have succeeded by a part; they may have open runs all the same.
+  void RestoreSuccesses(dispatch::Job& aJob, const StepProgress& aPart);
+  /// Restores what else a part says of its tasks.
+  void RestoreTasks(dispatch::Job& aJob, const StepProgress& aPart, TimePoint aNow);
+  /// Step that a part describes; null if the job has no such step, or no longer.
+  dispatch::Step* EnsureRestoredStep(dispatch::Job& aJob, const StepProgress& aPart);
   dispatch::Job& InsertJob(const JobDefinition& aDefinition, TimePoint aNow);
 
   DispatchSettings settings;
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -21,6 +21,9 @@
 /// Longer checkpoints are not stored, so that a record has a bounded size; a task whose leader
 /// changes then starts from the beginning.
 constexpr std::size_t kMaxStoredCheckpointBytes = 512;
+/// Most tasks of a job that records can bring back, beside those of its first occurrence. Only a
+/// record that this program has not written names more, and they would not fit into memory.
+constexpr std::uint64_t kMaxRestoredTasks = 1 << 20;
 
 void AddCheckpoint(StepProgress& aPart, std::uint32_t aIndex, const std::string& aCheckpoint)
 {
@@ -175,37 +178,69 @@
   }
 }
 
-void Dispatcher::Impl::RestoreStep(Job& aJob, const StepProgress& aPart, TimePoint aNow)
+Step* Dispatcher::Impl::EnsureRestoredStep(Job& aJob, const StepProgress& aPart)
 {
+  if (aPart.occurrence < aJob.firstOccurrence) {
+    return nullptr; // Over, by a newer part of the record.
+  }
   std::uint32_t occurrences = std::max<std::uint32_t>(aJob.definition.occurrences, 1);
-  if (aPart.step >= aJob.definition.steps.size() || aPart.occurrence < aJob.firstOccurrence ||
-      aPart.occurrence >= occurrences) {
-    return;
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : aJob.definition.steps) {
+    tasks += step.taskCount;
+  }
+  tasks *= std::uint64_t(aPart.occurrence) - aJob.firstOccurrence + 1;
+  bool isTooFar = aPart.occurrence > aJob.firstOccurrence && tasks > kMaxRestoredTasks;
+  if (aPart.step >= aJob.definition.steps.size() || aPart.occurrence >= occurrences || isTooFar) {
+    LogLine(LogLevel::Error, "progress_left_out")
+      .Add("job", aJob.definition.id)
+      .Add("occurrence", aPart.occurrence)
+      .Add("step", aPart.step)
+      .Add("first_occurrence", aJob.firstOccurrence)
+      .Add("tasks", tasks);
+    return nullptr;
   }
   while (aPart.occurrence >= aJob.startedOccurrences) {
     this->state.AddOccurrence(aJob, aJob.startedOccurrences);
   }
-  Step& step = aJob.StepAt(aPart.occurrence, aPart.step);
-  auto valid = [&step](std::uint32_t aIndex) { return aIndex < step.tasks.size(); };
-  for (std::uint32_t index = 0; aPart.isDone && valid(index); ++index) {
-    FleetState::MarkSucceeded(step, index);
+  return &aJob.StepAt(aPart.occurrence, aPart.step);
+}
+
+void Dispatcher::Impl::RestoreSuccesses(Job& aJob, const StepProgress& aPart)
+{
+  Step* step = this->EnsureRestoredStep(aJob, aPart);
+  if (step == nullptr) {
+    return;
   }
-  std::set<std::uint32_t> open;
-  for (const OpenRun& run : aPart.open) {
-    open.insert(run.index);
+  // The success of one member of a gang implies that of the others.
+  if (aPart.isDone || (step->spec->isGang && !aPart.succeeded.empty())) {
+    for (Task& task : step->tasks) {
+      task.hasEarlierSuccess = true;
+    }
   }
   for (std::uint32_t index : aPart.succeeded) {
-    if (valid(index) && open.count(index) != 0) {
-      step.tasks[index].hasEarlierSuccess = true;
-    } else if (valid(index)) {
-      FleetState::MarkSucceeded(step, index);
+    if (index < step->tasks.size()) {
+      step->tasks[index].hasEarlierSuccess = true;
     }
   }
+}
+
+void Dispatcher::Impl::RestoreTasks(Job& aJob, const StepProgress& aPart, TimePoint aNow)
+{
+  Step* step = this->EnsureRestoredStep(aJob, aPart);
+  if (step == nullptr) {
+    return;
+  }
+  std::size_t invalid = 0;
+  auto valid = [step, &invalid](std::uint32_t aIndex) {
+    bool isValid = aIndex < step->tasks.size();
+    invalid += isValid ? 0 : 1;
+    return isValid;
+  };
   for (const auto& [index, failures] : aPart.failures) {
     if (valid(index)) {
       auto runs = aPart.failedRuns.find(index);
       auto lastCompletedRun = aPart.lastCompletedRuns.find(index);
-      step.tasks[index].failures = dispatch::FailureCount(
+      step->tasks[index].failures = dispatch::FailureCount(
         failures,
         runs == aPart.failedRuns.end() ? std::vector<RunNumber>() : runs->second,
         lastCompletedRun == aPart.lastCompletedRuns.end() ? 0 : lastCompletedRun->second);
@@ -213,29 +248,59 @@
   }
   for (const auto& [index, run] : aPart.lastCompletedRuns) {
     if (valid(index)) {
-      step.tasks[index].lastCompletedRun = run;
-      step.tasks[index].lastRun = run;
+      Task& task = step->tasks[index];
+      task.lastCompletedRun = std::max(task.lastCompletedRun, run);
+      task.lastRun = std::max(task.lastRun, run);
     }
   }
   for (const auto& [index, checkpoint] : aPart.checkpoints) {
-    if (valid(index) && step.spec->isGang) {
-      step.gangCheckpoint = checkpoint;
+    if (valid(index) && step->spec->isGang) {
+      step->gangCheckpoint = checkpoint;
     } else if (valid(index)) {
-      step.tasks[index].checkpoint = checkpoint;
+      step->tasks[index].checkpoint = checkpoint;
     }
   }
   for (const OpenRun& run : aPart.open) {
-    if (!valid(run.index) || step.tasks[run.index].hasSucceeded ||
-        step.tasks[run.index].attempt != nullptr) {
+    if (!valid(run.index) || step->tasks[run.index].attempt != nullptr) {
       continue;
     }
     Worker& worker = this->state.EnsureWorker(run.worker);
     if (worker.leaseExpiryBound == TimePoint()) {
       worker.leaseExpiryBound = this->restoredLeaseBound;
     }
-    Attempt& attempt = this->state.AddAttempt(step, run.index, worker, run.run, aNow);
+    Attempt& attempt = this->state.AddAttempt(*step, run.index, worker, run.run, aNow);
     attempt.state = AttemptState::Restored;
-    attempt.isStopping = step.tasks[run.index].hasEarlierSuccess;
+    attempt.isStopping = step->tasks[run.index].hasEarlierSuccess;
+  }
+  if (invalid > 0) {
+    LogLine(LogLevel::Error, "progress_entries_left_out")
+      .Add("job", aJob.definition.id)
+      .Add("occurrence", aPart.occurrence)
+      .Add("step", aPart.step)
+      .Add("entries", invalid);
+  }
+}
+
+void Dispatcher::Impl::RestoreSteps(Job& aJob,
+                                    const std::vector<StepProgress>& aParts,
+                                    TimePoint aNow)
+{
+  // Each part is true by itself, and may be older than any other: one may name open runs of tasks
+  // of which another says that they have succeeded. So all successes are known first.
+  for (const StepProgress& part : aParts) {
+    this->RestoreSuccesses(aJob, part);
+  }
+  for (const StepProgress& part : aParts) {
+    this->RestoreTasks(aJob, part, aNow);
+  }
+  for (const auto& step : aJob.steps) {
+    for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
+      Task& task = step->tasks[index];
+      if (task.hasEarlierSuccess && task.attempt == nullptr) {
+        task.hasEarlierSuccess = false;
+        FleetState::MarkSucceeded(*step, index);
+      }
+    }
   }
 }
 
@@ -262,18 +327,7 @@
   // differ, so a negative age counts as zero.
   auto age = std::chrono::duration_cast<Duration>(aWall - aDefinition.acceptedAt);
   job.addedAt = aNow - std::max(age, Duration(0));
-  for (const StepProgress& part : aProgress.steps) {
-    this->impl->RestoreStep(job, part, aNow);
-  }
-  for (const auto& step : job.steps) {
-    // The success of one member of a gang implies that of the others, whose part may not have been
-    // stored.
-    for (std::uint32_t index = 0;
-         step->spec->isGang && step->succeeded > 0 && index < step->tasks.size();
-         ++index) {
-      this->impl->OnEarlierSuccess(*step, index);
-    }
-  }
+  this->impl->RestoreSteps(job, aProgress.steps, aNow);
   for (std::uint32_t number = job.firstOccurrence; number < job.startedOccurrences; ++number) {
     FleetState::UpdateReadySteps(job, number);
   }
