A job that is cancelled before it is known to be stored never runs

The answer came from the absence of the definition, and nothing kept a late or repeated write of the job from finding its id unused. A submission took any conflict for its own write. Change: the cancelling writes a tombstone under the job's key if that is unused, before the 410; a submission that finds it is refused, and a leader does not take such a job. The tombstone ends one retention time after the leader has read it. Ruled out: a mark in the memory of instances, which a change of leader or another instance does not know; a state `canceled` for it, since a job that nobody submitted must not be shown.

--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -136,12 +136,15 @@
   if (!isOutcomeUnknown) {
     this->membership.OnStoreResult(aRevision.Error());
   }
-  // Conflict: an earlier attempt or a repeated request has stored the job already.
-  if (aRevision || aRevision.Error() == make_error_code(Errc::Conflict)) {
+  if (aRevision) {
     this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
     this->notifier.Add(aSubmission->definition);
     return;
   }
+  if (aRevision.Error() == make_error_code(Errc::Conflict)) {
+    this->ResolveConflict(aSubmission);
+    return;
+  }
   aSubmission->mayBeStored = aSubmission->mayBeStored || isOutcomeUnknown;
   if (aSubmission->openWrites > 0) {
     return;
@@ -161,6 +164,40 @@
   }
 }
 
+void JobRequestHandler::ResolveConflict(const std::shared_ptr<Submission>& aSubmission)
+{
+  this->env.store.Read(DefinitionKey(this->env.settings.storePrefix, aSubmission->definition.id),
+                       [this, aSubmission](const Result<std::optional<KeyValueItem>>& aItem) {
+                         if (!aSubmission->done) {
+                           return;
+                         }
+                         if (!aItem) {
+                           bool hasTime =
+                             this->env.loop.Now() + kRetryDelay < aSubmission->deadline;
+                           if (hasTime && this->membership.IsStoreAvailable()) {
+                             this->env.loop.After(kRetryDelay, [this, aSubmission] {
+                               if (aSubmission->done) {
+                                 this->ResolveConflict(aSubmission);
+                               }
+                             });
+                           } else {
+                             this->FinishSubmission(aSubmission, SubmitOutcome::Unknown);
+                           }
+                         } else if (!*aItem) {
+                           this->StoreJob(aSubmission); // The record was deleted meanwhile.
+                         } else if ((*aItem)->value == kWithdrawnTombstone) {
+                           LogLine(LogLevel::Info, "submission_withdrawn")
+                             .Add("job", aSubmission->definition.id)
+                             .Add("revision", (*aItem)->revision);
+                           this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
+                         } else {
+                           // An earlier attempt or a repeated request has stored the job already.
+                           this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
+                           this->NotifyLeader((*aItem)->value);
+                         }
+                       });
+}
+
 void JobRequestHandler::SubmitToLeader(const std::shared_ptr<Submission>& aSubmission)
 {
   aSubmission->wasSentToLeader = true;
@@ -351,7 +388,7 @@
                                retry(aDefinition.Error());
                                return;
                              }
-                             if (!*aDefinition) {
+                             if (!*aDefinition || (*aDefinition)->value == kWithdrawnTombstone) {
                                aDone(Errc::NotFound);
                                return;
                              }
@@ -379,19 +416,17 @@
       DefinitionKey(this->env.settings.storePrefix, aJob),
       [this, aJob, aDeadline, aDone](const Result<std::optional<KeyValueItem>>& aItem) {
         if (aItem && !*aItem) {
+          this->WithdrawJob(aJob, aDeadline, aDone);
+          return;
+        }
+        if (aItem && IsTombstone((*aItem)->value)) {
           aDone(make_error_code(Errc::NotFound));
           return;
         }
         if (aItem) {
           this->NotifyLeader((*aItem)->value);
         }
-        if (this->env.loop.Now() + kRetryDelay >= aDeadline) {
-          aDone(make_error_code(Errc::OutcomeUnknown));
-        } else {
-          this->env.loop.After(kRetryDelay, [this, aJob, aDeadline, aDone] {
-            this->CancelWithRetries(aJob, aDeadline, aDone);
-          });
-        }
+        this->RetryCancel(aJob, aDeadline, aDone);
       });
   };
   if (Leader* localLeader = this->ownLeader()) {
@@ -430,6 +465,40 @@
                    });
 }
 
+void JobRequestHandler::RetryCancel(const JobId& aJob,
+                                    TimePoint aDeadline,
+                                    const std::function<void(std::error_code)>& aDone)
+{
+  if (this->env.loop.Now() + kRetryDelay >= aDeadline) {
+    aDone(make_error_code(Errc::OutcomeUnknown));
+    return;
+  }
+  this->env.loop.After(kRetryDelay, [this, aJob, aDeadline, aDone] {
+    this->CancelWithRetries(aJob, aDeadline, aDone);
+  });
+}
+
+void JobRequestHandler::WithdrawJob(const JobId& aJob,
+                                    TimePoint aDeadline,
+                                    const std::function<void(std::error_code)>& aDone)
+{
+  KeyValueTransaction transaction;
+  std::string key = DefinitionKey(this->env.settings.storePrefix, aJob);
+  transaction.conditions.push_back({ key, 0 });
+  transaction.puts.push_back({ key, kWithdrawnTombstone, 0 });
+  this->env.store.Commit(
+    transaction, [this, aJob, aDeadline, aDone](const Result<std::uint64_t>& aRevision) {
+      if (aRevision) {
+        this->env.metrics.Count("jobs_withdrawn_total");
+        LogLine(LogLevel::Info, "job_withdrawn").Add("job", aJob).Add("revision", *aRevision);
+        aDone(make_error_code(Errc::NotFound));
+        return;
+      }
+      // Conflict: the job, or an earlier attempt of this write, has been stored meanwhile.
+      this->RetryCancel(aJob, aDeadline, aDone);
+    });
+}
+
 void JobRequestHandler::CountPending(const QueueName& aQueue,
                                      Duration aTimeout,
                                      const std::function<void(const Result<std::size_t>&)>& aDone)
--- a/packages/coordination/src/JobRequestHandler.h
+++ b/packages/coordination/src/JobRequestHandler.h
@@ -40,6 +40,8 @@
   void StoreJob(const std::shared_ptr<Submission>& aSubmission);
   void OnStoreResponse(const std::shared_ptr<Submission>& aSubmission,
                        const Result<std::uint64_t>& aRevision);
+  /// The id is in use: reads whether by this job, or since it was cancelled before it was stored.
+  void ResolveConflict(const std::shared_ptr<Submission>& aSubmission);
   /// Refuses a job that was never sent to the store. The callback runs from the event loop, never
   /// from within the call.
   void RefuseAsync(const std::shared_ptr<Submission>& aSubmission);
@@ -68,6 +70,15 @@
   void CancelWithRetries(const JobId& aJob,
                          TimePoint aDeadline,
                          const std::function<void(std::error_code)>& aDone);
+  /// Calls CancelWithRetries again after a delay, or reports OutcomeUnknown.
+  void RetryCancel(const JobId& aJob,
+                   TimePoint aDeadline,
+                   const std::function<void(std::error_code)>& aDone);
+  /// Keeps a job that is not stored from being stored, since a write of it may be on the way or be
+  /// repeated; then reports NotFound.
+  void WithdrawJob(const JobId& aJob,
+                   TimePoint aDeadline,
+                   const std::function<void(std::error_code)>& aDone);
 
   Leader::Environment env;
   Membership& membership;
--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -188,6 +188,7 @@
 void Leader::AddJob(const JobDefinition& aDefinition, const char* aSource)
 {
   if (this->isRecovered && this->finished.count(aDefinition.id) == 0 &&
+      this->withdrawnJobs.count(aDefinition.id) == 0 &&
       this->dispatcher->AddJob(aDefinition, this->env.loop.Now(), this->env.loop.WallClockNow())) {
     this->env.metrics.Count("jobs_added_total");
     // The clocks of two instances may differ, so a negative delay counts as zero.
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -119,10 +119,13 @@
   std::optional<JobDefinition> ReadDefinition(const std::string& aKey,
                                               const std::string& aRecord,
                                               std::uint64_t aRevision) const;
-  void AddStoredJob(const std::string& aKey,
-                    const std::string& aRecord,
-                    std::uint64_t aRevision,
-                    const char* aSource);
+  /// Adds the job of a stored definition unless it is known; without a value it was deleted.
+  void ApplyDefinition(const std::string& aKey,
+                       const std::optional<std::string>& aValue,
+                       std::uint64_t aRevision,
+                       const char* aSource);
+  /// A job was cancelled before it was stored.
+  void OnJobWithdrawn(const JobId& aJob, std::uint64_t aRevision);
   /// Logs a failed poll of a list, with the age of what is known of it.
   void OnListPollFailed(const char* aList,
                         std::error_code aError,
@@ -227,6 +230,10 @@
   };
   /// Jobs whose final state is stored.
   std::unordered_map<JobId, FinishedJob> finished;
+  /// Jobs that were cancelled before they were stored, by the time at which this leader read that.
+  /// Their tombstones are deleted after the retention time, which is longer than a write may be
+  /// late or repeated.
+  std::unordered_map<JobId, WallTime> withdrawnJobs;
   /// Actions that follow once a batch of records is stored.
   struct BatchInFlight
   {
--- a/packages/coordination/src/LeaderRecords.cpp
+++ b/packages/coordination/src/LeaderRecords.cpp
@@ -161,6 +161,13 @@
   auto retention =
     std::chrono::duration_cast<std::chrono::milliseconds>(this->env.settings.retention);
   WallTime oldest = this->env.loop.WallClockNow() - retention;
+  std::erase_if(this->withdrawnJobs, [&](const auto& aEntry) {
+    bool isExpired = aEntry.second < oldest && !this->State(aEntry.first);
+    if (isExpired) {
+      this->cleanupRecords[DefinitionKey(prefix, aEntry.first)] = "";
+    }
+    return isExpired;
+  });
   for (auto& [id, job] : this->finished) {
     if (job.isExpired || job.finishedAt >= oldest || this->dispatcher->State(id)) {
       continue;
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -114,8 +114,10 @@
   this->ReadPrefix(
     DefinitionPrefix(this->env.settings.storePrefix),
     [this](const KeyValueItem& aItem) {
-      if (std::optional<JobDefinition> job =
-            this->ReadDefinition(aItem.key, aItem.value, aItem.revision)) {
+      if (aItem.value == kWithdrawnTombstone) {
+        this->ApplyDefinition(aItem.key, aItem.value, aItem.revision, "recovery");
+      } else if (std::optional<JobDefinition> job =
+                   this->ReadDefinition(aItem.key, aItem.value, aItem.revision)) {
         this->dispatcher->RestoreJob(
           *job, this->progress[job->id], this->env.loop.Now(), this->env.loop.WallClockNow());
       }
@@ -203,9 +205,7 @@
       }
       if (aChanges) {
         for (const KeyValueChange& change : aChanges->changes) {
-          if (change.value && !this->State(change.key.substr(prefix.size()))) {
-            this->AddStoredJob(change.key, *change.value, change.revision, "changes");
-          }
+          this->ApplyDefinition(change.key, change.value, change.revision, "changes");
         }
         this->jobsRevision = aChanges->revision;
         this->jobsKnownAt = sentAt;
@@ -227,13 +227,10 @@
 
 void Leader::ReloadDefinitions()
 {
-  std::string prefix = DefinitionPrefix(this->env.settings.storePrefix);
   this->ReadPrefix(
-    prefix,
-    [this, prefix](const KeyValueItem& aItem) {
-      if (!this->State(aItem.key.substr(prefix.size()))) {
-        this->AddStoredJob(aItem.key, aItem.value, aItem.revision, "reload");
-      }
+    DefinitionPrefix(this->env.settings.storePrefix),
+    [this](const KeyValueItem& aItem) {
+      this->ApplyDefinition(aItem.key, aItem.value, aItem.revision, "reload");
     },
     [this, sentAt = this->env.loop.Now()](std::uint64_t aRevision) {
       this->jobsRevision = aRevision;
@@ -254,16 +251,42 @@
   return job;
 }
 
-void Leader::AddStoredJob(const std::string& aKey,
-                          const std::string& aRecord,
-                          std::uint64_t aRevision,
-                          const char* aSource)
+void Leader::ApplyDefinition(const std::string& aKey,
+                             const std::optional<std::string>& aValue,
+                             std::uint64_t aRevision,
+                             const char* aSource)
 {
-  if (std::optional<JobDefinition> job = this->ReadDefinition(aKey, aRecord, aRevision)) {
+  JobId id = aKey.substr(DefinitionPrefix(this->env.settings.storePrefix).size());
+  if (aValue == kWithdrawnTombstone) {
+    this->OnJobWithdrawn(id, aRevision);
+    return;
+  }
+  this->withdrawnJobs.erase(id);
+  if (!aValue || this->State(id)) {
+    return;
+  }
+  if (std::optional<JobDefinition> job = this->ReadDefinition(aKey, *aValue, aRevision)) {
     this->AddJob(*job, aSource);
   }
 }
 
+void Leader::OnJobWithdrawn(const JobId& aJob, std::uint64_t aRevision)
+{
+  if (!this->withdrawnJobs.try_emplace(aJob, this->env.loop.WallClockNow()).second) {
+    return;
+  }
+  bool isKnown = this->State(aJob).has_value();
+  LogLine(isKnown ? LogLevel::Warning : LogLevel::Info, "job_withdrawal_known")
+    .Add("job", aJob)
+    .Add("revision", aRevision)
+    .Add("term", this->record.term)
+    .Add("is_known", isKnown);
+  // An instance of an earlier version may have announced a job whose write had failed.
+  if (isKnown) {
+    this->dispatcher->CancelJob(aJob, this->env.loop.Now(), this->env.loop.WallClockNow());
+  }
+}
+
 void Leader::OnListPollFailed(const char* aList,
                               std::error_code aError,
                               TimePoint aSentAt,
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -355,9 +355,14 @@
   return IfValid(fields, definition, aError);
 }
 
+bool IsTombstone(const std::string& aText)
+{
+  return aText == kDefinitionTombstone || aText == kWithdrawnTombstone;
+}
+
 std::optional<JobDefinition> OpenDefinitionFromText(const std::string& aText, std::string* aError)
 {
-  if (aText == kDefinitionTombstone) {
+  if (IsTombstone(aText)) {
     return std::nullopt;
   }
   std::optional<json> parsed = ParseJson(aText);
--- a/packages/coordination/src/RecordCodec.h
+++ b/packages/coordination/src/RecordCodec.h
@@ -23,6 +23,13 @@
 /// Replaces the stored definition of a job in a final state.
 inline constexpr const char* kDefinitionTombstone = "closed";
 
+/// Takes the place of the definition of a job that was cancelled before it was stored, so that no
+/// write of it that is late or repeated finds the id unused.
+inline constexpr const char* kWithdrawnTombstone = "withdrawn";
+
+/// True for the text that replaces a definition.
+bool IsTombstone(const std::string& aText);
+
 /// Parses a stored definition; nothing, and no error, for a tombstone.
 std::optional<JobDefinition> OpenDefinitionFromText(const std::string& aText,
                                                     std::string* aError = nullptr);
