A restarted worker is fenced, and its longest lease is waited for

A call meant for the earlier life is carried out by the new one, which grants the longest lease for it; the leader that noticed the restart, a new one that can't reach the worker and a new one that reaches it counted 5 s. The clock of a life starts at any value, so the rule by the worker's clock never applied. Change: a leader takes the next of its term's 1,000 fencing numbers for each restart of a worker, gives it no start before it has accepted one, and waits for the longest lease from there; runs decided meanwhile are stored with that time for the next leader. Log line worker_fenced.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -29,6 +29,9 @@
   DispatchSettings settings = aSettings.dispatch;
   settings.firstRunNumber = (aRecord.term - 1) * kRunsPerTerm + 1;
   settings.longestEarlierLease = LongestLease(aRecord.earlier, aSettings);
+  // Term 1 is followed by the first multiple.
+  settings.maxFencedRestarts =
+    static_cast<std::uint32_t>(TermAfter(aRecord.term) - aRecord.term - 1);
   return settings;
 }
 
@@ -64,14 +67,14 @@
     this->env.workers,
     *this->dispatcher,
     this->env.settings,
-    aRecord.term,
     WorkerPoller::Hooks{
       [this] { this->ScheduleRound(); },
       [this] { this->EndTerm("fenced_by_worker"); },
       [this](const WorkerId& aWorker, std::int64_t aIncarnation, TimePoint aSentAt) {
         this->OnPollAccepted(aWorker, aIncarnation, aSentAt);
       },
-      [this] { return this->ConfirmedAt(); } });
+      [this] { return this->ConfirmedAt(); },
+      [this](const WorkerId& aWorker) { return this->FencingTokenFor(aWorker); } });
   this->maintenance = std::make_unique<MaintenanceController>(
     this->env.loop,
     this->env.store,
@@ -339,15 +342,16 @@
   if (worker == nullptr || worker->endpoint.port == 0) {
     return; // Without an address: the runs end when their leases expire.
   }
+  Epoch token = this->FencingTokenFor(aCommand.worker);
   this->env.workers.Stop(*worker,
                          aCommand,
-                         this->record.term,
-                         [this, alive = this->isAlive, aCommand](std::error_code aError) {
+                         token,
+                         [this, alive = this->isAlive, aCommand, token](std::error_code aError) {
                            if (!*alive) {
                              return;
                            }
                            if (aError == make_error_code(Errc::Fenced)) {
-                             this->EndTerm("fenced_by_worker");
+                             this->OnFenced(aCommand.worker, token);
                            } else if (!aError) {
                              this->dispatcher->OnStopConfirmed(aCommand, this->env.loop.Now());
                            }
@@ -361,7 +365,7 @@
     return;
   }
   this->env.workers.Throttle(
-    *worker, aCommand, this->record.term, [aCommand](std::error_code aError) {
+    *worker, aCommand, this->FencingTokenFor(aCommand.worker), [aCommand](std::error_code aError) {
       if (aError) {
         LogLine(LogLevel::Warning, "pace_failed")
           .Add("worker", aCommand.worker)
@@ -370,6 +374,21 @@
     });
 }
 
+Epoch Leader::FencingTokenFor(const WorkerId& aWorker) const
+{
+  return this->record.term + this->dispatcher->CountRestarts(aWorker);
+}
+
+bool Leader::OnFenced(const WorkerId& aWorker, Epoch aToken)
+{
+  // The worker has restarted since, and has accepted a higher number of this leader.
+  bool isOwn = aToken < this->FencingTokenFor(aWorker);
+  if (!isOwn) {
+    this->EndTerm("fenced_by_worker");
+  }
+  return !isOwn;
+}
+
 void Leader::EndTerm(const char* aReason)
 {
   if (this->hasEnded) {
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -156,10 +156,7 @@
   /// Reads the leader key, until the store answers, and sends the starts if it is unchanged.
   void ConfirmAndSendStarts(const std::vector<AttemptKey>& aStarts);
   void SendStart(const StartCommand& aCommand, int aAttempt);
-  void OnStartResult(const StartCommand& aCommand,
-                     int aAttempt,
-                     StartResult aResult,
-                     bool aIsFenced);
+  void OnStartResult(const StartCommand& aCommand, int aAttempt, StartResult aResult);
   void SendStop(const StopCommand& aCommand);
   void SendThrottle(const ThrottleCommand& aCommand);
   std::map<std::string, std::string> TakeBatch(std::uint64_t aBatch);
@@ -168,6 +165,11 @@
   void OnRecordRefused(std::uint64_t aBatch, const std::string& aKey, std::size_t aBytes);
   /// Has the stored parts of a job's progress before aEnd, or all, deleted.
   void DropParts(const JobId& aJob, std::optional<std::uint64_t> aEnd);
+  /// Fencing token for commands to the worker that are sent now.
+  Epoch FencingTokenFor(const WorkerId& aWorker) const;
+  /// A worker has refused a command with that token. Ends the term, and returns true, if it has
+  /// accepted one of a later leader.
+  bool OnFenced(const WorkerId& aWorker, Epoch aToken);
   void EndTerm(const char* aReason);
   /// Removes finished jobs from the dispatcher, and deletes their records after the retention time.
   void PurgeFinishedJobs();
--- a/packages/coordination/src/LeaderStarts.cpp
+++ b/packages/coordination/src/LeaderStarts.cpp
@@ -84,31 +84,27 @@
     this->dispatcher->ExtendWorkerLease(aCommand.worker, this->ConfirmedAt());
   if (worker == nullptr || !lease) {
     this->OnStartResult(
-      aCommand, aAttempt, aAttempt == 1 ? StartResult::NotSent : StartResult::Unknown, false);
+      aCommand, aAttempt, aAttempt == 1 ? StartResult::NotSent : StartResult::Unknown);
     return;
   }
   this->env.metrics.Count("starts_total");
+  Epoch token = this->FencingTokenFor(aCommand.worker);
   this->env.workers.Start(
     *worker,
     aCommand,
     *lease,
-    this->record.term,
-    [this, alive = this->isAlive, aCommand, aAttempt](StartResult aResult, bool aIsFenced) {
-      if (*alive) {
-        this->OnStartResult(aCommand, aAttempt, aResult, aIsFenced);
+    token,
+    [this, alive = this->isAlive, aCommand, aAttempt, token](StartResult aResult, bool aIsFenced) {
+      if (!*alive || (aIsFenced && this->OnFenced(aCommand.worker, token))) {
+        return;
       }
+      this->OnStartResult(
+        aCommand, aAttempt, aIsFenced ? StartResult::IncarnationMismatch : aResult);
     });
 }
 
-void Leader::OnStartResult(const StartCommand& aCommand,
-                           int aAttempt,
-                           StartResult aResult,
-                           bool aIsFenced)
+void Leader::OnStartResult(const StartCommand& aCommand, int aAttempt, StartResult aResult)
 {
-  if (aIsFenced) {
-    this->EndTerm("fenced_by_worker");
-    return;
-  }
   bool isRepeated = aAttempt > 1;
   // A worker that has ended the run recognizes its start only until it restarts, so a run that is
   // over is not started again.
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -507,7 +507,8 @@
                        this->settings.peerEndpoint,
                        this->incarnation,
                        // Term 1 would claim that there was no earlier leader.
-                       std::max<Epoch>(this->NewestTerm() + 1, this->isTermUnreadable ? 2 : 1),
+                       TermAfter(
+                         std::max<Epoch>(this->NewestTerm(), this->isTermUnreadable ? 1 : 0)),
                        this->KnownLeaders() };
   Duration longest =
     std::max(OwnLease(this->settings), LongestLease(record.earlier, this->settings));
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -166,6 +166,11 @@
   addPairs("checkpoints", aStep.checkpoints);
   for (const OpenRun& open : aStep.open) {
     record["open"].push_back(json::array({ open.index, open.run, open.worker }));
+    if (open.longLeaseUntil != WallTime()) {
+      // Beside the run, whose items earlier versions count.
+      record["long_leases"].push_back(
+        json::array({ open.index, open.longLeaseUntil.time_since_epoch().count() }));
+    }
   }
   return record;
 }
@@ -203,6 +208,14 @@
                           run.Text(2) });
     aFields.Adopt("open", run);
   });
+  readPairs("long_leases", [&step](std::uint32_t aIndex, JsonFields& aPair) {
+    auto until = aPair.Integer<std::int64_t>(1, 0, kMaxWallTime.count());
+    for (OpenRun& run : step.open) {
+      if (run.index == aIndex) {
+        run.longLeaseUntil = WallTime(std::chrono::milliseconds(until));
+      }
+    }
+  });
   return step;
 }
 
--- a/packages/coordination/src/RecordCodec.h
+++ b/packages/coordination/src/RecordCodec.h
@@ -20,6 +20,18 @@
 /// leave no greater terms and run numbers to later leaders.
 inline constexpr Epoch kMaxTerm = 1'000'000'000'000;
 
+/// Fencing numbers of one term. Its leader uses the first one for all workers, and a higher one for
+/// each worker that restarts, which has forgotten those that it had seen.
+inline constexpr Epoch kFencesPerTerm = 1000;
+
+/// Number of the term that follows; above all fencing numbers of the terms up to aNewest, which may
+/// be of a version that used one number a term. Not 1, which is the first term, unless aNewest is
+/// 0.
+constexpr Epoch TermAfter(Epoch aNewest)
+{
+  return aNewest == 0 ? 1 : (aNewest / kFencesPerTerm + 1) * kFencesPerTerm;
+}
+
 /// Replaces the stored definition of a job in a final state.
 inline constexpr const char* kDefinitionTombstone = "closed";
 
--- a/packages/coordination/src/WorkerPoller.cpp
+++ b/packages/coordination/src/WorkerPoller.cpp
@@ -25,13 +25,11 @@
                            WorkerGateway& aGateway,
                            Dispatcher& aDispatcher,
                            const InstanceSettings& aSettings,
-                           Epoch aFencingToken,
                            Hooks aHooks)
   : loop(aLoop)
   , gateway(aGateway)
   , dispatcher(aDispatcher)
   , settings(aSettings)
-  , fencingToken(aFencingToken)
   , hooks(std::move(aHooks))
 {
 }
@@ -125,12 +123,13 @@
   request.lastCompletion = mayHaveRestarted ? 0 : poll.acknowledged;
   poll.sentAcknowledgement = request.lastCompletion;
   request.lease = this->dispatcher.ExtendWorkerLease(aWorker, this->hooks.confirmedAt());
-  // The first poll must not wait: it raises the fencing token.
-  request.wait = request.lease && !this->isStoreUnavailable ? this->MaxPollWait(now) : Duration(0);
+  // The first poll, and the first one after a restart, must not wait: it raises the fencing token.
+  bool mayWait = request.lease && this->dispatcher.IsFenced(aWorker) && !this->isStoreUnavailable;
+  request.wait = mayWait ? this->MaxPollWait(now) : Duration(0);
   this->gateway.Poll(
     *listing,
     request,
-    this->fencingToken,
+    this->hooks.fencingToken(aWorker),
     [this, alive = this->isAlive, aWorker, now](const Result<WorkerReport>& aReport) {
       if (*alive) {
         this->OnPollResult(aWorker, now, aReport);
--- a/packages/coordination/src/WorkerPoller.h
+++ b/packages/coordination/src/WorkerPoller.h
@@ -29,13 +29,14 @@
       onAccepted;
     /// Returns the latest time at which this leader is known to have led.
     std::function<TimePoint()> confirmedAt;
+    /// Returns the fencing token for commands to the worker.
+    std::function<Epoch(const WorkerId& aWorker)> fencingToken;
   };
 
   WorkerPoller(EventLoop& aLoop,
                WorkerGateway& aGateway,
                Dispatcher& aDispatcher,
                const InstanceSettings& aSettings,
-               Epoch aFencingToken,
                Hooks aHooks);
   ~WorkerPoller();
 
@@ -84,7 +85,6 @@
   WorkerGateway& gateway;
   Dispatcher& dispatcher;
   const InstanceSettings& settings;
-  Epoch fencingToken;
   Hooks hooks;
   bool isStoreUnavailable = false;
   /// Time of the last poll of a healthy worker that got no response.
--- a/packages/coordination/tests/FakeFleet.cpp
+++ b/packages/coordination/tests/FakeFleet.cpp
@@ -275,7 +275,7 @@
   std::int64_t incarnation = this->workers[aWorker.id].incarnation;
   auto execute = [this, id = aWorker.id, aCommand, aLease, aFencingToken, incarnation] {
     Worker& worker = this->workers[id];
-    if (worker.incarnation != incarnation) {
+    if (worker.incarnation != incarnation && !this->reachesNextIncarnation) {
       return StartResult::IncarnationMismatch; // The connection ended with the process.
     }
     if (worker.isDown || aFencingToken < worker.fencingToken) {
--- a/packages/coordination/tests/FakeFleet.h
+++ b/packages/coordination/tests/FakeFleet.h
@@ -35,6 +35,8 @@
   void SetUnreachable(const WorkerId& aId, bool aIsUnreachable);
   /// The same, but connections to the worker are refused.
   void SetRefusing(const WorkerId& aId, bool aIsRefusing);
+  /// Highest fencing token that the worker's present incarnation has seen.
+  Epoch FencingToken(const WorkerId& aId) const { return this->workers.at(aId).fencingToken; }
   std::size_t CountRuns(const WorkerId& aId) const { return this->workers.at(aId).running.size(); }
 
   void Start(const WorkerListing& aWorker,
@@ -62,6 +64,9 @@
   /// Run time of each task.
   Duration runTime = std::chrono::milliseconds(600);
   std::function<StartFault(const StartCommand&)> startFault;
+  /// A late start for an earlier incarnation is carried out by the next one, which can't tell them
+  /// apart, unless its fencing token is lower than one that it has seen.
+  bool reachesNextIncarnation = false;
   /// Outcome of the runs that start from now on.
   RunOutcome outcome = RunOutcome::Succeeded;
   /// Run time and outcome of each run instead of runTime and outcome; a run whose time is empty
--- a/packages/coordination/tests/RecordCodecTest.cpp
+++ b/packages/coordination/tests/RecordCodecTest.cpp
@@ -98,7 +98,10 @@
     step.failedRuns[number] = std::vector<RunNumber>(8, kMaxRun);
     step.lastCompletedRuns[number] = kMaxRun;
     step.checkpoints[number] = std::string(512, 'x');
-    step.open.push_back({ number, kMaxRun, std::string(kMaxWorkerIdBytes, 'w') });
+    step.open.push_back({ number,
+                          kMaxRun,
+                          std::string(kMaxWorkerIdBytes, 'w'),
+                          WallTime(milliseconds(1'764'000'000'000)) });
   }
   std::string text = coordination::ProgressPartToText(steps);
   EXPECT_LE(text.size(), kMaxValueBytes);
@@ -106,6 +109,7 @@
   ASSERT_TRUE(read);
   ASSERT_EQ(read->size(), steps.size());
   EXPECT_EQ(read->at(0).failedRuns, steps[0].failedRuns);
+  EXPECT_EQ(read->at(0).open[0].longLeaseUntil, steps[0].open[0].longLeaseUntil);
 }
 
 TEST(RecordCodecTest, StepsThatHaveSucceededAreReadBackFromRuns)
--- a/packages/coordination/tests/WorkerPollerTest.cpp
+++ b/packages/coordination/tests/WorkerPollerTest.cpp
@@ -63,11 +63,11 @@
              this->gateway,
              this->dispatcher,
              this->settings,
-             1,
              WorkerPoller::Hooks{ [] {},
                                   [] {},
                                   [](const WorkerId&, std::int64_t, TimePoint) {},
-                                  [this] { return this->loop.Now(); } })
+                                  [this] { return this->loop.Now(); },
+                                  [](const WorkerId&) { return Epoch(1); } })
   {
     WorkerListing listing;
     listing.id = kWorker;
@@ -192,11 +192,11 @@
                       gateway,
                       dispatcher,
                       settings,
-                      1,
                       WorkerPoller::Hooks{ [] {},
                                            [] {},
                                            [](const WorkerId&, std::int64_t, TimePoint) {},
-                                           [&loop] { return loop.Now(); } });
+                                           [&loop] { return loop.Now(); },
+                                           [](const WorkerId&) { return Epoch(1); } });
   for (int number = 0; number < kWorkers; ++number) {
     WorkerListing listing;
     listing.id = "w" + std::to_string(number);
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
@@ -35,6 +35,11 @@
   /// leader meant. Covers a command that is carried out 12 s late, and the time until the leader
   /// knows of the restart.
   Duration incarnationSettleTime = std::chrono::seconds(15);
+  /// Restarts of one worker in one term after which it can be fenced; after more of them it gets no
+  /// starts for incarnationSettleTime.
+  std::uint32_t maxFencedRestarts = 999;
+  /// Greatest difference between the wall clocks of two leaders.
+  Duration maxClockSkew = std::chrono::milliseconds(1000);
   /// Greatest rate by which a worker's clock runs slower than ours, as a fraction; guaranteed by
   /// the platform.
   double maxClockDrift = 0.02;
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
@@ -212,8 +212,10 @@
 struct WorkerReport
 {
   std::int64_t incarnation = 0;
-  /// The worker's monotonic clock.
+  /// The worker's monotonic clock, which starts anew at any value with each incarnation.
   std::chrono::milliseconds clock{ 0 };
+  /// Start of this incarnation by the worker's wall clock; 0 if it is not known.
+  WallTime startedAt{};
   std::vector<RunningTask> running;
   /// Completions in the order of their numbers, from the first that is not acknowledged.
   std::vector<RunCompletion> completions;
@@ -319,6 +321,9 @@
   std::uint32_t index = 0;
   RunNumber run = 0;
   WorkerId worker;
+  /// Time until which the worker, which had restarted, may hold a longer lease than leaders ask
+  /// for; 0 if it does not.
+  WallTime longLeaseUntil{};
 };
 
 /// Progress of a step that must survive a change of leader.
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -86,6 +86,13 @@
   /// empty before the worker's first report and while it is unresponsive.
   std::optional<std::chrono::milliseconds> ExtendWorkerLease(const WorkerId& aWorker,
                                                              TimePoint aConfirmedAt);
+  /// Number of restarts of the worker that were noticed in this term, at most maxFencedRestarts.
+  /// Commands carry a fencing number that grows with it, so that a worker which has accepted one
+  /// refuses late commands that were meant for its earlier incarnations.
+  std::uint32_t CountRestarts(const WorkerId& aWorker) const;
+  /// False between the first report after a restart and the response to a poll that was sent after
+  /// it. Such a poll must not wait.
+  bool IsFenced(const WorkerId& aWorker) const;
   /// Highest number of that worker's processed completions; 0 for an unknown worker.
   std::uint64_t LastCompletion(const WorkerId& aWorker) const;
   /// Workers that are listed or may have active runs.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -22,10 +22,19 @@
   return { step.job->definition.id, step.occurrence, step.number, aAttempt.index };
 }
 
+namespace {
+/// Time in which the longest lease that a worker grants ends on the slowest clock.
+Duration LongestLeaseByOurClock(const DispatchSettings& aSettings)
+{
+  return std::chrono::ceil<Duration>(aSettings.maxLease * (1 + aSettings.maxClockDrift));
+}
+} // namespace
+
 Dispatcher::Impl::Impl(const DispatchSettings& aSettings, TimePoint aTermStart)
   : settings(aSettings)
   , termStart(aTermStart)
-  , restoredLeaseBound(aTermStart + aSettings.maxLease + aSettings.leaseMargin)
+  , longestLeaseBound(aTermStart + LongestLeaseByOurClock(aSettings) + aSettings.leaseMargin)
+  , restoredLeaseBound(this->longestLeaseBound)
   , state(this->settings)
   , reliability(this->state)
   , placement(this->state, this->reliability)
@@ -95,7 +104,8 @@
   this->impl->restoredLeaseBound = std::min(this->impl->restoredLeaseBound, bound);
   for (auto& [id, worker] : this->impl->state.workers) {
     if (!worker->hasReported) {
-      worker->leaseExpiryBound = std::min(worker->leaseExpiryBound, bound);
+      worker->leaseExpiryBound =
+        std::min(worker->leaseExpiryBound, std::max(bound, worker->restoredLongLeaseBound));
     }
   }
 }
@@ -109,13 +119,22 @@
   }
 }
 
-Duration Dispatcher::Impl::LongestLeaseBefore(std::chrono::milliseconds aClock) const
+Duration Dispatcher::Impl::LongestLeaseBefore(const Worker& aWorker,
+                                              const WorkerReport& aReport,
+                                              TimePoint aNow) const
 {
   // The poll that led to the report has raised the fencing token, so no earlier leader has extended
   // a lease since.
   Duration longest = std::min(this->settings.longestEarlierLease, this->settings.maxLease);
-  bool isSettled = aClock > this->settings.incarnationSettleTime + longest;
-  return isSettled ? longest : this->settings.maxLease;
+  Duration settled = this->settings.incarnationSettleTime + longest;
+  // The clock of an incarnation may start at any value, so only the wall clock shows its age.
+  bool isSettled = aReport.clock > settled &&
+                   this->wall - aReport.startedAt > settled + this->settings.maxClockSkew;
+  if (!isSettled) {
+    return this->settings.maxLease;
+  }
+  return std::clamp<Duration>(
+    aWorker.restoredLongLeaseBound - aNow, longest, this->settings.maxLease);
 }
 
 void Dispatcher::OnReport(const WorkerId& aWorker,
@@ -128,11 +147,13 @@
     return;
   }
   if (worker->incarnation != aReport.incarnation) {
-    this->impl->OnIncarnationChange(*worker, aReport.incarnation);
+    this->impl->OnIncarnationChange(*worker, aReport, aNow);
+  } else if (!worker->isFenced) {
+    this->impl->UpdateFence(*worker, aReport, aSentAt);
   }
   if (!worker->hasReported) {
     worker->maxLeaseEnd = aReport.clock + std::chrono::ceil<std::chrono::milliseconds>(
-                                            this->impl->LongestLeaseBefore(aReport.clock));
+                                            this->impl->LongestLeaseBefore(*worker, aReport, aNow));
   }
   worker->hasReported = true;
   worker->isUnresponsive = false;
@@ -186,6 +207,18 @@
   return worker->sentLeaseEnd;
 }
 
+std::uint32_t Dispatcher::CountRestarts(const WorkerId& aWorker) const
+{
+  Worker* worker = this->impl->state.FindWorker(aWorker);
+  return worker == nullptr ? 0 : std::min(worker->restarts, this->impl->settings.maxFencedRestarts);
+}
+
+bool Dispatcher::IsFenced(const WorkerId& aWorker) const
+{
+  Worker* worker = this->impl->state.FindWorker(aWorker);
+  return worker == nullptr || worker->isFenced;
+}
+
 std::uint64_t Dispatcher::LastCompletion(const WorkerId& aWorker) const
 {
   Worker* worker = this->impl->state.FindWorker(aWorker);
@@ -301,7 +334,7 @@
   // WorkerReliability::AcceptsStarts can't be used here: it rejects a probing worker with an
   // attempt, and this attempt is one.
   bool isWanted = !step.job->IsFinished() && !attempt->isStopping && worker.isListed &&
-                  !worker.isUnresponsive && !worker.IsDraining() &&
+                  !worker.isUnresponsive && worker.isFenced && !worker.IsDraining() &&
                   this->impl->state.drainedDomains.count(worker.listing.domain) == 0 &&
                   (hasTicket || !step.job->queue->advice);
   if (!isWanted) {
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -38,10 +38,17 @@
   /// Adopts a reported run that has no attempt here, or stops it.
   void OnUnknownRun(dispatch::Worker& aWorker, const RunningTask& aRunning, TimePoint aNow);
   /// Longest lease, from its first report in this term, that earlier leaders may have given a
-  /// worker with that clock.
-  Duration LongestLeaseBefore(std::chrono::milliseconds aClock) const;
+  /// worker.
+  Duration LongestLeaseBefore(const dispatch::Worker& aWorker,
+                              const WorkerReport& aReport,
+                              TimePoint aNow) const;
   /// Handles the first report of a new incarnation of the worker.
-  void OnIncarnationChange(dispatch::Worker& aWorker, std::int64_t aIncarnation);
+  void OnIncarnationChange(dispatch::Worker& aWorker, const WorkerReport& aReport, TimePoint aNow);
+  /// Handles the next reports, until the worker refuses commands for its earlier incarnations.
+  void UpdateFence(dispatch::Worker& aWorker, const WorkerReport& aReport, TimePoint aSentAt);
+  /// Time until which an attempt that is decided now may run on a lease that is longer than the one
+  /// that is asked for; 0 if it can't.
+  WallTime LongLeaseUntil(const dispatch::Worker& aWorker, TimePoint aNow) const;
   void CloseExpiredAttempts(dispatch::Worker& aWorker, TimePoint aNow);
 
   /// Creates the occurrences of a job that are due, and updates which of its steps are ready.
@@ -83,6 +90,8 @@
 
   DispatchSettings settings;
   TimePoint termStart;
+  /// Time by which all leases of earlier leaders have expired, however long they are.
+  TimePoint longestLeaseBound;
   /// Time by which the leases on a worker that has not reported in this term have expired.
   TimePoint restoredLeaseBound;
   /// Wall clock time of the newest scheduling round or restored job.
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -48,6 +48,9 @@
   AttemptState state = AttemptState::Planned;
   bool isStopping = false;
   TimePoint decidedAt;
+  /// Time until which the worker may hold a longer lease than was asked for, as known when the
+  /// attempt was decided; 0 if it did not.
+  WallTime longLeaseUntil;
   /// Time at which the worker confirmed the start; max while unconfirmed.
   TimePoint confirmedAt = TimePoint::max();
   /// Time at which the worker confirmed the stop; max while unconfirmed.
@@ -274,6 +277,13 @@
   bool hasReported = false;
   bool isUnresponsive = false;
   std::int64_t incarnation = 0;
+  /// Restarts that were noticed in this term.
+  std::uint32_t restarts = 0;
+  /// Time at which the last of them was noticed.
+  TimePoint restartKnownAt;
+  /// The worker refuses commands that were sent to its earlier incarnations. A restarted worker has
+  /// forgotten all fencing numbers.
+  bool isFenced = true;
   /// Highest number of the completions that were processed.
   std::uint64_t lastCompletion = 0;
   TimePoint reportedAt;
@@ -286,6 +296,8 @@
   std::chrono::milliseconds maxLeaseEnd{ 0 };
   /// Time by which the leases of all runs on the worker have expired.
   TimePoint leaseExpiryBound;
+  /// The same for leases that an earlier leader knew of and that are longer than it asked for.
+  TimePoint restoredLongLeaseBound;
 
   /// Mean run time of tasks relative to their estimates; 1 when nothing is known.
   double slowdown = 1;
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -34,7 +34,8 @@
 
 void AddOpenRun(StepProgress& aPart, const Attempt& aAttempt)
 {
-  aPart.open.push_back({ aAttempt.index, aAttempt.run, aAttempt.worker->listing.id });
+  aPart.open.push_back(
+    { aAttempt.index, aAttempt.run, aAttempt.worker->listing.id, aAttempt.longLeaseUntil });
 }
 
 /// Adds the progress of the task to that of its step.
@@ -268,8 +269,16 @@
     if (worker.leaseExpiryBound == TimePoint()) {
       worker.leaseExpiryBound = this->restoredLeaseBound;
     }
+    // The worker may still hold the long lease, at the longest one from the start of the term.
+    Duration longLeaseLeft = run.longLeaseUntil + this->settings.maxClockSkew - this->wall;
+    if (longLeaseLeft > Duration(0)) {
+      TimePoint bound = std::min(aNow + longLeaseLeft, this->longestLeaseBound);
+      worker.restoredLongLeaseBound = std::max(worker.restoredLongLeaseBound, bound);
+      worker.leaseExpiryBound = std::max(worker.leaseExpiryBound, bound);
+    }
     Attempt& attempt = this->state.AddAttempt(*step, run.index, worker, run.run, aNow);
     attempt.state = AttemptState::Restored;
+    attempt.longLeaseUntil = run.longLeaseUntil;
     attempt.isStopping = step->tasks[run.index].hasEarlierSuccess;
   }
   if (invalid > 0) {
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -261,6 +261,7 @@
   attempt.state = AttemptState::Running;
   attempt.confirmedAt = aNow;
   attempt.listedAt = aNow;
+  attempt.longLeaseUntil = this->LongLeaseUntil(aWorker, aNow);
   this->state.MarkChanged(*step->job);
 }
 
@@ -321,17 +322,58 @@
   }
 }
 
-void Dispatcher::Impl::OnIncarnationChange(Worker& aWorker, std::int64_t aIncarnation)
+void Dispatcher::Impl::UpdateFence(Worker& aWorker, const WorkerReport& aReport, TimePoint aSentAt)
+{
+  // A command for an earlier incarnation may have been carried out until now, and its lease end, on
+  // the earlier clock, is cut to the longest lease.
+  auto longest = std::chrono::ceil<std::chrono::milliseconds>(this->settings.maxLease);
+  auto settleTime =
+    std::chrono::ceil<std::chrono::milliseconds>(this->settings.incarnationSettleTime);
+  bool hasNumber = aWorker.restarts <= this->settings.maxFencedRestarts;
+  aWorker.isFenced =
+    hasNumber ? aSentAt >= aWorker.restartKnownAt : aSentAt > aWorker.restartKnownAt + settleTime;
+  aWorker.maxLeaseEnd = aReport.clock + longest;
+  if (!aWorker.isFenced) {
+    aWorker.maxLeaseEnd += settleTime;
+    return;
+  }
+  LogLine(LogLevel::Info, "worker_fenced")
+    .Add("worker", aWorker.listing.id)
+    .Add("incarnation", aWorker.incarnation)
+    .Add("restarts", aWorker.restarts)
+    .Add("clock_ms", aReport.clock)
+    .Add("longest_lease_end_ms", aWorker.maxLeaseEnd);
+}
+
+WallTime Dispatcher::Impl::LongLeaseUntil(const Worker& aWorker, TimePoint aNow) const
+{
+  Duration asked = std::min(this->settings.lease, this->settings.maxLease);
+  auto usual = std::chrono::ceil<Duration>(asked * (1 + this->settings.maxClockDrift));
+  Duration left = aWorker.leaseExpiryBound - aNow;
+  bool isLong = left > usual + this->settings.leaseMargin;
+  return isLong ? this->wall + std::chrono::ceil<std::chrono::milliseconds>(left) : WallTime();
+}
+
+void Dispatcher::Impl::OnIncarnationChange(Worker& aWorker,
+                                           const WorkerReport& aReport,
+                                           TimePoint aNow)
 {
   bool isFirst = aWorker.incarnation == 0;
-  aWorker.incarnation = aIncarnation;
+  aWorker.incarnation = aReport.incarnation;
   if (isFirst) {
     return;
   }
-  LogLine(LogLevel::Info, "worker_restarted").Add("worker", aWorker.listing.id);
+  ++aWorker.restarts;
+  aWorker.restartKnownAt = aNow;
+  LogLine(LogLevel::Info, "worker_restarted")
+    .Add("worker", aWorker.listing.id)
+    .Add("incarnation", aWorker.incarnation)
+    .Add("restarts", aWorker.restarts)
+    .Add("clock_ms", aReport.clock);
   aWorker.lastCompletion = 0;
   aWorker.sentLeaseEnd = std::chrono::milliseconds(0);
-  aWorker.maxLeaseEnd = std::chrono::milliseconds(0);
+  // This poll was sent before the restart was known.
+  this->UpdateFence(aWorker, aReport, aNow - Duration(1));
   WorkerReliability::Reset(aWorker);
   std::vector<Attempt*> lost;
   for (Attempt& attempt : aWorker.attempts) {
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -63,6 +63,7 @@
                                  DispatchRound& aRound)
 {
   Attempt& attempt = this->state.AddAttempt(aStep, aIndex, aWorker, aRun, aNow);
+  attempt.longLeaseUntil = this->LongLeaseUntil(aWorker, aNow);
   Job& job = *aStep.job;
   if (job.state == DispatchState::Queued) {
     job.state = DispatchState::Running;
--- a/packages/dispatch/src/WorkerReliability.cpp
+++ b/packages/dispatch/src/WorkerReliability.cpp
@@ -20,7 +20,7 @@
 
 bool WorkerReliability::AcceptsStarts(const Worker& aWorker, TimePoint aNow) const
 {
-  return aWorker.isListed && aWorker.hasReported && !aWorker.isUnresponsive &&
+  return aWorker.isListed && aWorker.hasReported && !aWorker.isUnresponsive && aWorker.isFenced &&
          !aWorker.IsDraining() && aNow >= aWorker.quarantinedUntil && aNow >= aWorker.pausedUntil &&
          aNow - aWorker.reportedAt < this->state.settings.reportTimeout &&
          !(aWorker.isProbing && !aWorker.attempts.empty()) &&
