--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -119,10 +119,13 @@
   std::optional<JobDefinition> ReadDefinition(const std::string& aKey,
                                               const std::string& aRecord,
                                               std::uint64_t aRevision) const;
-  void AddStoredJob(const std::string& aKey,
-                    const std::string& aRecord,
-                    std::uint64_t aRevision,
-                    const char* aSource);
+  /// Adds the job of a stored definition unless it is known; without a value it was deleted.
+  void ApplyDefinition(const std::string& aKey,
+                       const std::optional<std::string>& aValue,
+                       std::uint64_t aRevision,
+                       const char* aSource);
+  /// A job was cancelled before it was stored.
+  void OnJobWithdrawn(const JobId& aJob, std::uint64_t aRevision);
   /// Logs a failed poll of a list, with the age of what is known of it.
   void OnListPollFailed(const char* aList,
                         std::error_code aError,
@@ -153,10 +156,7 @@
   /// Reads the leader key, until the store answers, and sends the starts if it is unchanged.
   void ConfirmAndSendStarts(const std::vector<AttemptKey>& aStarts);
   void SendStart(const StartCommand& aCommand, int aAttempt);
-  void OnStartResult(const StartCommand& aCommand,
-                     int aAttempt,
-                     StartResult aResult,
-                     bool aIsFenced);
+  void OnStartResult(const StartCommand& aCommand, int aAttempt, StartResult aResult);
   void SendStop(const StopCommand& aCommand);
   void SendThrottle(const ThrottleCommand& aCommand);
   std::map<std::string, std::string> TakeBatch(std::uint64_t aBatch);
@@ -165,6 +165,11 @@
   void OnRecordRefused(std::uint64_t aBatch, const std::string& aKey, std::size_t aBytes);
   /// Has the stored parts of a job's progress before aEnd, or all, deleted.
   void DropParts(const JobId& aJob, std::optional<std::uint64_t> aEnd);
+  /// Fencing token for commands to the worker that are sent now.
+  Epoch FencingTokenFor(const WorkerId& aWorker) const;
+  /// A worker has refused a command with that token. Ends the term, and returns true, if it has
+  /// accepted one of a later leader.
+  bool OnFenced(const WorkerId& aWorker, Epoch aToken);
   void EndTerm(const char* aReason);
   /// Removes finished jobs from the dispatcher, and deletes their records after the retention time.
   void PurgeFinishedJobs();
@@ -227,6 +232,10 @@
   };
   /// Jobs whose final state is stored.
   std::unordered_map<JobId, FinishedJob> finished;
+  /// Jobs that were cancelled before they were stored, by the time at which this leader read that.
+  /// Their tombstones are deleted after the retention time, which is longer than a write may be
+  /// late or repeated.
+  std::unordered_map<JobId, WallTime> withdrawnJobs;
   /// Actions that follow once a batch of records is stored.
   struct BatchInFlight
   {
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t kMaxAmount = 1'000'000'000;
 constexpr std::uint32_t kMaxTasks = 65'536;
 constexpr std::size_t kMaxSteps = 1024;
+/// Most tasks of one occurrence; four times as many as are accepted from callers.
+constexpr std::uint64_t kMaxTasksOfJob = 1 << 20;
 constexpr std::uint32_t kMaxNumber = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint32_t kMaxOccurrences = 100'000;
 constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
@@ -72,20 +74,19 @@
 }
 
 /// Numbers of the named list, all below aEnd.
-std::vector<std::uint32_t> IndicesFrom(JsonFields& aFields,
-                                       JsonFields::Name aName,
-                                       std::uint32_t aEnd)
+template<std::unsigned_integral Number>
+std::vector<Number> NumbersFrom(JsonFields& aFields, JsonFields::Name aName, Number aEnd)
 {
-  std::vector<std::uint32_t> indices;
+  std::vector<Number> numbers;
   ReadItems(aFields, aName, [&](const json& aItem) {
-    bool isIndex = aItem.is_number_unsigned() && std::cmp_less(aItem.get<std::uint64_t>(), aEnd);
-    if (isIndex) {
-      indices.push_back(aItem.get<std::uint32_t>());
+    bool isInRange = aItem.is_number_unsigned() && std::cmp_less(aItem.get<std::uint64_t>(), aEnd);
+    if (isInRange) {
+      numbers.push_back(aItem.get<Number>());
     } else {
       aFields.Fail(aName, "not a list of numbers in range");
     }
   });
-  return indices;
+  return numbers;
 }
 
 std::vector<std::string> TextsFrom(JsonFields& aFields, JsonFields::Name aName)
@@ -132,7 +133,7 @@
   step.taskCount = aFields.Integer<std::uint32_t>("tasks", 0, kMaxTasks);
   step.size = ResourcesFrom(aFields, "size");
   step.estimate = aFields.ClampedMicroseconds("estimate_us");
-  step.dependencies = IndicesFrom(aFields, "after", aPosition);
+  step.dependencies = NumbersFrom(aFields, "after", aPosition);
   step.canCheckpoint = aFields.Flag("checkpoint");
   step.isGang = aFields.Flag("gang");
   step.isRackLocal = aFields.Flag("rack_local");
@@ -160,10 +161,16 @@
     }
   };
   addPairs("failures", aStep.failures);
+  addPairs("failed_runs", aStep.failedRuns);
   addPairs("settled", aStep.lastCompletedRuns);
   addPairs("checkpoints", aStep.checkpoints);
   for (const OpenRun& open : aStep.open) {
     record["open"].push_back(json::array({ open.index, open.run, open.worker }));
+    if (open.longLeaseUntil != WallTime()) {
+      // Beside the run, whose items earlier versions count.
+      record["long_leases"].push_back(
+        json::array({ open.index, open.longLeaseUntil.time_since_epoch().count() }));
+    }
   }
   return record;
 }
@@ -174,7 +181,7 @@
   StepProgress step;
   step.occurrence = aFields.Integer<std::uint32_t>("occurrence", 0, kMaxNumber);
   step.step = aFields.Integer<std::uint32_t>("step", 0, kMaxNumber);
-  step.succeeded = IndicesFrom(aFields, "succeeded", kMaxNumber);
+  step.succeeded = NumbersFrom(aFields, "succeeded", kMaxNumber);
   auto readPairs = [&aFields](const char* aName, const auto& aRead) {
     ReadItems(aFields, aName, [&](const json& aItem) {
       JsonFields pair(aItem, 2);
@@ -185,6 +192,9 @@
   readPairs("failures", [&step](std::uint32_t aIndex, JsonFields& aPair) {
     step.failures[aIndex] = aPair.Integer<std::uint32_t>(1, 0, kMaxNumber);
   });
+  readPairs("failed_runs", [&step](std::uint32_t aIndex, JsonFields& aPair) {
+    step.failedRuns[aIndex] = NumbersFrom<RunNumber>(aPair, 1, kMaxRun);
+  });
   readPairs("settled", [&step](std::uint32_t aIndex, JsonFields& aPair) {
     step.lastCompletedRuns[aIndex] = aPair.Integer<RunNumber>(1, 0, kMaxRun);
   });
@@ -198,6 +208,14 @@
                           run.Text(2) });
     aFields.Adopt("open", run);
   });
+  readPairs("long_leases", [&step](std::uint32_t aIndex, JsonFields& aPair) {
+    auto until = aPair.Integer<std::int64_t>(1, 0, kMaxWallTime.count());
+    for (OpenRun& run : step.open) {
+      if (run.index == aIndex) {
+        run.longLeaseUntil = WallTime(std::chrono::milliseconds(until));
+      }
+    }
+  });
   return step;
 }
 
@@ -337,15 +355,27 @@
   if (definition.steps.size() > kMaxSteps) {
     fields.Fail("steps", "too many");
   }
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : definition.steps) {
+    tasks += step.taskCount;
+  }
+  if (tasks > kMaxTasksOfJob) {
+    fields.Fail("steps", "too many tasks");
+  }
   definition.occurrences = fields.ClampedInteger<std::uint32_t>("occurrences", 0, kMaxOccurrences);
   definition.firstDue = WallTimeFrom(fields, "first_due_ms");
   definition.interval = fields.ClampedMicroseconds("interval_us", kMaxInterval);
   return IfValid(fields, definition, aError);
 }
 
+bool IsTombstone(const std::string& aText)
+{
+  return aText == kDefinitionTombstone || aText == kWithdrawnTombstone;
+}
+
 std::optional<JobDefinition> OpenDefinitionFromText(const std::string& aText, std::string* aError)
 {
-  if (aText == kDefinitionTombstone) {
+  if (IsTombstone(aText)) {
     return std::nullopt;
   }
   std::optional<json> parsed = ParseJson(aText);
--- a/packages/coordination/tests/RecordCodecTest.cpp
+++ b/packages/coordination/tests/RecordCodecTest.cpp
@@ -59,6 +59,27 @@
   EXPECT_EQ(job->steps[0].taskCount, 3U);
 }
 
+// Guards against a record that ends each leader which restores it, since its tasks take more memory
+// than a process has.
+TEST(RecordCodecTest, AJobWithMoreTasksThanAnyThatIsAcceptedIsRefused)
+{
+  JobDefinition job;
+  job.id = "job";
+  job.queue = "queue";
+  job.steps.resize(64);
+  for (StepSpec& step : job.steps) {
+    step.taskCount = 4096;
+  }
+  EXPECT_TRUE(coordination::JobDefinitionFromJson(coordination::ToJson(job)));
+  job.steps.resize(1024);
+  for (StepSpec& step : job.steps) {
+    step.taskCount = 65'536;
+  }
+  std::string error;
+  EXPECT_FALSE(coordination::JobDefinitionFromJson(coordination::ToJson(job), &error));
+  EXPECT_EQ(error, "steps: too many tasks");
+}
+
 // Guards against a part of a job's progress that the store refuses: the largest one, with the
 // longest ids of workers and checkpoints that are stored, is shorter than the platform's limit of a
 // value.
@@ -74,15 +95,21 @@
     step.occurrence = 99'999;
     step.step = 63;
     step.failures[number] = 4'000'000'000;
+    step.failedRuns[number] = std::vector<RunNumber>(8, kMaxRun);
     step.lastCompletedRuns[number] = kMaxRun;
     step.checkpoints[number] = std::string(512, 'x');
-    step.open.push_back({ number, kMaxRun, std::string(kMaxWorkerIdBytes, 'w') });
+    step.open.push_back({ number,
+                          kMaxRun,
+                          std::string(kMaxWorkerIdBytes, 'w'),
+                          WallTime(milliseconds(1'764'000'000'000)) });
   }
   std::string text = coordination::ProgressPartToText(steps);
   EXPECT_LE(text.size(), kMaxValueBytes);
   std::optional<std::vector<StepProgress>> read = coordination::ProgressPartFromText(text);
   ASSERT_TRUE(read);
-  EXPECT_EQ(read->size(), steps.size());
+  ASSERT_EQ(read->size(), steps.size());
+  EXPECT_EQ(read->at(0).failedRuns, steps[0].failedRuns);
+  EXPECT_EQ(read->at(0).open[0].longLeaseUntil, steps[0].open[0].longLeaseUntil);
 }
 
 TEST(RecordCodecTest, StepsThatHaveSucceededAreReadBackFromRuns)
@@ -120,7 +147,9 @@
                             R"({"done":[[0,1]]})",
                             R"({"done":[[0,-1,2]]})",
                             R"({"done":[[0,0,4000000000]]})",
-                            R"({"steps":[{"step":0}]})" }) {
+                            R"({"steps":[{"step":0}]})",
+                            R"({"steps":[{"occurrence":0,"step":0,"failed_runs":[[0,7]]}]})",
+                            R"({"steps":[{"occurrence":0,"step":0,"failed_runs":[[0,[-1]]]}]})" }) {
     std::string error;
     EXPECT_FALSE(coordination::ProgressPartFromText(text, &error)) << text;
     EXPECT_FALSE(error.empty()) << text;
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -30,15 +30,25 @@
   void OnEarlierSuccess(dispatch::Step& aStep, std::uint32_t aIndex);
   void OnTaskSucceeded(dispatch::Attempt& aAttempt, TimePoint aNow);
   void OnTaskFailed(dispatch::Attempt& aAttempt, TimePoint aNow);
+  /// Counts a failed run of a task, or of the gang that it belongs to, unless it was counted
+  /// before.
+  void CountFailure(dispatch::Step& aStep, std::uint32_t aIndex, RunNumber aRun, TimePoint aNow);
   /// Removes an attempt that has ended, or that never started.
   void CloseAttempt(dispatch::Attempt& aAttempt);
   /// Adopts a reported run that has no attempt here, or stops it.
   void OnUnknownRun(dispatch::Worker& aWorker, const RunningTask& aRunning, TimePoint aNow);
   /// Longest lease, from its first report in this term, that earlier leaders may have given a
-  /// worker with that clock.
-  Duration LongestLeaseBefore(std::chrono::milliseconds aClock) const;
+  /// worker.
+  Duration LongestLeaseBefore(const dispatch::Worker& aWorker,
+                              const WorkerReport& aReport,
+                              TimePoint aNow) const;
   /// Handles the first report of a new incarnation of the worker.
-  void OnIncarnationChange(dispatch::Worker& aWorker, std::int64_t aIncarnation);
+  void OnIncarnationChange(dispatch::Worker& aWorker, const WorkerReport& aReport, TimePoint aNow);
+  /// Handles the next reports, until the worker refuses commands for its earlier incarnations.
+  void UpdateFence(dispatch::Worker& aWorker, const WorkerReport& aReport, TimePoint aSentAt);
+  /// Time until which an attempt that is decided now may run on a lease that is longer than the one
+  /// that is asked for; 0 if it can't.
+  WallTime LongLeaseUntil(const dispatch::Worker& aWorker, TimePoint aNow) const;
   void CloseExpiredAttempts(dispatch::Worker& aWorker, TimePoint aNow);
 
   /// Creates the occurrences of a job that are due, and updates which of its steps are ready.
@@ -66,13 +76,22 @@
   RunNumber NextRunNumber(const dispatch::Task& aTask) const;
   /// Adopts rules of a queue unless newer ones are known.
   void AdoptRules(const QueuePolicy& aRules);
-  void FailIfAttemptsAreUsedUp(dispatch::Job& aJob);
-  /// Restores the stored progress of a step, or of some of its tasks.
-  void RestoreStep(dispatch::Job& aJob, const StepProgress& aPart, TimePoint aNow);
+  /// Fails the job of a task that has failed as often as its queue allows.
+  void FailIfAttemptsAreUsedUp(dispatch::Step& aStep, std::uint32_t aIndex);
+  /// Restores the stored progress of all steps, the parts in any order.
+  void RestoreSteps(dispatch::Job& aJob, const std::vector<StepProgress>& aParts, TimePoint aNow);
+  /// Marks the tasks that have succeeded by a part; they may have open runs all the same.
+  void RestoreSuccesses(dispatch::Job& aJob, const StepProgress& aPart);
+  /// Restores what else a part says of its tasks.
+  void RestoreTasks(dispatch::Job& aJob, const StepProgress& aPart, TimePoint aNow);
+  /// Step that a part describes; null if the job has no such step, or no longer.
+  dispatch::Step* EnsureRestoredStep(dispatch::Job& aJob, const StepProgress& aPart);
   dispatch::Job& InsertJob(const JobDefinition& aDefinition, TimePoint aNow);
 
   DispatchSettings settings;
   TimePoint termStart;
+  /// Time by which all leases of earlier leaders have expired, however long they are.
+  TimePoint longestLeaseBound;
   /// Time by which the leases on a worker that has not reported in this term have expired.
   TimePoint restoredLeaseBound;
   /// Wall clock time of the newest scheduling round or restored job.
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -71,19 +71,38 @@
   }
 }
 
-void Dispatcher::Impl::FailIfAttemptsAreUsedUp(Job& aJob)
+void Dispatcher::Impl::FailIfAttemptsAreUsedUp(Step& aStep, std::uint32_t aIndex)
 {
-  for (const auto& step : aJob.steps) {
-    bool isUsedUp = !step->spec->isService &&
-                    std::any_of(step->tasks.begin(), step->tasks.end(), [&](const Task& aTask) {
-                      return !aTask.hasSucceeded && aTask.failures >= aJob.queue->maxAttempts;
-                    });
-    if (isUsedUp && !aJob.IsFinished()) {
-      LogLine(LogLevel::Info, "job_failed")
-        .Add("job", aJob.definition.id)
-        .Add("step", step->number);
-      this->state.Finish(aJob, DispatchState::Failed, this->wall);
-    }
+  const Task& task = aStep.tasks[aIndex];
+  Job& job = *aStep.job;
+  if (aStep.spec->isService || task.hasSucceeded || task.hasEarlierSuccess || job.IsFinished() ||
+      task.failures.Count() < job.queue->maxAttempts) {
+    return;
+  }
+  LogLine(LogLevel::Info, "job_failed")
+    .Add("job", job.definition.id)
+    .Add("step", aStep.number)
+    .Add("task", aIndex)
+    .Add("failures", task.failures.Count())
+    .Add("last_failed_run", task.failures.LastRun());
+  this->state.Finish(job, DispatchState::Failed, this->wall);
+}
+
+void Dispatcher::Impl::CountFailure(Step& aStep,
+                                    std::uint32_t aIndex,
+                                    RunNumber aRun,
+                                    TimePoint aNow)
+{
+  // The members of a gang fail together, and each of them may be listed as failed.
+  std::uint32_t countedIndex = aStep.spec->isGang ? 0 : aIndex;
+  if (aStep.spec->isService || !aStep.tasks[countedIndex].failures.Add(aRun)) {
+    return;
+  }
+  FleetState::MarkPartChanged(aStep, countedIndex);
+  this->state.MarkChanged(*aStep.job);
+  this->FailIfAttemptsAreUsedUp(aStep, countedIndex);
+  if (aStep.job->IsFinished()) {
+    this->nextSweep = aNow; // Stops the other runs of the job.
   }
 }
 
@@ -114,28 +133,15 @@
 void Dispatcher::Impl::OnTaskFailed(Attempt& aAttempt, TimePoint aNow)
 {
   Step& step = *aAttempt.step;
-  Job& job = *step.job;
   std::uint32_t index = aAttempt.index;
   this->reliability.OnFailure(aAttempt, aNow);
-  // Failures of a gang are counted for its first task, since the members fail together.
-  std::uint32_t countedIndex = step.spec->isGang ? 0 : index;
-  Task& counted = step.tasks[countedIndex];
-  ++counted.failures;
-  FleetState::MarkPartChanged(step, countedIndex);
+  RunNumber run = aAttempt.run;
   step.tasks[index].failedPlacements.push_back(aAttempt.worker->listing.id);
   if (step.spec->isGang) {
     this->StopGang(step);
   }
   this->CloseAttempt(aAttempt);
-  if (!step.spec->isService && counted.failures >= job.queue->maxAttempts && !job.IsFinished()) {
-    LogLine(LogLevel::Info, "job_failed")
-      .Add("job", job.definition.id)
-      .Add("step", step.number)
-      .Add("task", index)
-      .Add("failures", counted.failures);
-    this->state.Finish(job, DispatchState::Failed, this->wall);
-    this->nextSweep = aNow;
-  }
+  this->CountFailure(step, index, run, aNow);
 }
 
 void Dispatcher::Impl::OnCompletion(Attempt& aAttempt,
@@ -197,13 +203,16 @@
       this->OnCompletion(*attempt, completion, aNow);
       continue;
     }
-    // The attempt of this run was given up, or removed before a change of leader. A success still
+    // The attempt of this run was given up, or removed before a change of leader. Its outcome still
     // counts.
     Step* step = this->state.FindStep(
       { completion.task.job, completion.task.occurrence, completion.task.step });
     if (step == nullptr || completion.task.index >= step->tasks.size()) {
       continue;
     }
+    if (completion.outcome == RunOutcome::Failed) {
+      this->CountFailure(*step, completion.task.index, completion.run, aNow);
+    }
     if (completion.outcome != RunOutcome::Succeeded || step->spec->isService) {
       continue;
     }
@@ -252,6 +261,7 @@
   attempt.state = AttemptState::Running;
   attempt.confirmedAt = aNow;
   attempt.listedAt = aNow;
+  attempt.longLeaseUntil = this->LongLeaseUntil(aWorker, aNow);
   this->state.MarkChanged(*step->job);
 }
 
@@ -312,17 +322,58 @@
   }
 }
 
-void Dispatcher::Impl::OnIncarnationChange(Worker& aWorker, std::int64_t aIncarnation)
+void Dispatcher::Impl::UpdateFence(Worker& aWorker, const WorkerReport& aReport, TimePoint aSentAt)
+{
+  // A command for an earlier incarnation may have been carried out until now, and its lease end, on
+  // the earlier clock, is cut to the longest lease.
+  auto longest = std::chrono::ceil<std::chrono::milliseconds>(this->settings.maxLease);
+  auto settleTime =
+    std::chrono::ceil<std::chrono::milliseconds>(this->settings.incarnationSettleTime);
+  bool hasNumber = aWorker.restarts <= this->settings.maxFencedRestarts;
+  aWorker.isFenced =
+    hasNumber ? aSentAt >= aWorker.restartKnownAt : aSentAt > aWorker.restartKnownAt + settleTime;
+  aWorker.maxLeaseEnd = aReport.clock + longest;
+  if (!aWorker.isFenced) {
+    aWorker.maxLeaseEnd += settleTime;
+    return;
+  }
+  LogLine(LogLevel::Info, "worker_fenced")
+    .Add("worker", aWorker.listing.id)
+    .Add("incarnation", aWorker.incarnation)
+    .Add("restarts", aWorker.restarts)
+    .Add("clock_ms", aReport.clock)
+    .Add("longest_lease_end_ms", aWorker.maxLeaseEnd);
+}
+
+WallTime Dispatcher::Impl::LongLeaseUntil(const Worker& aWorker, TimePoint aNow) const
+{
+  Duration asked = std::min(this->settings.lease, this->settings.maxLease);
+  auto usual = std::chrono::ceil<Duration>(asked * (1 + this->settings.maxClockDrift));
+  Duration left = aWorker.leaseExpiryBound - aNow;
+  bool isLong = left > usual + this->settings.leaseMargin;
+  return isLong ? this->wall + std::chrono::ceil<std::chrono::milliseconds>(left) : WallTime();
+}
+
+void Dispatcher::Impl::OnIncarnationChange(Worker& aWorker,
+                                           const WorkerReport& aReport,
+                                           TimePoint aNow)
 {
   bool isFirst = aWorker.incarnation == 0;
-  aWorker.incarnation = aIncarnation;
+  aWorker.incarnation = aReport.incarnation;
   if (isFirst) {
     return;
   }
-  LogLine(LogLevel::Info, "worker_restarted").Add("worker", aWorker.listing.id);
+  ++aWorker.restarts;
+  aWorker.restartKnownAt = aNow;
+  LogLine(LogLevel::Info, "worker_restarted")
+    .Add("worker", aWorker.listing.id)
+    .Add("incarnation", aWorker.incarnation)
+    .Add("restarts", aWorker.restarts)
+    .Add("clock_ms", aReport.clock);
   aWorker.lastCompletion = 0;
   aWorker.sentLeaseEnd = std::chrono::milliseconds(0);
-  aWorker.maxLeaseEnd = std::chrono::milliseconds(0);
+  // This poll was sent before the restart was known.
+  this->UpdateFence(aWorker, aReport, aNow - Duration(1));
   WorkerReliability::Reset(aWorker);
   std::vector<Attempt*> lost;
   for (Attempt& attempt : aWorker.attempts) {
