The conflict of a submission has a function of its own

Cause: reading the diff as a newcomer: a callback nested five deep, a loop in a loop in the codec, a block of changed indents. Measured: nothing; behaviour is the same.

--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -166,36 +166,43 @@
 
 void JobRequestHandler::ResolveConflict(const std::shared_ptr<Submission>& aSubmission)
 {
-  this->env.store.Read(DefinitionKey(this->env.settings.storePrefix, aSubmission->definition.id),
-                       [this, aSubmission](const Result<std::optional<KeyValueItem>>& aItem) {
-                         if (!aSubmission->done) {
-                           return;
-                         }
-                         if (!aItem) {
-                           bool hasTime =
-                             this->env.loop.Now() + kRetryDelay < aSubmission->deadline;
-                           if (hasTime && this->membership.IsStoreAvailable()) {
-                             this->env.loop.After(kRetryDelay, [this, aSubmission] {
-                               if (aSubmission->done) {
-                                 this->ResolveConflict(aSubmission);
-                               }
-                             });
-                           } else {
-                             this->FinishSubmission(aSubmission, SubmitOutcome::Unknown);
-                           }
-                         } else if (!*aItem) {
-                           this->StoreJob(aSubmission); // The record was deleted meanwhile.
-                         } else if ((*aItem)->value == kWithdrawnTombstone) {
-                           LogLine(LogLevel::Info, "submission_withdrawn")
-                             .Add("job", aSubmission->definition.id)
-                             .Add("revision", (*aItem)->revision);
-                           this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
-                         } else {
-                           // An earlier attempt or a repeated request has stored the job already.
-                           this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
-                           this->NotifyLeader((*aItem)->value);
-                         }
-                       });
+  std::string key = DefinitionKey(this->env.settings.storePrefix, aSubmission->definition.id);
+  this->env.store.Read(key, [this, aSubmission](const Result<std::optional<KeyValueItem>>& aItem) {
+    if (!aSubmission->done) {
+      return; // Another write has determined the outcome.
+    }
+    if (aItem) {
+      this->OnConflictingItem(aSubmission, *aItem);
+    } else if (this->membership.IsStoreAvailable() &&
+               this->env.loop.Now() + kRetryDelay < aSubmission->deadline) {
+      this->env.loop.After(kRetryDelay, [this, aSubmission] {
+        if (aSubmission->done) {
+          this->ResolveConflict(aSubmission);
+        }
+      });
+    } else {
+      this->FinishSubmission(aSubmission, SubmitOutcome::Unknown);
+    }
+  });
+}
+
+void JobRequestHandler::OnConflictingItem(const std::shared_ptr<Submission>& aSubmission,
+                                          const std::optional<KeyValueItem>& aItem)
+{
+  if (!aItem) {
+    this->StoreJob(aSubmission); // The record was deleted meanwhile.
+    return;
+  }
+  if (aItem->value == kWithdrawnTombstone) {
+    LogLine(LogLevel::Info, "submission_withdrawn")
+      .Add("job", aSubmission->definition.id)
+      .Add("revision", aItem->revision);
+    this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
+    return;
+  }
+  // An earlier attempt or a repeated request has stored the job already.
+  this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
+  this->NotifyLeader(aItem->value);
 }
 
 void JobRequestHandler::SubmitToLeader(const std::shared_ptr<Submission>& aSubmission)
--- a/packages/coordination/src/JobRequestHandler.h
+++ b/packages/coordination/src/JobRequestHandler.h
@@ -42,6 +42,9 @@
                        const Result<std::uint64_t>& aRevision);
   /// The id is in use: reads whether by this job, or since it was cancelled before it was stored.
   void ResolveConflict(const std::shared_ptr<Submission>& aSubmission);
+  /// Handles what is stored under the id of a submission whose write had a conflict.
+  void OnConflictingItem(const std::shared_ptr<Submission>& aSubmission,
+                         const std::optional<KeyValueItem>& aItem);
   /// Refuses a job that was never sent to the store. The callback runs from the event loop, never
   /// from within the call.
   void RefuseAsync(const std::shared_ptr<Submission>& aSubmission);
--- a/packages/coordination/src/LeaderLeases.cpp
+++ b/packages/coordination/src/LeaderLeases.cpp
@@ -65,38 +65,37 @@
     this->OnEarlierLeadersEnded("own_process");
     return;
   }
-  this->env.peers.Call(earlier.endpoint,
-                       "ping",
-                       nlohmann::json::object(),
-                       kEarlierLeaderTimeout,
-                       [this, alive = this->isAlive](const Result<nlohmann::json>& aResponse) {
-                         if (!*alive || this->hasEnded) {
-                           return;
-                         }
-                         const EarlierLeaders& last = this->record.earlier;
-                         std::string incarnation;
-                         Epoch endedTerm = 0;
-                         if (aResponse) {
-                           JsonFields fields(*aResponse);
-                           incarnation = fields.Text("incarnation");
-                           endedTerm = fields.Integer<Epoch>("ended_term", 0, kMaxTerm);
-                           if (!fields.IsValid()) {
-                             this->env.membership.Unreadable().AddAnswer("ping", fields.Error());
-                             incarnation.clear();
-                           }
-                         }
-                         // A refused call proves nothing: a connection may be refused on the way.
-                         bool isRestarted = incarnation != last.incarnation &&
-                                            incarnation.rfind(last.name + "@", 0) == 0;
-                         bool hasEndedTerm = incarnation == last.incarnation &&
-                                             TermAfter(endedTerm) >= this->record.term;
-                         if (isRestarted || hasEndedTerm) {
-                           this->OnEarlierLeadersEnded(isRestarted ? "restarted" : "ended_term");
-                           return;
-                         }
-                         this->After(kEarlierLeaderInterval,
-                                     [this] { this->CheckEarlierLeader(); });
-                       });
+  this->env.peers.Call(
+    earlier.endpoint,
+    "ping",
+    nlohmann::json::object(),
+    kEarlierLeaderTimeout,
+    [this, alive = this->isAlive](const Result<nlohmann::json>& aResponse) {
+      if (!*alive || this->hasEnded) {
+        return;
+      }
+      const EarlierLeaders& last = this->record.earlier;
+      std::string incarnation;
+      Epoch ended = 0;
+      if (aResponse) {
+        JsonFields fields(*aResponse);
+        incarnation = fields.Text("incarnation");
+        ended = fields.Integer<Epoch>("ended_term", 0, kMaxTerm);
+        if (!fields.IsValid()) {
+          this->env.membership.Unreadable().AddAnswer("ping", fields.Error());
+          incarnation.clear();
+        }
+      }
+      // A refused call proves nothing: a connection may be refused on the way.
+      bool isRestarted =
+        incarnation != last.incarnation && incarnation.rfind(last.name + "@", 0) == 0;
+      bool hasEndedTerm = incarnation == last.incarnation && TermAfter(ended) >= this->record.term;
+      if (isRestarted || hasEndedTerm) {
+        this->OnEarlierLeadersEnded(isRestarted ? "restarted" : "ended_term");
+        return;
+      }
+      this->After(kEarlierLeaderInterval, [this] { this->CheckEarlierLeader(); });
+    });
 }
 
 void Leader::OnEarlierLeadersEnded(const char* aSource)
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -208,14 +208,15 @@
                           run.Text(2) });
     aFields.Adopt("open", run);
   });
-  readPairs("long_leases", [&step](std::uint32_t aIndex, JsonFields& aPair) {
+  std::map<std::uint32_t, WallTime> longLeases;
+  readPairs("long_leases", [&longLeases](std::uint32_t aIndex, JsonFields& aPair) {
     auto until = aPair.Integer<std::int64_t>(1, 0, kMaxWallTime.count());
-    for (OpenRun& run : step.open) {
-      if (run.index == aIndex) {
-        run.longLeaseUntil = WallTime(std::chrono::milliseconds(until));
-      }
-    }
+    longLeases[aIndex] = WallTime(std::chrono::milliseconds(until));
   });
+  for (OpenRun& run : step.open) {
+    auto found = longLeases.find(run.index);
+    run.longLeaseUntil = found == longLeases.end() ? WallTime() : found->second;
+  }
   return step;
 }
 
