--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -128,9 +128,11 @@
   Duration longest = std::min(this->settings.longestEarlierLease, this->settings.maxLease);
   Duration settled = this->settings.incarnationSettleTime + longest;
   // The clock of an incarnation may start at any value, so only the wall clock shows its age.
-  bool isSettled = aReport.clock > settled &&
-                   this->wall - aReport.startedAt > settled + this->settings.maxClockSkew;
-  if (!isSettled) {
+  // Before the first round or restored job, when that is not known, there are no runs to wait for.
+  bool isAgeKnown = aReport.startedAt != WallTime() && this->wall != WallTime();
+  Duration age = this->wall - aReport.startedAt;
+  bool isRecent = isAgeKnown && age <= settled + this->settings.maxClockSkew;
+  if (isRecent || aReport.clock <= settled) {
     return this->settings.maxLease;
   }
   return std::clamp<Duration>(
