A job of which only the marker is left is unknown, not queued

Cause: beside the tombstone of a withdrawn job a query met the marker of a closed one: its progress is deleted after the retention time with another transaction, and the job was shown as queued. Ruled out: to delete both with one transaction only: the batch is divided by its size. Measured: coordination.StoredJobsTest, 2 tests more, both failed before.

--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -368,28 +368,33 @@
     });
   };
   const std::string& prefix = this->env.settings.storePrefix;
-  this->env.store.Read(
-    ProgressKey(prefix, aJob),
-    [this, aJob, aIsUnknownToLeader, aDone, retry, prefix](
-      const Result<std::optional<KeyValueItem>>& aItem) {
-      if (!aItem) {
-        retry(aItem.Error());
-        return;
-      }
-      if (*aItem) {
-        std::string error;
-        std::optional<JobProgress> progress = JobProgressFromText((*aItem)->value, &error);
-        if (progress) {
-          aDone(progress->state);
-        } else {
-          this->membership.Unreadable().AddEntry(
-            "progress", (*aItem)->key, (*aItem)->revision, error);
-          aDone(Errc::Corrupt);
-        }
-        return;
-      }
-      this->env.store.Read(DefinitionKey(prefix, aJob),
-                           [this, aIsUnknownToLeader, aDone, retry](
+  auto onClosed = [this, aJob, aDone, retry, prefix] {
+    // The final state was stored after the read that found none, or it has been deleted since.
+    this->env.store.Read(ProgressKey(prefix, aJob),
+                         [this, aDone, retry](const Result<std::optional<KeyValueItem>>& aItem) {
+                           if (!aItem) {
+                             retry(aItem.Error());
+                           } else if (*aItem) {
+                             aDone(this->StoredState(**aItem));
+                           } else {
+                             aDone(Errc::NotFound);
+                           }
+                         });
+  };
+  this->env.store.Read(ProgressKey(prefix, aJob),
+                       [this, aJob, aIsUnknownToLeader, aDone, retry, prefix, onClosed](
+                         const Result<std::optional<KeyValueItem>>& aItem) {
+                         if (!aItem) {
+                           retry(aItem.Error());
+                           return;
+                         }
+                         if (*aItem) {
+                           aDone(this->StoredState(**aItem));
+                           return;
+                         }
+                         this->env.store.Read(
+                           DefinitionKey(prefix, aJob),
+                           [this, aIsUnknownToLeader, aDone, retry, onClosed](
                              const Result<std::optional<KeyValueItem>>& aDefinition) {
                              if (!aDefinition) {
                                retry(aDefinition.Error());
@@ -399,12 +404,26 @@
                                aDone(Errc::NotFound);
                                return;
                              }
+                             if ((*aDefinition)->value == kDefinitionTombstone) {
+                               onClosed();
+                               return;
+                             }
                              if (aIsUnknownToLeader) {
                                this->NotifyLeader((*aDefinition)->value);
                              }
                              aDone(DispatchState::Queued);
                            });
-    });
+                       });
+}
+
+Result<DispatchState> JobRequestHandler::StoredState(const KeyValueItem& aProgress)
+{
+  std::string error;
+  if (std::optional<JobProgress> progress = JobProgressFromText(aProgress.value, &error)) {
+    return progress->state;
+  }
+  this->membership.Unreadable().AddEntry("progress", aProgress.key, aProgress.revision, error);
+  return Errc::Corrupt;
 }
 
 void JobRequestHandler::Cancel(const JobId& aJob,
--- a/packages/coordination/src/JobRequestHandler.h
+++ b/packages/coordination/src/JobRequestHandler.h
@@ -70,6 +70,8 @@
                   TimePoint aDeadline,
                   bool aIsUnknownToLeader,
                   const std::function<void(const Result<DispatchState>&)>& aDone);
+  /// State in a stored progress record. Error Corrupt, after a report, when it can't be decoded.
+  Result<DispatchState> StoredState(const KeyValueItem& aProgress);
   void CancelWithRetries(const JobId& aJob,
                          TimePoint aDeadline,
                          const std::function<void(std::error_code)>& aDone);
--- a/packages/coordination/tests/StoredJobsTest.cpp
+++ b/packages/coordination/tests/StoredJobsTest.cpp
@@ -165,6 +165,34 @@
   }
 }
 
+// Guards against a finished job that is shown as queued: its progress is deleted after the
+// retention time, and its marker with another transaction.
+TEST_F(StoredJobsTest, AJobOfWhichOnlyTheMarkerIsLeftIsUnknown)
+{
+  this->store.Put("daisydrift/jobs/old", "closed");
+  for (int instance : { this->leader, this->follower }) {
+    EXPECT_EQ(this->State(instance, "old").Error(), make_error_code(Errc::NotFound));
+  }
+}
+
+// The same marker beside a final state that was stored between the reads of progress and marker.
+TEST_F(StoredJobsTest, AJobThatIsClosedWhileItIsReadHasItsFinalState)
+{
+  // Another instance leads that has closed the job; this one asks the store.
+  this->peers.isCallLost = [](const std::string& aMethod) { return aMethod == "query"; };
+  bool isFirst = true;
+  this->store.isReadResponseLost = [this, &isFirst] {
+    if (std::exchange(isFirst, false)) {
+      this->store.Put("daisydrift/progress/job", R"({"state":2,"finished_ms":1})");
+      this->store.Put("daisydrift/jobs/job", "closed");
+    }
+    return false;
+  };
+  Result<DispatchState> state = this->State(this->follower, "job");
+  ASSERT_TRUE(state);
+  EXPECT_EQ(*state, DispatchState::Completed);
+}
+
 // During an upgrade the leader may be of a version that takes one job a call.
 TEST_F(StoredJobsTest, LeaderOfAnEarlierVersionGetsOneJobACall)
 {
