--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -166,36 +166,43 @@
 
 void JobRequestHandler::ResolveConflict(const std::shared_ptr<Submission>& aSubmission)
 {
-  this->env.store.Read(DefinitionKey(this->env.settings.storePrefix, aSubmission->definition.id),
-                       [this, aSubmission](const Result<std::optional<KeyValueItem>>& aItem) {
-                         if (!aSubmission->done) {
-                           return;
-                         }
-                         if (!aItem) {
-                           bool hasTime =
-                             this->env.loop.Now() + kRetryDelay < aSubmission->deadline;
-                           if (hasTime && this->membership.IsStoreAvailable()) {
-                             this->env.loop.After(kRetryDelay, [this, aSubmission] {
-                               if (aSubmission->done) {
-                                 this->ResolveConflict(aSubmission);
-                               }
-                             });
-                           } else {
-                             this->FinishSubmission(aSubmission, SubmitOutcome::Unknown);
-                           }
-                         } else if (!*aItem) {
-                           this->StoreJob(aSubmission); // The record was deleted meanwhile.
-                         } else if ((*aItem)->value == kWithdrawnTombstone) {
-                           LogLine(LogLevel::Info, "submission_withdrawn")
-                             .Add("job", aSubmission->definition.id)
-                             .Add("revision", (*aItem)->revision);
-                           this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
-                         } else {
-                           // An earlier attempt or a repeated request has stored the job already.
-                           this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
-                           this->NotifyLeader((*aItem)->value);
-                         }
-                       });
+  std::string key = DefinitionKey(this->env.settings.storePrefix, aSubmission->definition.id);
+  this->env.store.Read(key, [this, aSubmission](const Result<std::optional<KeyValueItem>>& aItem) {
+    if (!aSubmission->done) {
+      return; // Another write has determined the outcome.
+    }
+    if (aItem) {
+      this->OnConflictingItem(aSubmission, *aItem);
+    } else if (this->membership.IsStoreAvailable() &&
+               this->env.loop.Now() + kRetryDelay < aSubmission->deadline) {
+      this->env.loop.After(kRetryDelay, [this, aSubmission] {
+        if (aSubmission->done) {
+          this->ResolveConflict(aSubmission);
+        }
+      });
+    } else {
+      this->FinishSubmission(aSubmission, SubmitOutcome::Unknown);
+    }
+  });
+}
+
+void JobRequestHandler::OnConflictingItem(const std::shared_ptr<Submission>& aSubmission,
+                                          const std::optional<KeyValueItem>& aItem)
+{
+  if (!aItem) {
+    this->StoreJob(aSubmission); // The record was deleted meanwhile.
+    return;
+  }
+  if (aItem->value == kWithdrawnTombstone) {
+    LogLine(LogLevel::Info, "submission_withdrawn")
+      .Add("job", aSubmission->definition.id)
+      .Add("revision", aItem->revision);
+    this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
+    return;
+  }
+  // An earlier attempt or a repeated request has stored the job already.
+  this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
+  this->NotifyLeader(aItem->value);
 }
 
 void JobRequestHandler::SubmitToLeader(const std::shared_ptr<Submission>& aSubmission)
@@ -361,28 +368,33 @@
     });
   };
   const std::string& prefix = this->env.settings.storePrefix;
-  this->env.store.Read(
-    ProgressKey(prefix, aJob),
-    [this, aJob, aIsUnknownToLeader, aDone, retry, prefix](
-      const Result<std::optional<KeyValueItem>>& aItem) {
-      if (!aItem) {
-        retry(aItem.Error());
-        return;
-      }
-      if (*aItem) {
-        std::string error;
-        std::optional<JobProgress> progress = JobProgressFromText((*aItem)->value, &error);
-        if (progress) {
-          aDone(progress->state);
-        } else {
-          this->membership.Unreadable().AddEntry(
-            "progress", (*aItem)->key, (*aItem)->revision, error);
-          aDone(Errc::Corrupt);
-        }
-        return;
-      }
-      this->env.store.Read(DefinitionKey(prefix, aJob),
-                           [this, aIsUnknownToLeader, aDone, retry](
+  auto onClosed = [this, aJob, aDone, retry, prefix] {
+    // The final state was stored after the read that found none, or it has been deleted since.
+    this->env.store.Read(ProgressKey(prefix, aJob),
+                         [this, aDone, retry](const Result<std::optional<KeyValueItem>>& aItem) {
+                           if (!aItem) {
+                             retry(aItem.Error());
+                           } else if (*aItem) {
+                             aDone(this->StoredState(**aItem));
+                           } else {
+                             aDone(Errc::NotFound);
+                           }
+                         });
+  };
+  this->env.store.Read(ProgressKey(prefix, aJob),
+                       [this, aJob, aIsUnknownToLeader, aDone, retry, prefix, onClosed](
+                         const Result<std::optional<KeyValueItem>>& aItem) {
+                         if (!aItem) {
+                           retry(aItem.Error());
+                           return;
+                         }
+                         if (*aItem) {
+                           aDone(this->StoredState(**aItem));
+                           return;
+                         }
+                         this->env.store.Read(
+                           DefinitionKey(prefix, aJob),
+                           [this, aIsUnknownToLeader, aDone, retry, onClosed](
                              const Result<std::optional<KeyValueItem>>& aDefinition) {
                              if (!aDefinition) {
                                retry(aDefinition.Error());
@@ -392,12 +404,26 @@
                                aDone(Errc::NotFound);
                                return;
                              }
+                             if ((*aDefinition)->value == kDefinitionTombstone) {
+                               onClosed();
+                               return;
+                             }
                              if (aIsUnknownToLeader) {
                                this->NotifyLeader((*aDefinition)->value);
                              }
                              aDone(DispatchState::Queued);
                            });
-    });
+                       });
+}
+
+Result<DispatchState> JobRequestHandler::StoredState(const KeyValueItem& aProgress)
+{
+  std::string error;
+  if (std::optional<JobProgress> progress = JobProgressFromText(aProgress.value, &error)) {
+    return progress->state;
+  }
+  this->membership.Unreadable().AddEntry("progress", aProgress.key, aProgress.revision, error);
+  return Errc::Corrupt;
 }
 
 void JobRequestHandler::Cancel(const JobId& aJob,
