A restarted worker that leaves the list and comes back ends no term

Cause: the count of a worker's restarts went with its entry. Listed again, the worker was polled with the term's first number, refused it, since it had seen a higher one of the same leader, and the leader ended its term (fenced_by_worker). Change: the count outlives the entry, and the time without it counts as one restart, since nobody polled the worker. Ruled out: to keep the entry: what it says of leases and completions may be of an earlier life.

--- a/packages/coordination/tests/RestartedWorkerTest.cpp
+++ b/packages/coordination/tests/RestartedWorkerTest.cpp
@@ -52,6 +52,35 @@
   EXPECT_TRUE(this->fleet.violations.empty());
 }
 
+// Guards against a term that ends since its own worker refuses it: the worker had restarted, left
+// the list and came back, and the leader had forgotten the number by which it had fenced the
+// worker.
+TEST_F(RestartedWorkerTest, ARestartedWorkerThatLeavesTheListAndComesBackEndsNoTerm)
+{
+  int leader = this->LeaderNumber();
+  Epoch usual = this->fleet.FencingToken("w1");
+  for (bool restartsMeanwhile : { false, true }) {
+    SCOPED_TRACE(restartsMeanwhile);
+    this->fleet.Restart("w0");
+    this->loop.RunFor(seconds(2));
+    Epoch before = this->fleet.FencingToken("w0");
+    this->store.Remove("workers/w0");
+    this->loop.RunFor(seconds(3));
+    if (restartsMeanwhile) {
+      this->fleet.Restart("w0");
+    }
+    this->fleet.AddWorker(this->store, "w0");
+    this->loop.RunFor(seconds(3));
+    EXPECT_EQ(this->LeaderNumber(), leader);
+    EXPECT_EQ(this->fleet.FencingToken("w1"), usual);
+    EXPECT_GT(this->fleet.FencingToken("w0"), before)
+      << "it may have restarted while nobody polled it";
+  }
+  ASSERT_EQ(this->Submit(leader, "wide", 16), SubmitOutcome::Accepted);
+  this->loop.RunFor(milliseconds(300));
+  EXPECT_EQ(this->fleet.CountRuns("w0"), 4U);
+}
+
 // A start arrives 2 s late, for each time of the worker's restart. No second run of the task, and
 // the refusal by the worker ends no term.
 TEST_F(RestartedWorkerTest, ALateStartForTheEarlierIncarnationIsRefused)
--- a/packages/coordination/tests/VirtualLoop.h
+++ b/packages/coordination/tests/VirtualLoop.h
@@ -15,12 +15,14 @@
   WallTime WallClockNow() const override
   {
     return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(
-      this->now.time_since_epoch() + std::chrono::hours(400000)));
+      this->now.time_since_epoch() + std::chrono::hours(400000) + this->wallClockStep));
   }
   void After(Duration aDelay, std::function<void()> aAction) override
   {
     this->actions.emplace(std::pair(this->now + aDelay, this->nextNumber++), std::move(aAction));
   }
+  /// Sets the wall clock forward or back; it is the same for all processes.
+  void StepWallClock(Duration aStep) { this->wallClockStep += aStep; }
   /// Lets time pass within an action, as when the process is suspended.
   void Suspend(Duration aTime) { this->now += aTime; }
   /// Runs all actions that are due within aTime.
@@ -39,6 +41,7 @@
 
 private:
   TimePoint now{ std::chrono::hours(1) };
+  Duration wallClockStep{ 0 };
   std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> actions;
   std::uint64_t nextNumber = 0;
 };
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -211,8 +211,7 @@
 
 std::uint32_t Dispatcher::CountRestarts(const WorkerId& aWorker) const
 {
-  Worker* worker = this->impl->state.FindWorker(aWorker);
-  return worker == nullptr ? 0 : std::min(worker->restarts, this->impl->settings.maxFencedRestarts);
+  return std::min(this->impl->state.CountRestarts(aWorker), this->impl->settings.maxFencedRestarts);
 }
 
 bool Dispatcher::IsFenced(const WorkerId& aWorker) const
--- a/packages/dispatch/src/FleetState.cpp
+++ b/packages/dispatch/src/FleetState.cpp
@@ -53,6 +53,9 @@
     worker->listing.id = aId;
     worker->number = static_cast<std::uint32_t>(this->workersByNumber.size());
     this->workersByNumber.push_back(worker.get());
+    if (auto removed = this->restartsOfRemovedWorkers.extract(aId)) {
+      worker->restarts = removed.mapped();
+    }
   }
   return *worker;
 }
@@ -63,6 +66,16 @@
   return found == this->workers.end() ? nullptr : found->second.get();
 }
 
+std::uint32_t FleetState::CountRestarts(const WorkerId& aWorker) const
+{
+  auto worker = this->workers.find(aWorker);
+  if (worker != this->workers.end()) {
+    return worker->second->restarts;
+  }
+  auto removed = this->restartsOfRemovedWorkers.find(aWorker);
+  return removed == this->restartsOfRemovedWorkers.end() ? 0 : removed->second;
+}
+
 Job* FleetState::FindJob(const JobId& aId)
 {
   auto found = this->jobs.find(aId);
@@ -268,6 +281,10 @@
       continue;
     }
     this->workersByNumber[worker.number] = nullptr;
+    if (worker.hasReported) {
+      // It may restart before it is listed again, while it is not polled.
+      this->restartsOfRemovedWorkers[entry->first] = worker.restarts + 1;
+    }
     entry = this->workers.erase(entry);
   }
 }
--- a/packages/dispatch/src/FleetState.h
+++ b/packages/dispatch/src/FleetState.h
@@ -28,6 +28,9 @@
   std::size_t WorkerNumbers() const { return this->workersByNumber.size(); }
   /// Removes the workers that are not listed and have no attempts.
   void RemoveUnlistedWorkers();
+  /// Restarts of a worker that were noticed in this term, also of one that was removed. While it is
+  /// removed nobody notices one, so that time counts as one restart.
+  std::uint32_t CountRestarts(const WorkerId& aWorker) const;
   Job* FindJob(const JobId& aId);
   Step* FindStep(const StepName& aName);
   Attempt* FindAttempt(AttemptKey aKey);
@@ -79,6 +82,8 @@
   std::map<QueueName, QueuePolicy> queues;
   std::unordered_map<AttemptKey, std::unique_ptr<Attempt>> attempts;
   AttemptKey nextKey = 1;
+  /// What CountRestarts returns for the workers that were removed.
+  std::unordered_map<WorkerId, std::uint32_t> restartsOfRemovedWorkers;
   /// Null for the numbers of removed workers.
   std::vector<Worker*> workersByNumber;
 };
