A tombstone outlasts the writes that it is there for, and ends

Cause: a submission was repeated until its caller's deadline, up to ten minutes, and the tombstone of a withdrawn job ends after 130 s; the leader counted that by its wall clock, which may be set; and a tombstone was only deleted along with other records, so in an idle cluster its id was refused for ever. Change: a submission is repeated for half of the retention time at most, as a notice is (MaxHandoverTime); the leader counts by its steady clock; an expired tombstone is deleted without other records. Ruled out: a limit on callers' deadlines, which other requests share.

--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -72,11 +72,12 @@
       submission->definition.teamRules = teamRules->second;
     }
   }
-  submission->deadline = this->env.loop.Now() + aTimeout;
+  Duration timeout = std::min(aTimeout, MaxHandoverTime(this->env.settings));
+  submission->deadline = this->env.loop.Now() + timeout;
   submission->done = std::move(aDone);
   // The calls to the store and to the leader may end later than the caller waits.
   this->env.loop.After(
-    aTimeout, [this, submission] { this->FinishSubmission(submission, SubmitOutcome::Unknown); });
+    timeout, [this, submission] { this->FinishSubmission(submission, SubmitOutcome::Unknown); });
   if (this->membership.IsStoreAvailable()) {
     this->StoreJob(submission);
   } else {
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -233,9 +233,9 @@
   /// Jobs whose final state is stored.
   std::unordered_map<JobId, FinishedJob> finished;
   /// Jobs that were cancelled before they were stored, by the time at which this leader read that.
-  /// Their tombstones are deleted after the retention time, which is longer than a write may be
-  /// late or repeated.
-  std::unordered_map<JobId, WallTime> withdrawnJobs;
+  /// Their tombstones are deleted after the retention time, which is longer than a write of them
+  /// may be late or repeated (MaxHandoverTime).
+  std::unordered_map<JobId, TimePoint> withdrawnJobs;
   /// Actions that follow once a batch of records is stored.
   struct BatchInFlight
   {
@@ -261,6 +261,8 @@
   CompletionTracker completionTracker;
   /// Records for the next batch in addition to the jobs' progress; an empty value deletes the key.
   std::map<std::string, std::string> cleanupRecords;
+  /// The cleanup records are written soon, even if there are no others.
+  bool isCleanupDue = false;
   /// Jobs whose records cleanupRecords deletes. They stay known until that is stored; otherwise a
   /// list that is read anew would add them as new jobs.
   std::vector<JobId> expiredJobs;
--- a/packages/coordination/src/LeaderRecords.cpp
+++ b/packages/coordination/src/LeaderRecords.cpp
@@ -57,8 +57,9 @@
   }
   this->completionTracker.OnBatchStarted(
     aBatch, this->workerPoller->UnacknowledgedCompletions(), batch.jobs, this->deferredJobs);
-  // Cleanup records are only written along with others.
-  if (!records.empty()) {
+  // Most cleanup records are only written along with others.
+  if (!records.empty() || this->isCleanupDue) {
+    this->isCleanupDue = false;
     records.merge(this->cleanupRecords);
     this->cleanupRecords.clear();
     batch.expired = std::exchange(this->expiredJobs, {});
@@ -161,10 +162,12 @@
   auto retention =
     std::chrono::duration_cast<std::chrono::milliseconds>(this->env.settings.retention);
   WallTime oldest = this->env.loop.WallClockNow() - retention;
+  TimePoint now = this->env.loop.Now();
   std::erase_if(this->withdrawnJobs, [&](const auto& aEntry) {
-    bool isExpired = aEntry.second < oldest && !this->State(aEntry.first);
+    bool isExpired = now - aEntry.second > retention && !this->State(aEntry.first);
     if (isExpired) {
       this->cleanupRecords[DefinitionKey(prefix, aEntry.first)] = "";
+      this->isCleanupDue = true; // Until then the id is refused.
     }
     return isExpired;
   });
--- a/packages/coordination/src/LeaderRecovery.cpp
+++ b/packages/coordination/src/LeaderRecovery.cpp
@@ -272,7 +272,7 @@
 
 void Leader::OnJobWithdrawn(const JobId& aJob, std::uint64_t aRevision)
 {
-  if (!this->withdrawnJobs.try_emplace(aJob, this->env.loop.WallClockNow()).second) {
+  if (!this->withdrawnJobs.try_emplace(aJob, this->env.loop.Now()).second) {
     return;
   }
   bool isKnown = this->State(aJob).has_value();
--- a/packages/coordination/src/StoredJobNotifier.cpp
+++ b/packages/coordination/src/StoredJobNotifier.cpp
@@ -18,9 +18,6 @@
 constexpr std::size_t kMaxBytesPerCall = 128 * 1024;
 /// Bounds the memory of an instance that reaches no leader for a long time.
 constexpr std::size_t kMaxWaitingJobs = 4096;
-/// A job waits for this part of the retention time at most: a leader that found it in the job list
-/// forgets it after the whole time, and would run it again.
-constexpr int kRetentionDivisor = 2;
 } // namespace
 
 StoredJobNotifier::StoredJobNotifier(const Leader::Environment& aEnvironment,
@@ -70,7 +67,7 @@
 
 void StoredJobNotifier::RemoveExpired()
 {
-  TimePoint oldest = this->env.loop.Now() - this->env.settings.retention / kRetentionDivisor;
+  TimePoint oldest = this->env.loop.Now() - MaxHandoverTime(this->env.settings);
   while (!this->waiting.empty() && this->waiting.front().addedAt < oldest) {
     this->GiveUpOldest();
   }
--- a/packages/coordination/src/StoredJobNotifier.h
+++ b/packages/coordination/src/StoredJobNotifier.h
@@ -8,6 +8,14 @@
 
 namespace daisydrift::coordination {
 
+/// Longest time in which an instance goes on storing a job or telling a leader about it: half of
+/// the retention time. After all of it the leader has forgotten a job that has ended or was
+/// cancelled, and would run it again.
+inline Duration MaxHandoverTime(const InstanceSettings& aSettings)
+{
+  return aSettings.retention / 2;
+}
+
 /// Tells the leader about stored jobs, and repeats it until a leader has taken them. One call is
 /// open at a time, with many jobs, so that a late leader gets few calls. A job that is given up, or
 /// whose instance ends, is found by the leader in the job list.
--- a/packages/coordination/tests/WithdrawnJobTest.cpp
+++ b/packages/coordination/tests/WithdrawnJobTest.cpp
@@ -9,7 +9,6 @@
 using std::chrono::seconds;
 
 constexpr const char* kJobKey = "daisydrift/jobs/job";
-constexpr milliseconds kTimeout{ 2500 };
 
 class WithdrawnJobTest : public Cluster
 {
@@ -47,7 +46,7 @@
       Instance* instance =
         found == this->instances.end() ? this->instances.rbegin()->second : found->second;
       instance->Submit(
-        job, kTimeout, [this](SubmitOutcome aOutcome) { this->outcomes.push_back(aOutcome); });
+        job, this->timeout, [this](SubmitOutcome aOutcome) { this->outcomes.push_back(aOutcome); });
     });
   }
 
@@ -107,12 +106,13 @@
            aTransaction.puts[0].value.front() == '{';
   }
   /// The write that keeps the job from being stored.
-  static bool WritesMark(const KeyValueTransaction& aTransaction)
+  static bool WritesTombstone(const KeyValueTransaction& aTransaction)
   {
     return aTransaction.puts.size() == 1 && aTransaction.puts[0].key == kJobKey &&
            aTransaction.puts[0].value.front() != '{';
   }
 
+  Duration timeout = milliseconds(2500);
   int nextInstance = 3;
   std::vector<SubmitOutcome> outcomes;
   std::error_code answer;
@@ -141,8 +141,8 @@
   EXPECT_EQ(this->Cancel(this->Follower(), "job"), make_error_code(Errc::NotFound));
 }
 
-// Guards against ids that can never be used again, and against a store that fills with marks.
-TEST_F(WithdrawnJobTest, AMarkEndsWithTheRetentionTime)
+// Guards against ids that can never be used again, and against a store that fills with tombstones.
+TEST_F(WithdrawnJobTest, ATombstoneEndsWithTheRetentionTime)
 {
   this->StartInstances();
   this->CancelUntilAcknowledged(this->Follower());
@@ -153,18 +153,49 @@
   this->loop.RunFor(seconds(60));
   EXPECT_EQ(this->Submit(this->Follower(), LongJob()), SubmitOutcome::Refused);
   this->loop.RunFor(seconds(90));
-  ASSERT_EQ(this->Submit(this->Follower(), "other", 1), SubmitOutcome::Accepted);
-  this->loop.RunFor(seconds(3));
+  // Although there is no other record to write.
   EXPECT_EQ(this->store.Value(kJobKey), "");
   EXPECT_EQ(this->Submit(this->Follower(), LongJob()), SubmitOutcome::Accepted);
   this->loop.RunFor(seconds(3));
   EXPECT_EQ(this->CountRuns(), 2U);
 }
 
+// Guards against a tombstone that ends before the writes that it is there for: the caller's time is
+// longer than the retention time, and the store does not answer the instance.
+TEST_F(WithdrawnJobTest, NoWriteIsRepeatedAfterTheTombstoneHasEnded)
+{
+  this->StartInstances();
+  this->store.lateDelay = std::chrono::hours(1);
+  bool isLossy = true;
+  this->store.commitFault = [&isLossy](const KeyValueTransaction& aTransaction) {
+    return isLossy && WritesDefinition(aTransaction) ? CommitFault::AppliedLate : CommitFault::None;
+  };
+  this->timeout = std::chrono::minutes(10);
+  this->SubmitLater(this->Follower(), Duration(0));
+  this->loop.RunFor(milliseconds(100));
+  this->CancelUntilAcknowledged(this->LeaderNumber());
+  this->loop.RunFor(seconds(200));
+  isLossy = false;
+  this->ExpectNotRunning(seconds(60));
+  EXPECT_EQ(this->outcomes, std::vector<SubmitOutcome>{ SubmitOutcome::Unknown });
+}
+
+// Guards against a tombstone that ends at once, since the wall clock was set.
+TEST_F(WithdrawnJobTest, ATombstoneLastsThoughTheWallClockIsSet)
+{
+  this->StartInstances();
+  this->CancelUntilAcknowledged(this->Follower());
+  this->loop.RunFor(seconds(1));
+  this->loop.StepWallClock(std::chrono::minutes(5));
+  this->loop.RunFor(seconds(10));
+  EXPECT_EQ(this->Submit(this->Follower(), LongJob()), SubmitOutcome::Refused);
+  this->ExpectNotRunning(seconds(5));
+}
+
 struct Combination
 {
   CommitFault definitionFault;
-  CommitFault markFault;
+  CommitFault tombstoneFault;
   /// Time from the submission to the cancelling.
   milliseconds cancelAfter;
   /// The leader ends after the submission, and after the acknowledgement.
@@ -189,7 +220,7 @@
     };
     Combination combination;
     combination.definitionFault = kFaults[aCode % 4];
-    combination.markFault = kFaults[aCode / 4 % 4];
+    combination.tombstoneFault = kFaults[aCode / 4 % 4];
     combination.cancelAfter = kDelays[aCode / 16 % 4];
     combination.isReplacedBefore = aCode / 64 % 2 != 0;
     combination.isReplacedAfter = aCode / 128 % 2 != 0;
@@ -208,15 +239,15 @@
   this->StartInstances();
   this->store.lateDelay = milliseconds(2500);
   // The first two writes of the definition, which the instance sends side by side, and the first
-  // write of the mark.
+  // write of the tombstone.
   int definitionFaults = 2;
-  int markFaults = 1;
+  int tombstoneFaults = 1;
   this->store.commitFault = [&](const KeyValueTransaction& aTransaction) {
     if (WritesDefinition(aTransaction) && definitionFaults-- > 0) {
       return combination.definitionFault;
     }
-    if (WritesMark(aTransaction) && markFaults-- > 0) {
-      return combination.markFault;
+    if (WritesTombstone(aTransaction) && tombstoneFaults-- > 0) {
+      return combination.tombstoneFault;
     }
     return CommitFault::None;
   };
