A job whose part says that it has failed starts no task again

Cause: of a job in parts the head, which says that the job has failed, may be older than the part with the failures. Change: a restored job fails if one of its tasks, or a gang, has used up its attempts.

--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -251,11 +251,7 @@
   for (Job* job : this->state.openJobs) {
     if (job->definition.queue == aRules.name) {
       job->latencyObjective = dispatch::LatencyObjectiveOf(job->definition, *job->queue);
-      for (const auto& step : job->steps) {
-        for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
-          this->FailIfAttemptsAreUsedUp(*step, index);
-        }
-      }
+      this->FailIfAttemptsAreUsedUp(*job);
     }
   }
 }
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -78,6 +78,8 @@
   void AdoptRules(const QueuePolicy& aRules);
   /// Fails the job of a task that has failed as often as its queue allows.
   void FailIfAttemptsAreUsedUp(dispatch::Step& aStep, std::uint32_t aIndex);
+  /// The same for all tasks of the job.
+  void FailIfAttemptsAreUsedUp(dispatch::Job& aJob);
   /// Restores the stored progress of all steps, the parts in any order.
   void RestoreSteps(dispatch::Job& aJob, const std::vector<StepProgress>& aParts, TimePoint aNow);
   /// Marks the tasks that have succeeded by a part; they may have open runs all the same.
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -345,6 +345,8 @@
     // Parts are stored in no order with the head.
     job.state = DispatchState::Running;
   }
+  // Likewise, the head may not say yet that the job has failed.
+  this->impl->FailIfAttemptsAreUsedUp(job);
   this->impl->StartDueOccurrences(job, aWall);
   this->impl->CompleteIfDone(job);
 }
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -88,6 +88,15 @@
   this->state.Finish(job, DispatchState::Failed, this->wall);
 }
 
+void Dispatcher::Impl::FailIfAttemptsAreUsedUp(Job& aJob)
+{
+  for (const auto& step : aJob.steps) {
+    for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
+      this->FailIfAttemptsAreUsedUp(*step, index);
+    }
+  }
+}
+
 void Dispatcher::Impl::CountFailure(Step& aStep,
                                     std::uint32_t aIndex,
                                     RunNumber aRun,
--- a/packages/dispatch/tests/RestoredPartsTest.cpp
+++ b/packages/dispatch/tests/RestoredPartsTest.cpp
@@ -13,6 +13,8 @@
 using std::chrono::seconds;
 
 constexpr const char* kWorker = "w1";
+/// Attempts that the queue of the jobs allows.
+constexpr std::size_t kMaxAttempts = 3;
 /// A job with records that this program would not write.
 constexpr const char* kOddJob = "odd";
 
@@ -21,12 +23,16 @@
 {
   std::map<TaskName, RunNumber> running;
   std::vector<RunCompletion> completions;
+  std::set<TaskName> succeeded;
+  /// Runs that have ended as failed; those of a gang count for its first task.
+  std::map<TaskName, std::set<RunNumber>> failed;
+  bool isFirstStepGang = false;
 
-  bool HasSucceeded(const TaskName& aTask) const
+  /// True if the task, or its gang, has used up its attempts.
+  bool IsUsedUp(const TaskName& aTask) const
   {
-    return std::any_of(this->completions.begin(), this->completions.end(), [&](const auto& aEnd) {
-      return aEnd.task == aTask && aEnd.outcome == RunOutcome::Succeeded;
-    });
+    auto runs = this->failed.find(this->CountedTask(aTask));
+    return runs != this->failed.end() && runs->second.size() >= kMaxAttempts;
   }
   void End(const TaskName& aTask, RunOutcome aOutcome)
   {
@@ -34,6 +40,11 @@
     ASSERT_FALSE(run.empty());
     this->completions.push_back(
       { this->completions.size() + 1, aTask, run.mapped(), aOutcome, "" });
+    if (aOutcome == RunOutcome::Succeeded) {
+      this->succeeded.insert(aTask);
+    } else if (aOutcome == RunOutcome::Failed) {
+      this->failed[this->CountedTask(aTask)].insert(run.mapped());
+    }
   }
   void EndAll(const std::function<bool(const TaskName&)>& aSelects, RunOutcome aOutcome)
   {
@@ -47,6 +58,14 @@
       this->End(task, aOutcome);
     }
   }
+
+private:
+  TaskName CountedTask(TaskName aTask) const
+  {
+    bool isGang = this->isFirstStepGang && aTask.step == 0;
+    aTask.index = isGang ? 0 : aTask.index;
+    return aTask;
+  }
 };
 
 /// The records of a job after one stage of its life.
@@ -87,7 +106,8 @@
     aDispatcher.OnReport(kWorker, report, this->now, this->now);
   }
 
-  /// Starts what waits. Expects no second run of a task, nor one after its success.
+  /// Starts what waits. Expects no second run of a task, nor one after its success or its last
+  /// attempt.
   void StartIn(Dispatcher& aDispatcher, World& aWorld)
   {
     this->Advance(milliseconds(50));
@@ -103,19 +123,28 @@
         aDispatcher.OnStartResult(key, StartResult::Accepted, this->now);
         bool isNew = aWorld.running.emplace(command->task, command->run).second;
         bool isOdd = command->task.job == kOddJob; // An odd record may cost its own job.
-        EXPECT_TRUE(isOdd || (isNew && !aWorld.HasSucceeded(command->task)))
-          << command->task.occurrence << "." << command->task.step << "." << command->task.index;
+        bool hasSucceeded = aWorld.succeeded.count(command->task) != 0;
+        EXPECT_TRUE(isOdd || (isNew && !hasSucceeded && !aWorld.IsUsedUp(command->task)))
+          << command->task.occurrence << "." << command->task.step << "." << command->task.index
+          << " run " << command->run;
       }
     }
   }
 
-  /// Runs all that is started until the job has ended.
-  void ExpectCompleted(Dispatcher& aDispatcher, World& aWorld, const JobId& aJob)
+  /// Runs all that is started until the job has ended: as failed if a task has used up its
+  /// attempts.
+  void ExpectEnded(Dispatcher& aDispatcher, World& aWorld, const JobId& aJob)
   {
     constexpr int kMaxRounds = 60;
     for (int round = 0; round < kMaxRounds; ++round) {
       this->ReportTo(aDispatcher, aWorld);
-      if (aDispatcher.State(aJob) == DispatchState::Completed) {
+      if (aDispatcher.State(aJob) == DispatchState::Completed ||
+          aDispatcher.State(aJob) == DispatchState::Failed) {
+        bool isUsedUp =
+          std::any_of(aWorld.failed.begin(), aWorld.failed.end(), [&](const auto& aEntry) {
+            return aWorld.IsUsedUp(aEntry.first);
+          });
+        EXPECT_EQ(aDispatcher.State(aJob) == DispatchState::Failed, isUsedUp);
         return;
       }
       this->StartIn(aDispatcher, aWorld);
@@ -131,6 +160,7 @@
     this->job = aJob;
     std::unique_ptr<Dispatcher> term = this->NewTerm();
     World world;
+    world.isFirstStepGang = aJob.steps[0].isGang;
     this->ReportTo(*term, world);
     term->AddJob(aJob, this->now, this->wall);
     this->stored.emplace_back();
@@ -171,7 +201,7 @@
       World world = this->worlds[newest];
       std::unique_ptr<Dispatcher> next = this->NewTerm();
       next->RestoreJob(this->job, progress, this->now, this->wall);
-      this->ExpectCompleted(*next, world, this->job.id);
+      this->ExpectEnded(*next, world, this->job.id);
     }
   }
 
@@ -264,6 +294,7 @@
   this->ExpectRestoredFromAllCombinations();
 }
 
+// The same for tasks that succeed and fail one by one.
 TEST_F(RestoredPartsTest, AStepIsRestoredFromAnyCombinationOfItsParts)
 {
   this->Play(
@@ -278,6 +309,30 @@
   this->ExpectRestoredFromAllCombinations();
 }
 
+// Guards against a task that starts after its last attempt: its part says that all have failed, and
+// the head, which is older, that the job runs.
+TEST_F(RestoredPartsTest, AJobThatHasFailedIsRestoredFromAnyCombinationOfItsParts)
+{
+  for (bool isGang : { false, true }) {
+    SCOPED_TRACE(isGang);
+    this->stored.clear();
+    this->worlds.clear();
+    auto isLastTask = [](const TaskName& aTask) { return aTask.index == 515; };
+    std::vector<std::function<void(Dispatcher&, World&)>> stages;
+    for (std::size_t attempt = 0; attempt < kMaxAttempts; ++attempt) {
+      stages.push_back(this->Starts());
+      stages.push_back(this->Ends(isLastTask, RunOutcome::Failed));
+      if (isGang) {
+        stages.push_back(this->Ends(IsAny, RunOutcome::GangBroken));
+      }
+    }
+    this->Play(TwoSteps(520, isGang), stages);
+    this->ExpectRestoredFromAllCombinations();
+  }
+}
+
+// Guards against occurrences that are run again, or never: the head says which are over, and each
+// is in a part of its own.
 TEST_F(RestoredPartsTest, AScheduleIsRestoredFromAnyCombinationOfItsParts)
 {
   JobDefinition schedule = TwoSteps(299, false);
