A stored job without tasks in a step is refused

Cause: occurrences without tasks are over at once, so nothing bounded how many of them a stored definition made a leader begin. No caller can hand such a job in; a record may say anything. Change: a step has one task at least when it is read, as when it is handed in. Measured: coordination.RecordCodecTest failed before.

--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -130,7 +130,7 @@
 {
   aFields.Require({ "tasks", "size", "estimate_us" });
   StepSpec step;
-  step.taskCount = aFields.Integer<std::uint32_t>("tasks", 0, kMaxTasks);
+  step.taskCount = aFields.Integer<std::uint32_t>("tasks", 1, kMaxTasks);
   step.size = ResourcesFrom(aFields, "size");
   step.estimate = aFields.ClampedMicroseconds("estimate_us");
   step.dependencies = NumbersFrom(aFields, "after", aPosition);
--- a/packages/coordination/tests/RecordCodecTest.cpp
+++ b/packages/coordination/tests/RecordCodecTest.cpp
@@ -78,6 +78,11 @@
   std::string error;
   EXPECT_FALSE(coordination::JobDefinitionFromJson(coordination::ToJson(job), &error));
   EXPECT_EQ(error, "steps: too many tasks");
+  // Occurrences without tasks are over at once, so that nothing bounds how many begin.
+  job.steps.resize(1);
+  job.steps[0].taskCount = 0;
+  EXPECT_FALSE(coordination::JobDefinitionFromJson(coordination::ToJson(job), &error));
+  EXPECT_EQ(error, "steps: tasks: out of range");
 }
 
 // Guards against a part of a job's progress that the store refuses: the largest one, with the
