A schedule keeps a limited number of tasks in memory, services included

Change: the occurrences from the first unfinished one on have 262,144 tasks at most, and at least one occurrence.

--- a/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
@@ -84,6 +84,8 @@
   /// Most tasks of the unfinished occurrences of one job that are considered at the same time, but
   /// at least one occurrence. Bounds the memory and the time that a late schedule takes.
   std::uint64_t maxOpenTasksPerSchedule = 16384;
+  /// The same for all occurrences from the first unfinished one on, whose state is kept in memory.
+  std::uint64_t maxTasksPerSchedule = 1 << 18;
   /// Most starts decided in one round.
   std::size_t maxStartsPerRound = 200;
   /// First run number of this term; above all run numbers of earlier leaders.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -269,6 +269,9 @@
   job->criticalPaths = dispatch::CriticalPathsOf(aDefinition);
   job->layout = dispatch::ProgressLayout(aDefinition);
   job->finiteTasks = dispatch::CountFiniteTasks(aDefinition);
+  for (const StepSpec& step : aDefinition.steps) {
+    job->tasksPerOccurrence += step.taskCount;
+  }
   if (!aDefinition.team.empty()) {
     job->team = &this->state.EnsureTeam(aDefinition.team);
     if (aDefinition.teamRules) {
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -227,6 +227,7 @@
   std::uint32_t firstOccurrence = 0;
   /// Steps of the created occurrences from firstOccurrence on, in order.
   std::deque<std::unique_ptr<Step>> steps;
+  std::uint64_t tasksPerOccurrence = 0;
   /// Tasks of one occurrence that can succeed: not those of services and of steps after them.
   std::uint64_t finiteTasks = 0;
   /// Number of those that have not succeeded, for each occurrence from firstOccurrence on, and the
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -185,11 +185,8 @@
     return nullptr; // Over, by a newer part of the record.
   }
   std::uint32_t occurrences = std::max<std::uint32_t>(aJob.definition.occurrences, 1);
-  std::uint64_t tasks = 0;
-  for (const StepSpec& step : aJob.definition.steps) {
-    tasks += step.taskCount;
-  }
-  tasks *= std::uint64_t(aPart.occurrence) - aJob.firstOccurrence + 1;
+  std::uint64_t kept = std::uint64_t(aPart.occurrence) - aJob.firstOccurrence + 1;
+  std::uint64_t tasks = kept * aJob.tasksPerOccurrence;
   bool isTooFar = aPart.occurrence > aJob.firstOccurrence && tasks > kMaxRestoredTasks;
   if (aPart.step >= aJob.definition.steps.size() || aPart.occurrence >= occurrences || isTooFar) {
     LogLine(LogLevel::Error, "progress_left_out")
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -37,10 +37,14 @@
 {
   const JobDefinition& definition = aJob.definition;
   std::uint32_t wanted = std::max<std::uint32_t>(definition.occurrences, 1);
-  // The other due occurrences follow when one of these has succeeded.
+  // The other due occurrences follow when one of these, or the first one, has succeeded.
   auto hasRoom = [&] {
-    return aJob.openOccurrences == 0 ||
-           (aJob.openOccurrences + 1) * aJob.finiteTasks <= this->settings.maxOpenTasksPerSchedule;
+    std::uint64_t kept = aJob.startedOccurrences - aJob.firstOccurrence;
+    bool fitsOpen = aJob.openOccurrences == 0 || (aJob.openOccurrences + 1) * aJob.finiteTasks <=
+                                                   this->settings.maxOpenTasksPerSchedule;
+    bool fitsKept =
+      kept == 0 || (kept + 1) * aJob.tasksPerOccurrence <= this->settings.maxTasksPerSchedule;
+    return fitsOpen && fitsKept;
   };
   while (aJob.startedOccurrences < wanted && !aJob.IsFinished() && hasRoom()) {
     if (definition.occurrences > 0) {
--- a/packages/dispatch/tests/LateScheduleTest.cpp
+++ b/packages/dispatch/tests/LateScheduleTest.cpp
@@ -61,6 +61,72 @@
   }
 }
 
+// Guards against an accepted job that ends each leader for want of memory: occurrences of services
+// are never over, so the limit of open ones does not hold for them.
+TEST_F(LateScheduleTest, OccurrencesOfServicesAreLimitedAsWell)
+{
+  JobDefinition job = this->Schedule(1, 100);
+  job.steps[0].isService = true;
+  job.steps[0].taskCount = 4096;
+  this->Add(job);
+  for (int round = 0; round < 5; ++round) {
+    this->RoundAccepted();
+    this->Advance(milliseconds(50));
+    DispatchCounts counts = this->dispatcher.Counts(this->now);
+    EXPECT_LE(counts.waitingTasks + counts.runningTasks, this->settings.maxTasksPerSchedule);
+    EXPECT_GT(counts.runningTasks, 0U);
+  }
+}
+
+// The same when the first occurrence does not end and the others do. It is the only one with runs
+// that must be known.
+TEST_F(LateScheduleTest, ASlowFirstOccurrenceHoldsBackOnlyWhatMemoryHasNoRoomFor)
+{
+  this->settings.maxTasksPerSchedule = 50;
+  Dispatcher limited(this->settings, this->now);
+  limited.SetPolicy(this->policy);
+  WorkerListing listing = *this->dispatcher.FindWorker("w1");
+  limited.ListWorker(listing);
+  std::map<TaskName, RunNumber> running;
+  std::uint64_t completion = 0;
+  auto report = [&](bool aWithFirst) {
+    WorkerReport report;
+    report.incarnation = this->incarnation;
+    report.clock = this->workerClock;
+    for (auto run = running.begin(); run != running.end();) {
+      if (run->first.occurrence == 0 && !aWithFirst) {
+        report.running.push_back({ run->first, run->second, "", 1 + int(completion % 90) });
+        ++run;
+        continue;
+      }
+      report.completions.push_back(
+        { ++completion, run->first, run->second, RunOutcome::Succeeded, "" });
+      run = running.erase(run);
+    }
+    limited.OnReport("w1", report, this->now, this->now);
+  };
+  report(false);
+  limited.AddJob(this->Schedule(1, 200), this->now, this->wall);
+  std::uint32_t last = 0;
+  auto runFor = [&](int aRounds, bool aWithFirst) {
+    for (int round = 0; round < aRounds; ++round) {
+      for (AttemptKey key : limited.Decide(this->now, this->wall, 4).starts) {
+        if (std::optional<StartCommand> command = limited.TakeStartCommand(key, this->now)) {
+          limited.OnStartResult(key, StartResult::Accepted, this->now);
+          running[command->task] = command->run;
+          last = std::max(last, command->task.occurrence);
+        }
+      }
+      this->Advance(milliseconds(50));
+      report(aWithFirst);
+    }
+  };
+  runFor(20, false);
+  EXPECT_EQ(last, 49U);
+  runFor(200, true);
+  EXPECT_EQ(limited.State("job"), DispatchState::Completed);
+}
+
 TEST_F(LateScheduleTest, AllOccurrencesSucceedInTheEnd)
 {
   this->Add(this->Schedule(3, 20000));
