The query of a stored job is in named steps

Cause: reading the diff as a newcomer: callbacks nested four deep with five captures each. Change: StoreQuery, QueryDefinition, RetryQuery. Measured: nothing beyond the tests.

--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -330,7 +330,7 @@
     if (state) {
       aDone(*state);
     } else {
-      this->QueryStore(aJob, aDeadline, true, aDone);
+      this->QueryStore({ aJob, aDeadline, aDone, true });
     }
     return;
   }
@@ -349,74 +349,58 @@
                      if (state >= 0) {
                        aDone(static_cast<DispatchState>(state));
                      } else {
-                       this->QueryStore(aJob, aDeadline, aResponse.HasValue(), aDone);
+                       this->QueryStore({ aJob, aDeadline, aDone, aResponse.HasValue() });
                      }
                    });
 }
 
-void JobRequestHandler::QueryStore(const JobId& aJob,
-                                   TimePoint aDeadline,
-                                   bool aIsUnknownToLeader,
-                                   const std::function<void(const Result<DispatchState>&)>& aDone)
+void JobRequestHandler::QueryStore(const StoreQuery& aQuery)
 {
-  auto retry = [this, aJob, aDeadline, aIsUnknownToLeader, aDone](std::error_code aError) {
-    if (this->env.loop.Now() + kRetryDelay >= aDeadline) {
-      aDone(aError);
-      return;
-    }
-    this->env.loop.After(kRetryDelay, [this, aJob, aDeadline, aIsUnknownToLeader, aDone] {
-      this->QueryStore(aJob, aDeadline, aIsUnknownToLeader, aDone);
-    });
-  };
-  const std::string& prefix = this->env.settings.storePrefix;
-  auto onClosed = [this, aJob, aDone, retry, prefix] {
-    // The final state was stored after the read that found none, or it has been deleted since.
-    this->env.store.Read(ProgressKey(prefix, aJob),
-                         [this, aDone, retry](const Result<std::optional<KeyValueItem>>& aItem) {
-                           if (!aItem) {
-                             retry(aItem.Error());
-                           } else if (*aItem) {
-                             aDone(this->StoredState(**aItem));
-                           } else {
-                             aDone(Errc::NotFound);
-                           }
-                         });
-  };
-  this->env.store.Read(ProgressKey(prefix, aJob),
-                       [this, aJob, aIsUnknownToLeader, aDone, retry, prefix, onClosed](
-                         const Result<std::optional<KeyValueItem>>& aItem) {
+  this->env.store.Read(ProgressKey(this->env.settings.storePrefix, aQuery.job),
+                       [this, aQuery](const Result<std::optional<KeyValueItem>>& aItem) {
                          if (!aItem) {
-                           retry(aItem.Error());
-                           return;
+                           this->RetryQuery(aQuery, aItem.Error());
+                         } else if (*aItem) {
+                           aQuery.done(this->StoredState(**aItem));
+                         } else if (aQuery.isClosed) {
+                           aQuery.done(Errc::NotFound); // Deleted after the retention time.
+                         } else {
+                           this->QueryDefinition(aQuery);
                          }
-                         if (*aItem) {
-                           aDone(this->StoredState(**aItem));
-                           return;
+                       });
+}
+
+void JobRequestHandler::QueryDefinition(const StoreQuery& aQuery)
+{
+  this->env.store.Read(DefinitionKey(this->env.settings.storePrefix, aQuery.job),
+                       [this, aQuery](const Result<std::optional<KeyValueItem>>& aItem) {
+                         if (!aItem) {
+                           this->RetryQuery(aQuery, aItem.Error());
+                         } else if (!*aItem || (*aItem)->value == kWithdrawnTombstone) {
+                           aQuery.done(Errc::NotFound);
+                         } else if ((*aItem)->value == kDefinitionTombstone) {
+                           // Its final state was stored before, perhaps since the read of it.
+                           StoreQuery closed = aQuery;
+                           closed.isClosed = true;
+                           this->QueryStore(closed);
+                         } else {
+                           if (aQuery.isUnknownToLeader) {
+                             this->NotifyLeader((*aItem)->value);
+                           }
+                           aQuery.done(DispatchState::Queued);
                          }
-                         this->env.store.Read(
-                           DefinitionKey(prefix, aJob),
-                           [this, aIsUnknownToLeader, aDone, retry, onClosed](
-                             const Result<std::optional<KeyValueItem>>& aDefinition) {
-                             if (!aDefinition) {
-                               retry(aDefinition.Error());
-                               return;
-                             }
-                             if (!*aDefinition || (*aDefinition)->value == kWithdrawnTombstone) {
-                               aDone(Errc::NotFound);
-                               return;
-                             }
-                             if ((*aDefinition)->value == kDefinitionTombstone) {
-                               onClosed();
-                               return;
-                             }
-                             if (aIsUnknownToLeader) {
-                               this->NotifyLeader((*aDefinition)->value);
-                             }
-                             aDone(DispatchState::Queued);
-                           });
                        });
 }
 
+void JobRequestHandler::RetryQuery(const StoreQuery& aQuery, std::error_code aError)
+{
+  if (this->env.loop.Now() + kRetryDelay >= aQuery.deadline) {
+    aQuery.done(aError);
+    return;
+  }
+  this->env.loop.After(kRetryDelay, [this, aQuery] { this->QueryStore(aQuery); });
+}
+
 Result<DispatchState> JobRequestHandler::StoredState(const KeyValueItem& aProgress)
 {
   std::string error;
--- a/packages/coordination/src/JobRequestHandler.h
+++ b/packages/coordination/src/JobRequestHandler.h
@@ -35,6 +35,17 @@
 
 private:
   struct Submission;
+  /// Query of a job's state in the store.
+  struct StoreQuery
+  {
+    JobId job;
+    TimePoint deadline;
+    std::function<void(const Result<DispatchState>&)> done;
+    /// The leader has answered that it does not know the job.
+    bool isUnknownToLeader = false;
+    /// The marker of a closed job was read.
+    bool isClosed = false;
+  };
   using Reply = std::function<void(const Result<nlohmann::json>&)>;
 
   void StoreJob(const std::shared_ptr<Submission>& aSubmission);
@@ -65,11 +76,11 @@
   void QueryLeader(const JobId& aJob,
                    TimePoint aDeadline,
                    const std::function<void(const Result<DispatchState>&)>& aDone);
-  /// aIsUnknownToLeader: the leader has answered that it does not know the job.
-  void QueryStore(const JobId& aJob,
-                  TimePoint aDeadline,
-                  bool aIsUnknownToLeader,
-                  const std::function<void(const Result<DispatchState>&)>& aDone);
+  /// Reads the state of a job from its stored progress or, if it has none, its definition.
+  void QueryStore(const StoreQuery& aQuery);
+  void QueryDefinition(const StoreQuery& aQuery);
+  /// Calls QueryStore again after a delay, or reports the error.
+  void RetryQuery(const StoreQuery& aQuery, std::error_code aError);
   /// State in a stored progress record. Error Corrupt, after a report, when it can't be decoded.
   Result<DispatchState> StoredState(const KeyValueItem& aProgress);
   void CancelWithRetries(const JobId& aJob,
