--- a/packages/coordination/src/RecordCodec.h
+++ b/packages/coordination/src/RecordCodec.h
@@ -16,7 +16,7 @@
 std::optional<JobDefinition> JobDefinitionFromJson(const nlohmann::json& aRecord,
                                                    std::string* aError = nullptr);
 
-/// Highest term that is read: an election each millisecond for thirty years. A higher one would
+/// Highest term that is read: an election each second for thirty years. A higher one would
 /// leave no greater terms and run numbers to later leaders.
 inline constexpr Epoch kMaxTerm = 1'000'000'000'000;
 
