What forbids a start is checked again before it is repeated

Cause: a start without a response was sent up to three times, 200 ms apart, by what was known before the first: also to a worker that had begun to leave, in a domain drained meanwhile, or for a cancelled job. And a request that waited for a reused connection while the process did not run was sent after its time. Change: a start is repeated only while the list of workers is recent and worker, domain and job still allow it; otherwise its stop follows. The client does not begin an exchange whose time is over. Ruled out: waiting for a newer list before the repetition, as before the first attempt: the stop and a start elsewhere take no longer. Measured: ClusterTest.StartIsNotRepeatedOnAWorkerThatLeaves and HttpTest.QueuedRequestIsNotSentAfterItsTimeWhenTheProcessWasSuspended fail before and pass after; coordination_ClusterTest 30 of 30, http_HttpTest 23 of 23.

--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -153,6 +153,8 @@
   /// True if no other instance leads: the lease of leadership can't have ended, or the store has
   /// just shown that it has not.
   bool IsLeadershipCertain() const;
+  /// True while starts may be sent by the list of workers as it is known.
+  bool IsWorkerListRecent() const;
   /// Reads the leader key, until the store answers, and sends the starts if it is unchanged.
   void ConfirmAndSendStarts(const std::vector<AttemptKey>& aStarts);
   void SendStart(const StartCommand& aCommand, int aAttempt);
--- a/packages/coordination/src/LeaderStarts.cpp
+++ b/packages/coordination/src/LeaderStarts.cpp
@@ -20,6 +20,11 @@
          this->env.loop.Now() - this->startsConfirmedAt < kMaxConfirmTime;
 }
 
+bool Leader::IsWorkerListRecent() const
+{
+  return this->env.loop.Now() - this->workersKnownAt <= this->env.settings.maxWorkerListAge;
+}
+
 void Leader::ConfirmAndSendStarts(const std::vector<AttemptKey>& aStarts)
 {
   TimePoint sentAt = this->env.loop.Now();
@@ -54,7 +59,7 @@
     this->ConfirmAndSendStarts(aStarts);
     return;
   }
-  if (!aStarts.empty() && now - this->workersKnownAt > this->env.settings.maxWorkerListAge) {
+  if (!aStarts.empty() && !this->IsWorkerListRecent()) {
     this->startsAwaitingWorkers.insert(
       this->startsAwaitingWorkers.end(), aStarts.begin(), aStarts.end());
     this->env.metrics.Count("starts_delayed_by_worker_list_total", aStarts.size());
@@ -109,7 +114,10 @@
   // A worker that has ended the run recognizes its start only until it restarts, so a run that is
   // over is not started again.
   bool isOver = this->dispatcher->JobOf(aCommand.attempt) == nullptr;
-  bool canRepeat = aAttempt < kStartAttempts && !isOver && this->IsLeadershipCertain();
+  // Each attempt takes a timeout, in which the worker may have begun to leave or the job may have
+  // been cancelled.
+  bool isAllowed = this->dispatcher->IsStartAllowed(aCommand.attempt) && this->IsWorkerListRecent();
+  bool canRepeat = aAttempt < kStartAttempts && !isOver && isAllowed && this->IsLeadershipCertain();
   if (aResult == StartResult::Unknown && canRepeat) {
     this->SendStart(aCommand, aAttempt + 1);
     return;
--- a/packages/coordination/tests/ClusterTest.cpp
+++ b/packages/coordination/tests/ClusterTest.cpp
@@ -106,6 +106,27 @@
   EXPECT_EQ(started, std::set<WorkerId>{ "w3" });
 }
 
+// Guards against a start whose response was lost and that is sent again to a worker that the leader
+// knows to be leaving by then.
+TEST_F(ClusterTest, StartIsNotRepeatedOnAWorkerThatLeaves)
+{
+  std::map<WorkerId, TimePoint> leavingSince;
+  std::vector<Duration> sentAfterLeaving;
+  this->fleet.startFault = [&](const StartCommand& aCommand) {
+    auto [entry, isFirst] = leavingSince.try_emplace(aCommand.worker, this->loop.Now());
+    if (isFirst) {
+      FakeFleet::Drain(this->store, aCommand.worker);
+    }
+    sentAfterLeaving.push_back(this->loop.Now() - entry->second);
+    return StartFault::AppliedLate;
+  };
+  ASSERT_EQ(this->Submit(0, "job", 3), SubmitOutcome::Accepted);
+  this->loop.RunFor(seconds(2));
+  ASSERT_FALSE(sentAfterLeaving.empty());
+  // The leader reads the list every 400 ms.
+  EXPECT_LE(*std::max_element(sentAfterLeaving.begin(), sentAfterLeaving.end()), milliseconds(500));
+}
+
 // Guards against a group that learns of its leader's end only when a watch has timed out.
 TEST_F(ClusterTest, ExpiredLeaderIsReplacedInTimeWhileWatchResponsesAreLost)
 {
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -118,6 +118,9 @@
   /// Returns the start command of an attempt whose job progress has been stored and marks it as
   /// sent; empty when the start is no longer wanted.
   std::optional<StartCommand> TakeStartCommand(AttemptKey aAttempt, TimePoint aNow);
+  /// True while the start of an attempt may be sent, or sent again: the worker is not leaving and
+  /// not drained, and the job is not cancelled.
+  bool IsStartAllowed(AttemptKey aAttempt) const;
   /// Processes the result of a start command; does nothing when the attempt no longer exists.
   void OnStartResult(AttemptKey aAttempt, StartResult aResult, TimePoint aNow);
   /// The worker confirmed a stop command.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -258,9 +258,7 @@
   bool hasTicket = ticket != nullptr && ticket->validUntil > aNow;
   // WorkerReliability::AcceptsStarts can't be used here: it rejects a probing worker with an
   // attempt, and this attempt is one.
-  bool isWanted = !step.job->IsFinished() && !attempt->isStopping && worker.isListed &&
-                  !worker.isUnresponsive && worker.isFenced && !worker.IsDraining() &&
-                  this->impl->state.drainedDomains.count(worker.listing.domain) == 0 &&
+  bool isWanted = this->IsStartAllowed(aAttempt) && !worker.isUnresponsive && worker.isFenced &&
                   (hasTicket || !step.job->queue->advice);
   if (!isWanted) {
     if (step.spec->isGang) {
@@ -283,6 +281,17 @@
   return command;
 }
 
+bool Dispatcher::IsStartAllowed(AttemptKey aAttempt) const
+{
+  const Attempt* attempt = this->impl->state.FindAttempt(aAttempt);
+  if (attempt == nullptr || attempt->isStopping || attempt->step->job->IsFinished()) {
+    return false;
+  }
+  const Worker& worker = *attempt->worker;
+  return worker.isListed && !worker.IsDraining() &&
+         this->impl->state.drainedDomains.count(worker.listing.domain) == 0;
+}
+
 void Dispatcher::OnStartResult(AttemptKey aAttempt, StartResult aResult, TimePoint aNow)
 {
   Attempt* attempt = this->impl->state.FindAttempt(aAttempt);
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -61,6 +61,9 @@
     const PendingRequest& pending = *this->currentRequest;
     this->deadline = pending.sentAt + std::min(pending.limits.response, pending.limits.total);
     this->WaitForDeadline();
+    if (this->loop.Now() >= this->deadline) {
+      return; // The timer ends the exchange; a request is not sent after its time.
+    }
     if (this->socket.is_open()) {
       this->Write();
     } else {
--- a/packages/http/tests/HttpTest.cpp
+++ b/packages/http/tests/HttpTest.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <random>
 #include <thread>
@@ -177,6 +178,40 @@
   EXPECT_EQ(unanswered.size(), 2U);
 }
 
+// Guards against a request that waited for a connection while the process was suspended and is sent
+// after its time, when its caller has given it up.
+TEST_F(HttpTest, QueuedRequestIsNotSentAfterItsTimeWhenTheProcessWasSuspended)
+{
+  std::vector<std::string> received;
+  this->handler = [&](const Ref<HttpExchange>& aExchange) {
+    received.push_back(aExchange->Request().target);
+    aExchange->Reply({ 200, {}, "" });
+    if (received.size() == 2) {
+      // The responses arrive while the process does not run.
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+  };
+  std::map<std::string, std::error_code> results;
+  auto send = [&](const std::string& aTarget, Duration aTimeout) {
+    this->client.Send(this->endpoint,
+                      { "GET", aTarget, {}, "" },
+                      aTimeout,
+                      [&results, aTarget, this](const Result<HttpResponse>& aResponse) {
+                        results[aTarget] = aResponse.Error();
+                        if (results.size() == 3) {
+                          this->loop.Stop();
+                        }
+                      });
+  };
+  send("/first", seconds(20));
+  send("/second", seconds(20));
+  send("/late", milliseconds(100));
+  this->loop.Run();
+  this->loop.Context().restart();
+  EXPECT_EQ(results["/late"], make_error_code(Errc::DeadlineExceeded));
+  EXPECT_EQ(std::count(received.begin(), received.end(), "/late"), 0);
+}
+
 // Guards against a process that runs out of descriptors on a large fleet, since it keeps idle
 // connections to each worker.
 TEST_F(HttpTest, IdleConnectionsToAllEndpointsTogetherAreLimited)
