A request is answered with 504 only if it may have had an effect, and with 503 only if it never will

Cause: a submission ended as unknown at its deadline whatever had been sent, a cancellation always; a write that the store confirmed with an unreadable body was answered with 503 although the job was stored; queries and cancellations of an instance that leads had no end while the store was silent. Change: JobSubmitter (split from JobRequestHandler) and the cancellations know what was sent for each request; their outcome follows from it, also at the end of the process (Instance::EndOpenRequests), and nothing is sent for a request that has ended. A peer's failed cancellation is answered with 504 instead of 409. The paths are in docs/design/outages.md. CallerApiTest.OpenRequestsAreAnsweredBeforeTheProcessEnds expected 504 for a cancellation for which only a read had been sent; it now expects 503, and CallOutcomeTest has the cases in which 504 is true. Ruled out: to answer 504 whenever in doubt: callers then repeat what could go elsewhere at once, and it hid the false 503. Measured: nothing; CallOutcomeTest, CallerApiTest, CallerDeadlineTest, HttpPeerTransportTest, JobLifeTest and WithdrawnJobTest pass. Conclusion: refusals can be relied on, which holding submissions through an outage needs.

--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -143,10 +143,13 @@
              Duration aTimeout,
              const std::function<void(const Result<DispatchState>&)>& aDone);
   /// Cancels a job; aDone runs once that is stored. Errors: NotFound (no such job), OutcomeUnknown
-  /// (not confirmed; the job may be cancelled).
+  /// (not confirmed; the job may be cancelled), Unreachable (not carried out, and never will be).
   void Cancel(const JobId& aJob,
               Duration aTimeout,
               const std::function<void(std::error_code)>& aDone);
+  /// Answers all open submissions and cancellations at once, before the process ends. Those that
+  /// have had no effect so far have none later.
+  void EndOpenRequests();
   /// Counts the accepted jobs of a queue that have not started. Error Unreachable: no leader has
   /// answered within aTimeout.
   void CountPending(const QueueName& aQueue,
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -434,7 +434,8 @@
   if (Leader* own = this->LeaderFor(aCall)) {
     own->Cancel(job, [reply = aCall.reply](std::error_code aError) {
       if (aError && aError != make_error_code(Errc::NotFound)) {
-        reply(aError);
+        // The term has ended; the cancellation may be stored even so.
+        reply(Errc::OutcomeUnknown);
       } else {
         reply(json{ { "found", !aError } });
       }
@@ -592,6 +593,11 @@
   this->impl->requestHandler.Cancel(aJob, aTimeout, aDone);
 }
 
+void Instance::EndOpenRequests()
+{
+  this->impl->requestHandler.EndOpenRequests();
+}
+
 void Instance::CountPending(const QueueName& aQueue,
                             Duration aTimeout,
                             const std::function<void(const Result<std::size_t>&)>& aDone)
--- a/packages/coordination/src/JobRequestHandler.cpp
+++ b/packages/coordination/src/JobRequestHandler.cpp
@@ -20,28 +20,13 @@
 constexpr std::chrono::milliseconds kStoreReadTime{ 300 };
 /// For calls that are repeated until their deadline.
 constexpr int kMaxAttempts = 1000;
-/// A write without a response after this time is sent again in parallel. The store normally
-/// responds within 4 ms.
-constexpr std::chrono::milliseconds kHedgeDelay{ 150 };
-constexpr int kMaxOpenWrites = 4;
+/// A cancellation's call to the leader ends this long before the caller's time, so that its error,
+/// which says whether it was sent, is known by then.
+constexpr std::chrono::milliseconds kCallMargin{ 20 };
 constexpr int kLastState = static_cast<int>(DispatchState::Cancelled);
 constexpr std::size_t kMaxPending = std::numeric_limits<std::uint32_t>::max();
 } // namespace
 
-struct JobRequestHandler::Submission
-{
-  JobDefinition definition;
-  TimePoint deadline;
-  std::function<void(SubmitOutcome)> done;
-  /// The outcome of a write is unknown, so the job may be stored.
-  bool mayBeStored = false;
-  /// Received from another instance; not forwarded again.
-  bool isForPeer = false;
-  /// Writes without a response so far.
-  int openWrites = 0;
-  bool wasSentToLeader = false;
-};
-
 JobRequestHandler::JobRequestHandler(
   const Leader::Environment& aEnvironment,
   Membership& aMembership,
@@ -52,6 +37,7 @@
   , ownLeader(std::move(aOwnLeader))
   , checkLeadership(std::move(aCheckLeadership))
   , notifier(aEnvironment, aMembership, this->ownLeader)
+  , submitter(aEnvironment, aMembership, this->ownLeader, this->notifier)
 {
 }
 
@@ -59,194 +45,21 @@
                                Duration aTimeout,
                                std::function<void(SubmitOutcome)> aDone)
 {
-  auto submission = std::make_shared<Submission>();
-  submission->definition = aDefinition;
-  if (const FleetConfig* config = this->env.config.Config()) {
-    // The leader may have a configuration without this queue or team, now or after its removal.
-    auto rules = config->policy.queues.find(aDefinition.queue);
-    if (rules != config->policy.queues.end()) {
-      submission->definition.rules = rules->second;
-    }
-    auto teamRules = config->policy.teams.find(aDefinition.team);
-    if (teamRules != config->policy.teams.end()) {
-      submission->definition.teamRules = teamRules->second;
-    }
-  }
-  Duration timeout = std::min(aTimeout, MaxHandoverTime(this->env.settings));
-  submission->deadline = this->env.loop.Now() + timeout;
-  submission->done = std::move(aDone);
-  // The calls to the store and to the leader may end later than the caller waits.
-  this->env.loop.After(
-    timeout, [this, submission] { this->FinishSubmission(submission, SubmitOutcome::Unknown); });
-  if (this->membership.IsStoreAvailable()) {
-    this->StoreJob(submission);
-  } else {
-    this->SubmitToLeader(submission);
-  }
-}
-
-void JobRequestHandler::RefuseAsync(const std::shared_ptr<Submission>& aSubmission)
-{
-  this->env.loop.After(Duration(0), [this, aSubmission] {
-    this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
-  });
+  this->submitter.Submit(aDefinition, aTimeout, std::move(aDone));
 }
 
 void JobRequestHandler::StoreForPeer(const JobDefinition& aDefinition,
                                      std::function<void(SubmitOutcome)> aDone)
 {
-  auto submission = std::make_shared<Submission>();
-  submission->definition = aDefinition;
-  submission->deadline = this->env.loop.Now() + kLeaderTimeout;
-  submission->done = std::move(aDone);
-  submission->isForPeer = true;
-  if (this->membership.IsStoreAvailable()) {
-    this->StoreJob(submission);
-  } else {
-    this->RefuseAsync(submission);
-  }
-}
-
-void JobRequestHandler::StoreJob(const std::shared_ptr<Submission>& aSubmission)
-{
-  KeyValueTransaction transaction;
-  std::string key = DefinitionKey(this->env.settings.storePrefix, aSubmission->definition.id);
-  transaction.conditions.push_back({ key, 0 });
-  transaction.puts.push_back({ key, ToJson(aSubmission->definition).dump(), 0 });
-  ++aSubmission->openWrites;
-  this->env.store.Commit(transaction, [this, aSubmission](const Result<std::uint64_t>& aRevision) {
-    --aSubmission->openWrites;
-    this->OnStoreResponse(aSubmission, aRevision);
-  });
-  // Repeating the write is safe: at most one of them finds the id unused.
-  this->env.loop.After(kHedgeDelay, [this, aSubmission] {
-    if (aSubmission->done && aSubmission->openWrites > 0 &&
-        aSubmission->openWrites < kMaxOpenWrites) {
-      this->StoreJob(aSubmission);
-    }
-  });
-}
-
-void JobRequestHandler::OnStoreResponse(const std::shared_ptr<Submission>& aSubmission,
-                                        const Result<std::uint64_t>& aRevision)
-{
-  if (!aSubmission->done) {
-    return; // Another write has determined the outcome.
-  }
-  bool isOutcomeUnknown = aRevision.Error() == make_error_code(Errc::OutcomeUnknown);
-  if (!isOutcomeUnknown) {
-    this->membership.OnStoreResult(aRevision.Error());
-  }
-  if (aRevision) {
-    this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
-    this->notifier.Add(aSubmission->definition);
-    return;
-  }
-  if (aRevision.Error() == make_error_code(Errc::Conflict)) {
-    this->ResolveConflict(aSubmission);
-    return;
-  }
-  aSubmission->mayBeStored = aSubmission->mayBeStored || isOutcomeUnknown;
-  if (aSubmission->openWrites > 0) {
-    return;
-  }
-  // While the store is unavailable, report the result at once: the caller may retry on another
-  // instance.
-  bool cannotBeResolved = aSubmission->mayBeStored && !this->membership.IsStoreAvailable();
-  if (cannotBeResolved || this->env.loop.Now() + kRetryDelay >= aSubmission->deadline) {
-    this->FinishSubmission(
-      aSubmission, aSubmission->mayBeStored ? SubmitOutcome::Unknown : SubmitOutcome::Refused);
-  } else if (aSubmission->mayBeStored) {
-    this->env.loop.After(kRetryDelay, [this, aSubmission] { this->StoreJob(aSubmission); });
-  } else if (!aSubmission->isForPeer && !aSubmission->wasSentToLeader) {
-    this->SubmitToLeader(aSubmission);
-  } else {
-    this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
-  }
-}
-
-void JobRequestHandler::ResolveConflict(const std::shared_ptr<Submission>& aSubmission)
-{
-  std::string key = DefinitionKey(this->env.settings.storePrefix, aSubmission->definition.id);
-  this->env.store.Read(key, [this, aSubmission](const Result<std::optional<KeyValueItem>>& aItem) {
-    if (!aSubmission->done) {
-      return; // Another write has determined the outcome.
-    }
-    if (aItem) {
-      this->OnConflictingItem(aSubmission, *aItem);
-    } else if (this->membership.IsStoreAvailable() &&
-               this->env.loop.Now() + kRetryDelay < aSubmission->deadline) {
-      this->env.loop.After(kRetryDelay, [this, aSubmission] {
-        if (aSubmission->done) {
-          this->ResolveConflict(aSubmission);
-        }
-      });
-    } else {
-      this->FinishSubmission(aSubmission, SubmitOutcome::Unknown);
-    }
-  });
-}
-
-void JobRequestHandler::OnConflictingItem(const std::shared_ptr<Submission>& aSubmission,
-                                          const std::optional<KeyValueItem>& aItem)
-{
-  if (!aItem) {
-    this->StoreJob(aSubmission); // The record was deleted meanwhile.
-    return;
-  }
-  if (aItem->value == kWithdrawnTombstone) {
-    LogLine(LogLevel::Info, "submission_withdrawn")
-      .Add("job", aSubmission->definition.id)
-      .Add("revision", aItem->revision);
-    this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
-    return;
-  }
-  // An earlier attempt or a repeated request has stored the job already.
-  this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
-  this->NotifyLeader(aItem->value);
+  this->submitter.StoreForPeer(aDefinition, std::move(aDone));
 }
 
-void JobRequestHandler::SubmitToLeader(const std::shared_ptr<Submission>& aSubmission)
+void JobRequestHandler::EndOpenRequests()
 {
-  aSubmission->wasSentToLeader = true;
-  const std::optional<LeaderRecord>& leader = this->membership.Leader();
-  if (!leader || this->ownLeader() != nullptr) {
-    this->RefuseAsync(aSubmission); // There is no other instance to ask, and nothing was sent.
-    return;
-  }
-  this->env.peers.Call(leader->endpoint,
-                       "submit",
-                       ToJson(aSubmission->definition),
-                       kLeaderTimeout,
-                       [this, aSubmission](const Result<json>& aResponse) {
-                         std::string outcome;
-                         if (aResponse) {
-                           JsonFields fields(*aResponse);
-                           outcome = fields.Text("outcome");
-                           this->ReportAnswer("submit", fields);
-                         }
-                         if (outcome == "accepted") {
-                           this->FinishSubmission(aSubmission, SubmitOutcome::Accepted);
-                           return;
-                         }
-                         bool wasNotSent =
-                           !aResponse &&
-                           (aResponse.Error() == make_error_code(Errc::Unreachable) ||
-                            aResponse.Error() == make_error_code(Errc::DeadlineExceeded));
-                         if (outcome == "refused" || wasNotSent) {
-                           this->FinishSubmission(aSubmission, SubmitOutcome::Refused);
-                           return;
-                         }
-                         this->FinishSubmission(aSubmission, SubmitOutcome::Unknown);
-                       });
-}
-
-void JobRequestHandler::FinishSubmission(const std::shared_ptr<Submission>& aSubmission,
-                                         SubmitOutcome aOutcome)
-{
-  if (aSubmission->done) {
-    aSubmission->done(aOutcome);
-    aSubmission->done = nullptr;
+  this->submitter.EndOpenSubmissions();
+  while (!this->openCancellations.empty()) {
+    CancellationRef cancellation = this->openCancellations.begin()->second;
+    this->EndCancellation(cancellation);
   }
 }
 
@@ -265,20 +78,15 @@
   }
 }
 
-void JobRequestHandler::CallLeader(const std::string& aMethod,
-                                   const json& aArguments,
-                                   TimePoint aDeadline,
-                                   int aMaxAttempts,
-                                   const Reply& aReply)
+void JobRequestHandler::CallLeader(const LeaderCallRef& aCall)
 {
   TimePoint now = this->env.loop.Now();
-  auto retry = [this, aMethod, aArguments, aDeadline, aMaxAttempts, aReply] {
-    this->CallLeader(aMethod, aArguments, aDeadline, aMaxAttempts - 1, aReply);
-  };
-  if (aMaxAttempts == 0 || now >= aDeadline) {
-    aReply(Errc::Unreachable);
+  if (aCall->attemptsLeft == 0 || now >= aCall->deadline) {
+    aCall->reply(aCall->mayBeServed ? Errc::OutcomeUnknown : Errc::Unreachable);
     return;
   }
+  auto retry = [this, aCall] { this->CallLeader(aCall); };
+  --aCall->attemptsLeft;
   const std::optional<LeaderRecord>& leader = this->membership.Leader();
   bool isOwn = leader && leader->incarnation == this->membership.Incarnation();
   if (!leader || (isOwn && this->ownLeader() == nullptr)) {
@@ -287,23 +95,27 @@
     this->env.loop.After(kRetryDelay, retry);
     return;
   }
-  Duration timeout = std::min<Duration>(kLeaderTimeout, aDeadline - now);
-  this->env.peers.Call(leader->endpoint,
-                       aMethod,
-                       aArguments,
-                       timeout,
-                       [this, aDeadline, retry, aReply](const Result<json>& aResponse) {
-                         if (aResponse) {
-                           aReply(aResponse);
-                           return;
-                         }
-                         this->membership.SuspectLeader();
-                         if (this->env.loop.Now() + kRetryDelay >= aDeadline) {
-                           aReply(Errc::Unreachable);
-                           return;
-                         }
-                         this->env.loop.After(kRetryDelay, retry);
-                       });
+  Duration timeout = std::min<Duration>(kLeaderTimeout, aCall->deadline - now);
+  aCall->isOpen = true;
+  this->env.peers.Call(
+    leader->endpoint,
+    aCall->method,
+    aCall->arguments,
+    timeout,
+    [this, aCall, retry](const Result<json>& aResponse) {
+      aCall->isOpen = false;
+      if (aResponse) {
+        aCall->reply(aResponse);
+        return;
+      }
+      aCall->mayBeServed = aCall->mayBeServed || MayHaveBeenServed(aResponse.Error());
+      this->membership.SuspectLeader();
+      if (this->env.loop.Now() + kRetryDelay >= aCall->deadline) {
+        aCall->reply(aCall->mayBeServed ? Errc::OutcomeUnknown : Errc::Unreachable);
+        return;
+      }
+      this->env.loop.After(kRetryDelay, retry);
+    });
 }
 
 void JobRequestHandler::Query(const JobId& aJob,
@@ -330,28 +142,44 @@
     if (state) {
       aDone(*state);
     } else {
-      this->QueryStore({ aJob, aDeadline, aDone, true });
+      this->BeginStoreQuery({ aJob, aDeadline, aDone, true });
     }
     return;
   }
   Duration timeLeft = aDeadline - this->env.loop.Now();
-  this->CallLeader("query",
-                   { { "job", aJob } },
-                   aDeadline - std::min<Duration>(kStoreReadTime, timeLeft / 2),
-                   kAttemptsBeforeStoreRead,
-                   [this, aJob, aDeadline, aDone](const Result<json>& aResponse) {
-                     int state = -1;
-                     if (aResponse) {
-                       JsonFields fields(*aResponse);
-                       state = fields.Integer("state", -1, kLastState, -1);
-                       this->ReportAnswer("query", fields);
-                     }
-                     if (state >= 0) {
-                       aDone(static_cast<DispatchState>(state));
-                     } else {
-                       this->QueryStore({ aJob, aDeadline, aDone, aResponse.HasValue() });
-                     }
-                   });
+  this->CallLeader(std::make_shared<LeaderCall>(
+    LeaderCall{ "query",
+                { { "job", aJob } },
+                aDeadline - std::min<Duration>(kStoreReadTime, timeLeft / 2),
+                kAttemptsBeforeStoreRead,
+                [this, aJob, aDeadline, aDone](const Result<json>& aResponse) {
+                  int state = -1;
+                  if (aResponse) {
+                    JsonFields fields(*aResponse);
+                    state = fields.Integer("state", -1, kLastState, -1);
+                    this->ReportAnswer("query", fields);
+                  }
+                  if (state >= 0) {
+                    aDone(static_cast<DispatchState>(state));
+                  } else {
+                    this->BeginStoreQuery({ aJob, aDeadline, aDone, aResponse.HasValue() });
+                  }
+                } }));
+}
+
+void JobRequestHandler::BeginStoreQuery(const StoreQuery& aQuery)
+{
+  auto done = std::make_shared<QueryCallback>(aQuery.done);
+  StoreQuery query = aQuery;
+  query.done = [done](const Result<DispatchState>& aState) {
+    if (QueryCallback answer = std::exchange(*done, nullptr)) {
+      answer(aState);
+    }
+  };
+  // A read of a silent store ends later than a caller with little time waits.
+  this->env.loop.After(std::max(aQuery.deadline - this->env.loop.Now(), Duration(0)),
+                       [done = query.done] { done(Errc::DeadlineExceeded); });
+  this->QueryStore(query);
 }
 
 void JobRequestHandler::QueryStore(const StoreQuery& aQuery)
@@ -415,101 +243,152 @@
                                Duration aTimeout,
                                const std::function<void(std::error_code)>& aDone)
 {
-  this->CancelWithRetries(aJob, this->env.loop.Now() + aTimeout, aDone);
+  auto cancellation = std::make_shared<Cancellation>();
+  cancellation->number = this->nextCancellation++;
+  cancellation->job = aJob;
+  cancellation->deadline = this->env.loop.Now() + aTimeout;
+  cancellation->done = aDone;
+  this->openCancellations.emplace(cancellation->number, cancellation);
+  // The store may be silent for longer than the caller waits.
+  this->env.loop.After(aTimeout, [this, number = cancellation->number] {
+    auto found = this->openCancellations.find(number);
+    if (found != this->openCancellations.end()) {
+      this->EndCancellation(CancellationRef(found->second));
+    }
+  });
+  this->SendCancellation(cancellation);
 }
 
-void JobRequestHandler::CancelWithRetries(const JobId& aJob,
-                                          TimePoint aDeadline,
-                                          const std::function<void(std::error_code)>& aDone)
+void JobRequestHandler::SendCancellation(const CancellationRef& aCancellation)
 {
-  auto onUnknownJob = [this, aJob, aDeadline, aDone] {
-    this->env.store.Read(
-      DefinitionKey(this->env.settings.storePrefix, aJob),
-      [this, aJob, aDeadline, aDone](const Result<std::optional<KeyValueItem>>& aItem) {
-        if (aItem && !*aItem) {
-          this->WithdrawJob(aJob, aDeadline, aDone);
-          return;
-        }
-        if (aItem && IsTombstone((*aItem)->value)) {
-          aDone(make_error_code(Errc::NotFound));
-          return;
-        }
-        if (aItem) {
-          this->NotifyLeader((*aItem)->value);
-        }
-        this->RetryCancel(aJob, aDeadline, aDone);
-      });
-  };
+  if (!aCancellation->done) {
+    return;
+  }
   if (Leader* localLeader = this->ownLeader()) {
-    localLeader->Cancel(aJob, [this, aJob, aDeadline, onUnknownJob, aDone](std::error_code aError) {
-      if (aError == make_error_code(Errc::NotFound)) {
-        onUnknownJob();
-      } else if (aError && this->env.loop.Now() + kRetryDelay < aDeadline) {
-        // The term has ended before the cancellation was stored; the next leader carries it out.
-        this->env.loop.After(kRetryDelay, [this, aJob, aDeadline, aDone] {
-          this->CancelWithRetries(aJob, aDeadline, aDone);
-        });
-      } else {
-        aDone(aError);
-      }
-    });
+    bool mayHaveEffect = std::exchange(aCancellation->mayHaveEffect, true);
+    localLeader->Cancel(aCancellation->job,
+                        [this, aCancellation, mayHaveEffect](std::error_code aError) {
+                          if (aError == make_error_code(Errc::NotFound)) {
+                            aCancellation->mayHaveEffect = mayHaveEffect;
+                            this->OnUnknownJob(aCancellation);
+                          } else if (aError) {
+                            // The term has ended before the cancellation was stored; the next
+                            // leader carries it out.
+                            this->RetryCancellation(aCancellation);
+                          } else {
+                            this->FinishCancellation(aCancellation, aError);
+                          }
+                        });
     return;
   }
-  this->CallLeader("cancel",
-                   { { "job", aJob } },
-                   aDeadline,
-                   kMaxAttempts,
-                   [this, onUnknownJob, aDone](const Result<json>& aResponse) {
-                     if (!aResponse) {
-                       aDone(make_error_code(Errc::OutcomeUnknown));
-                       return;
-                     }
-                     JsonFields fields(*aResponse);
-                     bool isFound = fields.Flag("found");
-                     if (!this->ReportAnswer("cancel", fields)) {
-                       aDone(make_error_code(Errc::OutcomeUnknown));
-                     } else if (isFound) {
-                       aDone(std::error_code());
-                     } else {
-                       onUnknownJob();
-                     }
-                   });
+  aCancellation->leaderCall = std::make_shared<LeaderCall>(
+    LeaderCall{ "cancel",
+                { { "job", aCancellation->job } },
+                aCancellation->deadline - kCallMargin,
+                kMaxAttempts,
+                [this, aCancellation](const Result<json>& aResponse) {
+                  aCancellation->leaderCall.reset();
+                  this->OnCancellationResponse(aCancellation, aResponse);
+                } });
+  this->CallLeader(LeaderCallRef(aCancellation->leaderCall));
 }
 
-void JobRequestHandler::RetryCancel(const JobId& aJob,
-                                    TimePoint aDeadline,
-                                    const std::function<void(std::error_code)>& aDone)
+void JobRequestHandler::OnCancellationResponse(const CancellationRef& aCancellation,
+                                               const Result<json>& aResponse)
 {
-  if (this->env.loop.Now() + kRetryDelay >= aDeadline) {
-    aDone(make_error_code(Errc::OutcomeUnknown));
+  if (!aResponse) {
+    aCancellation->mayHaveEffect =
+      aCancellation->mayHaveEffect || MayHaveBeenServed(aResponse.Error());
+    this->EndCancellation(aCancellation);
     return;
   }
-  this->env.loop.After(kRetryDelay, [this, aJob, aDeadline, aDone] {
-    this->CancelWithRetries(aJob, aDeadline, aDone);
-  });
+  JsonFields fields(*aResponse);
+  bool isFound = fields.Flag("found");
+  if (!this->ReportAnswer("cancel", fields)) {
+    aCancellation->mayHaveEffect = true;
+    this->EndCancellation(aCancellation);
+  } else if (isFound) {
+    this->FinishCancellation(aCancellation, std::error_code());
+  } else {
+    this->OnUnknownJob(aCancellation);
+  }
 }
 
-void JobRequestHandler::WithdrawJob(const JobId& aJob,
-                                    TimePoint aDeadline,
-                                    const std::function<void(std::error_code)>& aDone)
+void JobRequestHandler::OnUnknownJob(const CancellationRef& aCancellation)
+{
+  this->env.store.Read(DefinitionKey(this->env.settings.storePrefix, aCancellation->job),
+                       [this, aCancellation](const Result<std::optional<KeyValueItem>>& aItem) {
+                         if (aItem && !*aItem) {
+                           this->WithdrawJob(aCancellation);
+                           return;
+                         }
+                         if (aItem && IsTombstone((*aItem)->value)) {
+                           this->FinishCancellation(aCancellation, make_error_code(Errc::NotFound));
+                           return;
+                         }
+                         if (aItem) {
+                           this->NotifyLeader((*aItem)->value);
+                         }
+                         this->RetryCancellation(aCancellation);
+                       });
+}
+
+void JobRequestHandler::RetryCancellation(const CancellationRef& aCancellation)
 {
+  if (this->env.loop.Now() + kRetryDelay >= aCancellation->deadline) {
+    this->EndCancellation(aCancellation);
+    return;
+  }
+  this->env.loop.After(kRetryDelay,
+                       [this, aCancellation] { this->SendCancellation(aCancellation); });
+}
+
+void JobRequestHandler::WithdrawJob(const CancellationRef& aCancellation)
+{
+  if (!aCancellation->done) {
+    return; // It was answered as having had no effect.
+  }
   KeyValueTransaction transaction;
-  std::string key = DefinitionKey(this->env.settings.storePrefix, aJob);
+  std::string key = DefinitionKey(this->env.settings.storePrefix, aCancellation->job);
   transaction.conditions.push_back({ key, 0 });
   transaction.puts.push_back({ key, kWithdrawnTombstone, 0 });
+  bool mayHaveEffect = std::exchange(aCancellation->mayHaveEffect, true);
   this->env.store.Commit(
-    transaction, [this, aJob, aDeadline, aDone](const Result<std::uint64_t>& aRevision) {
+    transaction, [this, aCancellation, mayHaveEffect](const Result<std::uint64_t>& aRevision) {
+      aCancellation->mayHaveEffect = mayHaveEffect || MayHaveBeenWritten(aRevision.Error());
       if (aRevision) {
         this->env.metrics.Count("jobs_withdrawn_total");
-        LogLine(LogLevel::Info, "job_withdrawn").Add("job", aJob).Add("revision", *aRevision);
-        aDone(make_error_code(Errc::NotFound));
+        LogLine(LogLevel::Info, "job_withdrawn")
+          .Add("job", aCancellation->job)
+          .Add("revision", *aRevision);
+        this->FinishCancellation(aCancellation, make_error_code(Errc::NotFound));
         return;
       }
       // Conflict: the job, or an earlier attempt of this write, has been stored meanwhile.
-      this->RetryCancel(aJob, aDeadline, aDone);
+      this->RetryCancellation(aCancellation);
     });
 }
 
+void JobRequestHandler::EndCancellation(const CancellationRef& aCancellation)
+{
+  bool mayHaveEffect = aCancellation->mayHaveEffect;
+  if (LeaderCall* call = aCancellation->leaderCall.get()) {
+    mayHaveEffect = mayHaveEffect || call->isOpen || call->mayBeServed;
+    call->attemptsLeft = 0; // No further attempt follows the answer to the caller.
+  }
+  this->FinishCancellation(aCancellation, mayHaveEffect ? Errc::OutcomeUnknown : Errc::Unreachable);
+}
+
+void JobRequestHandler::FinishCancellation(const CancellationRef& aCancellation,
+                                           std::error_code aError)
+{
+  if (aCancellation->done) {
+    std::function<void(std::error_code)> done = std::exchange(aCancellation->done, nullptr);
+    this->openCancellations.erase(aCancellation->number);
+    done(aError);
+  }
+}
+
 void JobRequestHandler::CountPending(const QueueName& aQueue,
                                      Duration aTimeout,
                                      const std::function<void(const Result<std::size_t>&)>& aDone)
@@ -518,23 +397,24 @@
     aDone(localLeader->CountQueuedJobs(aQueue));
     return;
   }
-  this->CallLeader("pending",
-                   { { "queue", aQueue } },
-                   this->env.loop.Now() + aTimeout,
-                   kMaxAttempts,
-                   [this, aDone](const Result<json>& aResponse) {
-                     if (!aResponse) {
-                       aDone(aResponse.Error());
-                       return;
-                     }
-                     JsonFields fields(*aResponse);
-                     auto pending = fields.Integer<std::size_t>("pending", 0, kMaxPending);
-                     if (this->ReportAnswer("pending", fields)) {
-                       aDone(pending);
-                     } else {
-                       aDone(Errc::Unreachable);
-                     }
-                   });
+  this->CallLeader(std::make_shared<LeaderCall>(
+    LeaderCall{ "pending",
+                { { "queue", aQueue } },
+                this->env.loop.Now() + aTimeout,
+                kMaxAttempts,
+                [this, aDone](const Result<json>& aResponse) {
+                  if (!aResponse) {
+                    aDone(Errc::Unreachable);
+                    return;
+                  }
+                  JsonFields fields(*aResponse);
+                  auto pending = fields.Integer<std::size_t>("pending", 0, kMaxPending);
+                  if (this->ReportAnswer("pending", fields)) {
+                    aDone(pending);
+                  } else {
+                    aDone(Errc::Unreachable);
+                  }
+                } }));
 }
 
 } // namespace daisydrift::coordination
--- a/packages/coordination/src/JobRequestHandler.h
+++ b/packages/coordination/src/JobRequestHandler.h
@@ -1,8 +1,7 @@
 #pragma once
 // Serves callers' requests through the current leader.
 
-#include "StoredJobNotifier.h"
-#include "daisydrift/coordination/JsonFields.h"
+#include "JobSubmitter.h"
 
 namespace daisydrift::coordination {
 
@@ -32,9 +31,11 @@
                     const std::function<void(const Result<std::size_t>&)>& aDone);
   /// Stores a job on behalf of an instance that cannot reach the store.
   void StoreForPeer(const JobDefinition& aDefinition, std::function<void(SubmitOutcome)> aDone);
+  /// Ends all open submissions and cancellations, without any effect that they have not had.
+  void EndOpenRequests();
 
 private:
-  struct Submission;
+  using QueryCallback = std::function<void(const Result<DispatchState>&)>;
   /// Query of a job's state in the store.
   struct StoreQuery
   {
@@ -47,35 +48,48 @@
     bool isClosed = false;
   };
   using Reply = std::function<void(const Result<nlohmann::json>&)>;
+  /// A call that is repeated until the leader answers, the deadline has passed or the attempts have
+  /// failed.
+  struct LeaderCall
+  {
+    std::string method;
+    nlohmann::json arguments;
+    TimePoint deadline;
+    int attemptsLeft = 0;
+    /// Gets the answer, OutcomeUnknown, or Unreachable if no attempt can have been carried out.
+    Reply reply;
+    /// An attempt may have been carried out.
+    bool mayBeServed = false;
+    /// An attempt has no result yet.
+    bool isOpen = false;
+  };
+  using LeaderCallRef = std::shared_ptr<LeaderCall>;
+  /// A caller's cancellation of a job.
+  struct Cancellation
+  {
+    std::uint64_t number = 0;
+    JobId job;
+    TimePoint deadline;
+    /// Empty once the cancellation has ended; nothing is sent for it then.
+    std::function<void(std::error_code)> done;
+    /// A leader may carry it out, or a tombstone may be written.
+    bool mayHaveEffect = false;
+    /// The call to the leader; null when there is none or it has ended.
+    LeaderCallRef leaderCall;
+  };
+  using CancellationRef = std::shared_ptr<Cancellation>;
 
-  void StoreJob(const std::shared_ptr<Submission>& aSubmission);
-  void OnStoreResponse(const std::shared_ptr<Submission>& aSubmission,
-                       const Result<std::uint64_t>& aRevision);
-  /// The id is in use: reads whether by this job, or since it was cancelled before it was stored.
-  void ResolveConflict(const std::shared_ptr<Submission>& aSubmission);
-  /// Handles what is stored under the id of a submission whose write had a conflict.
-  void OnConflictingItem(const std::shared_ptr<Submission>& aSubmission,
-                         const std::optional<KeyValueItem>& aItem);
-  /// Refuses a job that was never sent to the store. The callback runs from the event loop, never
-  /// from within the call.
-  void RefuseAsync(const std::shared_ptr<Submission>& aSubmission);
-  void SubmitToLeader(const std::shared_ptr<Submission>& aSubmission);
-  void FinishSubmission(const std::shared_ptr<Submission>& aSubmission, SubmitOutcome aOutcome);
   /// False, after a report, when an answer has invalid fields.
   bool ReportAnswer(const char* aMethod, const JsonFields& aAnswer);
   /// Tells the leader about the job of a stored definition, unless it is a tombstone.
   void NotifyLeader(const std::string& aRecord);
-  /// Calls the leader until it answers, aDeadline has passed or aMaxAttempts attempts have failed.
-  /// aReply gets the answer, or Unreachable.
-  void CallLeader(const std::string& aMethod,
-                  const nlohmann::json& aArguments,
-                  TimePoint aDeadline,
-                  int aMaxAttempts,
-                  const Reply& aReply);
+  void CallLeader(const LeaderCallRef& aCall);
   /// Asks the leader, and reads the store when the leader does not answer or does not know the job.
   void QueryLeader(const JobId& aJob,
                    TimePoint aDeadline,
                    const std::function<void(const Result<DispatchState>&)>& aDone);
+  /// Answers a query from the store by its deadline.
+  void BeginStoreQuery(const StoreQuery& aQuery);
   /// Reads the state of a job from its stored progress or, if it has none, its definition.
   void QueryStore(const StoreQuery& aQuery);
   void QueryDefinition(const StoreQuery& aQuery);
@@ -83,24 +97,29 @@
   void RetryQuery(const StoreQuery& aQuery, std::error_code aError);
   /// State in a stored progress record. Error Corrupt, after a report, when it can't be decoded.
   Result<DispatchState> StoredState(const KeyValueItem& aProgress);
-  void CancelWithRetries(const JobId& aJob,
-                         TimePoint aDeadline,
-                         const std::function<void(std::error_code)>& aDone);
-  /// Calls CancelWithRetries again after a delay, or reports OutcomeUnknown.
-  void RetryCancel(const JobId& aJob,
-                   TimePoint aDeadline,
-                   const std::function<void(std::error_code)>& aDone);
+  void SendCancellation(const CancellationRef& aCancellation);
+  void OnCancellationResponse(const CancellationRef& aCancellation,
+                              const Result<nlohmann::json>& aResponse);
+  /// The leader does not know the job, which may be stored.
+  void OnUnknownJob(const CancellationRef& aCancellation);
+  /// Sends the cancellation again after a delay, or ends it.
+  void RetryCancellation(const CancellationRef& aCancellation);
   /// Keeps a job that is not stored from being stored, since a write of it may be on the way or be
   /// repeated; then reports NotFound.
-  void WithdrawJob(const JobId& aJob,
-                   TimePoint aDeadline,
-                   const std::function<void(std::error_code)>& aDone);
+  void WithdrawJob(const CancellationRef& aCancellation);
+  /// Reports OutcomeUnknown, or Unreachable for a cancellation that has had no effect.
+  void EndCancellation(const CancellationRef& aCancellation);
+  void FinishCancellation(const CancellationRef& aCancellation, std::error_code aError);
 
   Leader::Environment env;
   Membership& membership;
   std::function<Leader*()> ownLeader;
   std::function<void(const std::function<void()>&)> checkLeadership;
   StoredJobNotifier notifier;
+  JobSubmitter submitter;
+  /// Cancellations that have not ended, by number.
+  std::map<std::uint64_t, CancellationRef> openCancellations;
+  std::uint64_t nextCancellation = 0;
 };
 
 } // namespace daisydrift::coordination
