Submissions that are likely to be stored in time are held through an outage of the store

Cause: a submission that arrived while the store did not answer, and no leader took it, was refused at once with 503 while workers were free. Change: OutageEstimator estimates the end of the outage from its age and from earlier ones, HoldPolicy decides which submissions wait for it, JobSubmitter holds 64 of them and 1 MB at most, reviews them each 50 ms, and stores them first, oldest first, at 400 a second for all instances together, one at a time until the first is stored. A leader that has refused a submission is asked again 0.5 s later. At most 32 writes of submissions are open. ClusterTest.StoreOutageRefusesAtOnceWithoutSendingWrites expected a refusal within 20 ms of a 1 s old outage; now within a third of the caller's time there, and within 20 ms once the outage is older. CallOutcomeTest waits 1 s between two answers of the leader. Ruled out: holding until the deadline, or for a fixed time; not sending while one write has no answer for 150 ms, which would serialise submissions in a slow phase of the store. OutageEstimatorTest, HeldSubmissionTest, CallOutcomeTest, CallerApiTest, CallerDeadlineTest, ClusterTest, CutOffLeaderTest and StoredJobsTest pass. Conclusion: a caller is served after a short outage, and knows of a long one with most of its time left.

--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -148,8 +148,12 @@
                this->settings.name + "@" +
                  std::to_string(aLoop.WallClockNow().time_since_epoch().count()),
                Membership::Hooks{ [this](const LeaderRecord& aRecord) { this->OnElected(aRecord); },
-                                  [this] { this->lastLeaderContact = this->loop.Now(); },
-                                  [this] { this->handover.OnStoreRefused(); } })
+                                  [this] {
+                                    this->lastLeaderContact = this->loop.Now();
+                                    this->requestHandler.OnLeaderChanged();
+                                  },
+                                  [this] { this->handover.OnStoreRefused(); },
+                                  [this] { this->requestHandler.OnStoreRegained(); } })
   , configExchange(aLoop,
                    aPeers,
                    this->membership,
--- a/packages/coordination/src/JobRequestHandler.h
+++ b/packages/coordination/src/JobRequestHandler.h
@@ -31,6 +31,8 @@
                     const std::function<void(const Result<std::size_t>&)>& aDone);
   /// Stores a job on behalf of an instance that cannot reach the store.
   void StoreForPeer(const JobDefinition& aDefinition, std::function<void(SubmitOutcome)> aDone);
+  void OnStoreRegained() { this->submitter.OnStoreRegained(); }
+  void OnLeaderChanged() { this->submitter.OnLeaderChanged(); }
   /// Ends all open submissions and cancellations, without any effect that they have not had.
   void EndOpenRequests();
 
--- a/packages/coordination/src/JobSubmitter.cpp
+++ b/packages/coordination/src/JobSubmitter.cpp
@@ -18,6 +18,18 @@
 /// A call to the leader ends this long before the caller's time, so that its error, which says
 /// whether it was sent, is known by then.
 constexpr std::chrono::milliseconds kCallMargin{ 20 };
+/// Writes of submissions that are open at once, half of the adapter's connections: a write that
+/// waited for a connection would count as sent at its caller's deadline.
+constexpr std::size_t kMaxOpenWritesOfAll = 32;
+/// Time between reviews of the held submissions.
+constexpr std::chrono::milliseconds kReviewInterval{ 50 };
+/// Time after which a leader that has refused a submission, or has not answered, is asked again.
+constexpr std::chrono::milliseconds kLeaderRetryInterval{ 500 };
+/// Released submissions that are open at once; one until the first is stored, since the store may
+/// fail again.
+constexpr std::size_t kMaxOpenReleases = 4;
+/// Bytes of a held submission besides its text.
+constexpr std::size_t kFixedHeldBytes = 2048;
 
 const char* OutcomeName(SubmitOutcome aOutcome)
 {
@@ -64,6 +76,12 @@
   int openWrites = 0;
   bool isAtLeader = false;
   bool wasSentToLeader = false;
+  /// Was held and has been sent; it is not held again.
+  bool wasReleased = false;
+  /// Counts in openReleases.
+  bool isReleaseOpen = false;
+  /// Bytes that it counts for while it is held.
+  std::size_t heldBytes = 0;
 };
 
 JobSubmitter::JobSubmitter(const Leader::Environment& aEnvironment,
@@ -116,10 +134,21 @@
       submission->definition.teamRules = teamRules->second;
     }
   }
-  if (this->membership.IsStoreAvailable()) {
-    this->StoreJob(submission);
+  this->Send(submission);
+}
+
+void JobSubmitter::Send(const SubmissionRef& aSubmission)
+{
+  bool isStoreUsable =
+    this->membership.IsStoreAvailable() && this->openWrites < kMaxOpenWritesOfAll;
+  if (!this->held.empty()) {
+    this->HoldOrEnd(aSubmission, "behind_held");
+  } else if (isStoreUsable) {
+    this->StoreJob(aSubmission);
+  } else if (!this->membership.IsStoreAvailable() && this->CanAskLeader()) {
+    this->SubmitToLeader(aSubmission);
   } else {
-    this->SubmitToLeader(submission);
+    this->HoldOrEnd(aSubmission, "store_unavailable");
   }
 }
 
@@ -152,13 +181,16 @@
   transaction.conditions.push_back({ key, 0 });
   transaction.puts.push_back({ key, ToJson(aSubmission->definition).dump(), 0 });
   ++aSubmission->openWrites;
+  ++this->openWrites;
   this->env.store.Commit(transaction, [this, aSubmission](const Result<std::uint64_t>& aRevision) {
     --aSubmission->openWrites;
+    --this->openWrites;
     this->OnStoreResponse(aSubmission, aRevision);
   });
   // Repeating the write is safe: at most one of them finds the id unused.
   this->env.loop.After(kHedgeDelay, [this, aSubmission] {
-    if (aSubmission->openWrites > 0 && aSubmission->openWrites < kMaxOpenWrites) {
+    if (aSubmission->openWrites > 0 && aSubmission->openWrites < kMaxOpenWrites &&
+        this->openWrites < kMaxOpenWritesOfAll) {
       this->StoreJob(aSubmission);
     }
   });
@@ -187,15 +219,16 @@
   if (aSubmission->openWrites > 0) {
     return;
   }
-  // While the store is unavailable, report the result at once: the caller may retry on another
-  // instance.
-  bool cannotBeResolved = aSubmission->mayBeStored && !this->membership.IsStoreAvailable();
-  if (cannotBeResolved || this->env.loop.Now() + kRetryDelay >= aSubmission->deadline) {
-    this->End(aSubmission, "store_unavailable");
+  if (!this->membership.IsStoreAvailable()) {
+    if (!aSubmission->mayBeStored && !aSubmission->wasSentToLeader && this->CanAskLeader()) {
+      this->SubmitToLeader(aSubmission);
+    } else {
+      this->HoldOrEnd(aSubmission, "store_unavailable");
+    }
+  } else if (this->env.loop.Now() + kRetryDelay >= aSubmission->deadline) {
+    this->End(aSubmission, "deadline");
   } else if (aSubmission->mayBeStored) {
     this->env.loop.After(kRetryDelay, [this, aSubmission] { this->StoreJob(aSubmission); });
-  } else if (!aSubmission->isForPeer && !aSubmission->wasSentToLeader) {
-    this->SubmitToLeader(aSubmission);
   } else {
     this->End(aSubmission, "store_refused");
   }
@@ -247,17 +280,23 @@
   }
 }
 
-void JobSubmitter::SubmitToLeader(const SubmissionRef& aSubmission)
+bool JobSubmitter::CanAskLeader() const
 {
-  aSubmission->wasSentToLeader = true;
   const std::optional<LeaderRecord>& leader = this->membership.Leader();
+  return leader && leader->incarnation != this->membership.Incarnation() &&
+         this->env.loop.Now() >= this->nextLeaderCallAt;
+}
+
+void JobSubmitter::SubmitToLeader(const SubmissionRef& aSubmission)
+{
   Duration timeLeft = aSubmission->deadline - this->env.loop.Now() - kCallMargin;
-  if (!leader || this->ownLeader() != nullptr || timeLeft <= Duration(0)) {
-    this->EndLater(aSubmission, "no_leader"); // There is no other instance to ask.
+  if (aSubmission->isForPeer || timeLeft <= Duration(0)) {
+    this->EndLater(aSubmission, "deadline");
     return;
   }
+  aSubmission->wasSentToLeader = true;
   aSubmission->isAtLeader = true;
-  this->env.peers.Call(leader->endpoint,
+  this->env.peers.Call(this->membership.Leader()->endpoint,
                        "submit",
                        ToJson(aSubmission->definition),
                        std::min<Duration>(kLeaderTimeout, timeLeft),
@@ -271,23 +310,160 @@
 
 void JobSubmitter::OnLeaderResponse(const SubmissionRef& aSubmission, const Result<json>& aResponse)
 {
-  if (!aResponse) {
-    aSubmission->mayBeStored = aSubmission->mayBeStored || MayHaveBeenServed(aResponse.Error());
-    this->End(aSubmission, "leader_unreachable");
-    return;
-  }
-  JsonFields fields(*aResponse);
-  std::string outcome = fields.Text("outcome");
-  if (!fields.IsValid()) {
-    this->membership.Unreadable().AddAnswer("submit", fields.Error());
+  std::string outcome = OutcomeName(SubmitOutcome::Unknown);
+  if (aResponse) {
+    JsonFields fields(*aResponse);
+    outcome = fields.Text("outcome");
+    if (!fields.IsValid()) {
+      this->membership.Unreadable().AddAnswer("submit", fields.Error());
+    }
+  } else if (!MayHaveBeenServed(aResponse.Error())) {
+    outcome = OutcomeName(SubmitOutcome::Refused);
   }
   if (outcome == OutcomeName(SubmitOutcome::Accepted)) {
+    this->nextLeaderCallAt = TimePoint();
     this->Finish(aSubmission, SubmitOutcome::Accepted);
     return;
   }
-  bool isRefused = outcome == OutcomeName(SubmitOutcome::Refused);
-  aSubmission->mayBeStored = aSubmission->mayBeStored || !isRefused;
-  this->End(aSubmission, isRefused ? "leader_refused" : "leader_unsure");
+  this->nextLeaderCallAt = this->env.loop.Now() + kLeaderRetryInterval;
+  if (outcome == OutcomeName(SubmitOutcome::Refused)) {
+    this->HoldOrEnd(aSubmission, "leader_refused");
+  } else {
+    aSubmission->mayBeStored = true;
+    this->End(aSubmission, "leader_unsure");
+  }
+}
+
+void JobSubmitter::HoldOrEnd(const SubmissionRef& aSubmission, const char* aCause)
+{
+  std::size_t bytes = kFixedHeldBytes + 2 * ToJson(aSubmission->definition).dump().size();
+  bool isHeld = aSubmission->done && !aSubmission->isForPeer && !aSubmission->wasReleased &&
+                this->IsWorthHolding(*aSubmission, this->held.size()) &&
+                HoldPolicy::HasRoom({ this->held.size(), this->heldBytes }, bytes);
+  if (!isHeld) {
+    this->EndLater(aSubmission, aCause);
+    return;
+  }
+  if (this->held.empty()) {
+    this->heldSince = this->env.loop.Now();
+    this->heldCount = 0;
+    LogLine(LogLevel::Warning, "submissions_held")
+      .Add("cause", aCause)
+      .Add("outage_age_ms", this->membership.StoreOutage().Age(this->heldSince));
+  }
+  ++this->heldCount;
+  aSubmission->heldBytes = bytes;
+  this->heldBytes += bytes;
+  this->held.emplace(aSubmission->number, aSubmission);
+  this->env.metrics.Count("submissions_held_total");
+  this->env.metrics.Set("submissions_held", static_cast<double>(this->held.size()));
+  this->ScheduleReview();
+}
+
+bool JobSubmitter::IsWorthHolding(const Submission& aSubmission, std::size_t aAhead) const
+{
+  TimePoint now = this->env.loop.Now();
+  return HoldPolicy::IsWorthWaiting(this->membership.StoreOutage(),
+                                    aSubmission.deadline - now,
+                                    aAhead,
+                                    this->membership.Members().size(),
+                                    now);
+}
+
+void JobSubmitter::RemoveHeld(Submission& aSubmission)
+{
+  if (this->held.erase(aSubmission.number) == 0) {
+    return;
+  }
+  this->heldBytes -= aSubmission.heldBytes;
+  this->env.metrics.Set("submissions_held", static_cast<double>(this->held.size()));
+  if (this->held.empty()) {
+    LogLine(LogLevel::Info, "submissions_held_no_more")
+      .Add("held", this->heldCount)
+      .Add("store_available", this->membership.IsStoreAvailable())
+      .Add("spent_ms", this->env.loop.Now() - this->heldSince);
+  }
+}
+
+void JobSubmitter::ScheduleReview()
+{
+  if (this->isReviewScheduled || this->held.empty()) {
+    return;
+  }
+  this->isReviewScheduled = true;
+  Duration interval = HoldPolicy::ReleaseInterval(this->membership.Members().size());
+  this->env.loop.After(std::min<Duration>(kReviewInterval, interval), [this] {
+    this->isReviewScheduled = false;
+    this->ReviewHeld();
+    this->ScheduleReview();
+  });
+}
+
+void JobSubmitter::ReviewHeld()
+{
+  std::vector<SubmissionRef> hopeless;
+  std::size_t ahead = 0;
+  for (const auto& [number, submission] : this->held) {
+    if (this->IsWorthHolding(*submission, ahead)) {
+      ++ahead;
+    } else {
+      hopeless.push_back(submission);
+    }
+  }
+  for (const SubmissionRef& submission : hopeless) {
+    this->End(submission, "outage_lasts");
+  }
+  this->ReleaseNext();
+}
+
+void JobSubmitter::ReleaseNext()
+{
+  TimePoint now = this->env.loop.Now();
+  if (this->held.empty() || now < this->nextReleaseAt) {
+    return;
+  }
+  std::size_t maxOpen = this->hasStoredReleased ? kMaxOpenReleases : 1;
+  bool canStore = this->membership.IsStoreAvailable() && this->openReleases < maxOpen &&
+                  this->openWrites < kMaxOpenWritesOfAll;
+  bool canAskLeader = !this->membership.IsStoreAvailable() && this->CanAskLeader();
+  if (!canStore && !canAskLeader) {
+    return;
+  }
+  SubmissionRef next = this->held.begin()->second;
+  this->RemoveHeld(*next);
+  this->nextReleaseAt = now + HoldPolicy::ReleaseInterval(this->membership.Members().size());
+  if (canStore) {
+    next->wasReleased = true;
+    next->isReleaseOpen = true;
+    ++this->openReleases;
+    this->StoreJob(next);
+  } else {
+    // The others wait for its result.
+    this->nextLeaderCallAt = now + kLeaderTimeout;
+    this->SubmitToLeader(next);
+  }
+}
+
+void JobSubmitter::OnReleased(Submission& aSubmission, bool aIsStored)
+{
+  if (std::exchange(aSubmission.isReleaseOpen, false)) {
+    --this->openReleases;
+    this->hasStoredReleased = this->hasStoredReleased || aIsStored;
+    this->env.metrics.Count(aIsStored ? "submissions_released_total{stored=\"true\"}"
+                                      : "submissions_released_total{stored=\"false\"}");
+  }
+}
+
+void JobSubmitter::OnStoreRegained()
+{
+  this->hasStoredReleased = false;
+  this->env.loop.After(Duration(0), [this] { this->ReleaseNext(); });
+}
+
+void JobSubmitter::OnLeaderChanged()
+{
+  this->nextLeaderCallAt = TimePoint();
+  this->env.loop.After(Duration(0), [this] { this->ReleaseNext(); });
 }
 
 void JobSubmitter::End(const SubmissionRef& aSubmission, const char* aCause)
@@ -314,6 +490,8 @@
   if (aSubmission->done) {
     std::function<void(SubmitOutcome)> done = std::exchange(aSubmission->done, nullptr);
     this->open.erase(aSubmission->number);
+    this->RemoveHeld(*aSubmission);
+    this->OnReleased(*aSubmission, aOutcome == SubmitOutcome::Accepted);
     done(aOutcome);
   }
 }
--- a/packages/coordination/src/Membership.cpp
+++ b/packages/coordination/src/Membership.cpp
@@ -245,9 +245,18 @@
                      aError != make_error_code(Errc::DeadlineExceeded) &&
                      aError != make_error_code(Errc::OutcomeUnknown) &&
                      aError != make_error_code(Errc::Overloaded);
-  if (isAvailable != this->isStoreAvailable) {
-    this->isStoreAvailable = isAvailable;
-    LogLine(LogLevel::Warning, isAvailable ? "store_regained" : "store_lost").Add("error", aError);
+  bool wasAvailable = this->IsStoreAvailable();
+  TimePoint now = this->loop.Now();
+  Duration outageAge = this->storeOutage.Age(now);
+  this->storeOutage.SetAvailable(isAvailable, now);
+  if (isAvailable == wasAvailable) {
+    return;
+  }
+  LogLine(LogLevel::Warning, isAvailable ? "store_regained" : "store_lost")
+    .Add("error", aError)
+    .Add("outage_age_ms", isAvailable ? outageAge : this->storeOutage.Age(now));
+  if (isAvailable && this->hooks.onStoreRegained) {
+    this->hooks.onStoreRegained();
   }
 }
 
@@ -312,7 +321,7 @@
       this->lastFailedRenewal = this->loop.Now();
     }
     // A lost response shows only after a timeout and is not a refusal.
-    if (!this->isStoreAvailable && this->loop.Now() - sentAt < kMaxRefusalTime) {
+    if (!this->IsStoreAvailable() && this->loop.Now() - sentAt < kMaxRefusalTime) {
       this->hooks.onStoreRefused();
     }
     if (aError == make_error_code(Errc::LeaseExpired) && this->lease != 0) {
@@ -708,7 +717,7 @@
 {
   // Other calls may be refused for the rate limit of all instances.
   bool isAvailable =
-    this->isStoreAvailable && this->loop.Now() - this->lastFailedRenewal >= aMinAvailableTime;
+    this->IsStoreAvailable() && this->loop.Now() - this->lastFailedRenewal >= aMinAvailableTime;
   bool canCampaign = isAvailable && !this->isStopping && this->lease != 0 && this->leader &&
                      this->leader->incarnation == aIncarnation && this->leader->revision != 0;
   if (canCampaign) {
--- a/packages/coordination/src/Membership.h
+++ b/packages/coordination/src/Membership.h
@@ -76,6 +76,8 @@
     std::function<void()> onLeaderChanged;
     /// The store has refused a lease renewal.
     std::function<void()> onStoreRefused;
+    /// The store is available again; empty for no action.
+    std::function<void()> onStoreRegained = {};
   };
 
   Membership(EventLoop& aLoop,
@@ -105,7 +107,9 @@
   /// Tracks from the result of a store call whether the store is available.
   void OnStoreResult(std::error_code aError);
   /// True when the store has answered the last call.
-  bool IsStoreAvailable() const { return this->isStoreAvailable; }
+  bool IsStoreAvailable() const { return this->storeOutage.IsAvailable(); }
+  /// The present outage of the store, as this instance sees it.
+  const OutageEstimator& StoreOutage() const { return this->storeOutage; }
   /// True when the lease cannot have expired, judged by this instance's clock.
   bool IsLeaseValid() const;
   /// Renews the lease now, to detect whether the store is available.
@@ -175,7 +179,7 @@
   bool isLoaded = false;
   bool isCampaigning = false;
   bool isProbing = false;
-  bool isStoreAvailable = true;
+  OutageEstimator storeOutage;
   TimePoint lastFailedRenewal;
   std::optional<LeaderRecord> leader;
   TimePoint leaderSince;
--- a/packages/dispatch/include/daisydrift/dispatch.h
+++ b/packages/dispatch/include/daisydrift/dispatch.h
@@ -5,4 +5,5 @@
 #include "daisydrift/dispatch/DispatchTypes.h"
 #include "daisydrift/dispatch/Dispatcher.h"
 #include "daisydrift/dispatch/LeadershipConfirmation.h"
+#include "daisydrift/dispatch/OutageEstimator.h"
 #include "daisydrift/dispatch/ReturnSchedule.h"
