Throttles and stops are repeated until the worker's reports agree

Cause: a throttle was sent once. If it was lost, or its leader ended, a task went on slowing down a service, or stood still for ever, since the next leader took it to run at full speed. A stop that a worker had confirmed was never sent again, although the worker went on listing the run. Change: InterferenceController repeats a throttle until it is confirmed (Dispatcher::OnThrottleConfirmed), and when progress shows another speed; runs found by a new leader have an unknown speed, which it sends. A stop is repeated when the run is listed 2 s after its confirmation. A throttle that is fenced ends the term. `pace_failed` has job, task, percent and repeats. Ruled out: storing the speed with the job's progress: a record before each throttle delays it in an outage of the store. Reports contain no speed, so the worker's confirmation and the progress stand for it. RepeatedCommandsTest of dispatch and of coordination, WorkerRulesTest, ClusterTest and CutOffLeaderTest pass.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -13,6 +13,8 @@
 constexpr int kRoundPauseFactor = 2;
 /// Longest time between two rounds: the process may have been suspended during the last one.
 constexpr std::chrono::milliseconds kMaxRoundPause{ 300 };
+/// One in so many failures to throttle a task is logged.
+constexpr unsigned kThrottleLogInterval = 10;
 /// Time between rounds without events, which handle retries, leases and throttling.
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
 /// The store counts as unavailable when a batch takes longer than this.
@@ -361,16 +363,38 @@
 void Leader::SendThrottle(const ThrottleCommand& aCommand)
 {
   const WorkerListing* worker = this->dispatcher->FindWorker(aCommand.worker);
-  if (worker == nullptr) {
+  if (worker == nullptr || worker->endpoint.port == 0) {
     return;
   }
+  if (aCommand.repeats > 0) {
+    this->env.metrics.Count("throttles_repeated_total");
+  }
+  Epoch token = this->FencingTokenFor(aCommand.worker);
   this->env.workers.Throttle(
-    *worker, aCommand, this->FencingTokenFor(aCommand.worker), [aCommand](std::error_code aError) {
-      if (aError) {
+    *worker,
+    aCommand,
+    token,
+    [this, alive = this->isAlive, aCommand, token](std::error_code aError) {
+      if (!*alive) {
+        return;
+      }
+      if (!aError) {
+        this->dispatcher->OnThrottleConfirmed(aCommand, this->env.loop.Now());
+        return;
+      }
+      // It is sent again with a later round.
+      if (aCommand.repeats % kThrottleLogInterval == 0) {
         LogLine(LogLevel::Warning, "pace_failed")
+          .Add("job", aCommand.task.job)
+          .Add("task", aCommand.task.index)
           .Add("worker", aCommand.worker)
+          .Add("percent", aCommand.percent)
+          .Add("repeats", aCommand.repeats)
           .Add("error", aError);
       }
+      if (aError == make_error_code(Errc::Fenced)) {
+        this->OnFenced(aCommand.worker, token);
+      }
     });
 }
 
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
@@ -277,6 +277,8 @@
   RunNumber run = 0;
   WorkerId worker;
   int percent = 100;
+  /// Number of times that it was sent before.
+  unsigned repeats = 0;
 };
 
 /// Request to the advice service: which of these workers may run the step.
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -122,6 +122,8 @@
   void OnStartResult(AttemptKey aAttempt, StartResult aResult, TimePoint aNow);
   /// The worker confirmed a stop command.
   void OnStopConfirmed(const StopCommand& aCommand, TimePoint aNow);
+  /// The worker confirmed a throttle command. Until then it is sent again.
+  void OnThrottleConfirmed(const ThrottleCommand& aCommand, TimePoint aNow);
   /// Response of the advice service; its tickets are valid until aValidUntil. Workers of the
   /// request that are not in aGrants are denied for that step.
   void OnAdvice(const AdviceRequest& aRequest,
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -63,8 +63,17 @@
   TimePoint listedAt;
   /// Tail latency of a service task's responses.
   double tailLatencyMs = 0;
-  /// Speed to which the task is throttled.
+  /// Speed that the task is to have, sent with the last throttle command.
   int speedPercent = 100;
+  /// Speed that the worker has confirmed, at the time below; empty while it is not known, as for a
+  /// run that an earlier leader may have throttled.
+  std::optional<int> confirmedSpeed = 100;
+  TimePoint speedConfirmedAt;
+  /// Time and number of the throttle commands for that speed.
+  TimePoint throttleSentAt{ -std::chrono::hours(24) };
+  unsigned throttlesSent = 0;
+  /// The task has been throttled, or may have been by an earlier leader.
+  bool wasThrottled = false;
 };
 
 struct Task
--- a/packages/dispatch/src/InterferenceController.cpp
+++ b/packages/dispatch/src/InterferenceController.cpp
@@ -1,5 +1,7 @@
 #include "InterferenceController.h"
 
+#include <algorithm>
+
 namespace daisydrift::dispatch {
 
 namespace {
@@ -8,6 +10,9 @@
 /// Hysteresis: a service counts as recovered only when its tail latency is below this fraction of
 /// the target.
 constexpr double kRecoveredShare = 0.9;
+/// A report shows the effect of a throttle command only this long after its confirmation: a poll
+/// may have been answered before, and progress is reported in whole percents.
+constexpr std::chrono::milliseconds kThrottleEffectTime{ 1000 };
 } // namespace
 
 InterferenceController::InterferenceController(FleetState& aState)
@@ -49,17 +54,59 @@
     aWorker.throttledUntil = aNow + settings.throttleHold;
   }
   for (Attempt& attempt : aWorker.attempts) {
-    if (attempt.step->spec->usesSpareCores && attempt.speedPercent != aWorker.speedPercent &&
-        attempt.state == AttemptState::Running && !attempt.isStopping) {
+    if (!attempt.step->spec->usesSpareCores || attempt.state != AttemptState::Running ||
+        attempt.isStopping) {
+      continue;
+    }
+    bool isNew = attempt.speedPercent != aWorker.speedPercent;
+    if (isNew) {
       attempt.speedPercent = aWorker.speedPercent;
+      attempt.wasThrottled = true;
+      attempt.throttlesSent = 0;
+    }
+    if (attempt.confirmedSpeed == attempt.speedPercent && this->IsContradicted(attempt)) {
+      attempt.confirmedSpeed.reset();
+      attempt.throttlesSent = 0;
+    }
+    bool isDue = isNew || aNow - attempt.throttleSentAt > settings.stopRetryInterval;
+    if (attempt.confirmedSpeed != attempt.speedPercent && isDue) {
+      attempt.throttleSentAt = aNow;
       const Step& step = *attempt.step;
       aRound.throttles.push_back(
         { { step.job->definition.id, step.occurrence, step.number, attempt.index },
           attempt.run,
           aWorker.listing.id,
-          aWorker.speedPercent });
+          attempt.speedPercent,
+          attempt.throttlesSent++ });
     }
   }
 }
 
+void InterferenceController::OnConfirmed(Attempt& aAttempt, int aPercent, TimePoint aNow)
+{
+  // The response to an earlier command for another speed says nothing of the last one.
+  if (aAttempt.speedPercent == aPercent) {
+    aAttempt.confirmedSpeed = aPercent;
+    aAttempt.speedConfirmedAt = aNow;
+  }
+}
+
+void InterferenceController::MarkSpeedUnknown(Attempt& aAttempt)
+{
+  aAttempt.confirmedSpeed.reset();
+  aAttempt.wasThrottled = true;
+}
+
+bool InterferenceController::IsContradicted(const Attempt& aAttempt) const
+{
+  if (!aAttempt.wasThrottled) {
+    return false;
+  }
+  if (aAttempt.speedPercent == 0) {
+    return aAttempt.progressChangedAt > aAttempt.speedConfirmedAt + kThrottleEffectTime;
+  }
+  TimePoint since = std::max(aAttempt.speedConfirmedAt, aAttempt.progressChangedAt);
+  return aAttempt.listedAt - since > this->state.settings.stallTimeout;
+}
+
 } // namespace daisydrift::dispatch
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -277,6 +277,7 @@
     attempt.state = AttemptState::Restored;
     attempt.longLeaseUntil = run.longLeaseUntil;
     attempt.isStopping = step->tasks[run.index].hasEarlierSuccess;
+    dispatch::InterferenceController::MarkSpeedUnknown(attempt);
   }
   if (invalid > 0) {
     LogLine(LogLevel::Error, "progress_entries_left_out")
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -271,6 +271,7 @@
   attempt.confirmedAt = aNow;
   attempt.listedAt = aNow;
   attempt.longLeaseUntil = this->LongLeaseUntil(aWorker, aNow);
+  dispatch::InterferenceController::MarkSpeedUnknown(attempt);
   this->state.MarkChanged(*step->job);
 }
 
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds kMigrationCost{ 1200 };
 /// Tasks that are expected to end within this time stay on a draining worker.
 constexpr std::chrono::milliseconds kMinTimeLeftToMigrate{ 1000 };
+/// Time after which a worker that has confirmed a stop has ended the run, which takes up to 0.9 s,
+/// and no longer lists it.
+constexpr std::chrono::milliseconds kMaxStopTime{ 2000 };
 } // namespace
 
 RunNumber Dispatcher::Impl::NextRunNumber(const Task& aTask) const
@@ -222,9 +225,11 @@
           this->MigrateFromDrainingWorker(attempt, aNow);
         }
       }
-      if (attempt.isStopping && attempt.state != AttemptState::Planned &&
-          aNow - attempt.stopSentAt > this->settings.stopRetryInterval &&
-          attempt.stopConfirmedAt == TimePoint::max()) {
+      // A confirmed stop is repeated when the worker goes on listing the run.
+      bool isStopDue = attempt.stopConfirmedAt == TimePoint::max() ||
+                       attempt.listedAt - attempt.stopConfirmedAt > kMaxStopTime;
+      if (attempt.isStopping && attempt.state != AttemptState::Planned && isStopDue &&
+          aNow - attempt.stopSentAt > this->settings.stopRetryInterval) {
         attempt.stopSentAt = aNow;
         aRound.stops.push_back({ NameOf(attempt), attempt.run, worker.listing.id });
       }
