Tasks that allow copies get a second run when the first one holds up their step

Cause: steps may allow copies, but none was started, so a step of ten tasks of which three in 100 take seven times as long ended with its slowest run, and a run on a silent worker held up its step until the lease had ended. Change: `StragglerRule` judges a run by its progress, the median of its siblings, its declared time and its worker's state; `CopyPlanner` chooses the worker. A copy is the second attempt of a task (`Task::copy`), has a higher run number, is stored and restored like the first one, and counts against its worker and team. The first success counts at once, also while the other run is stopped; `Step::runs` keeps the step and its job until that has ended. A task gets one copy, and only while its queue allows two more failures. `long_leases` of a record names tasks, not runs, so the later time counts for both runs. Ruled out: a list of attempts per task, since all but copies need one; to wait for the end of the other run, as for earlier successes, which gives away what a copy of a silent worker's run gains; copies that are stopped for work that arrives later. RecordCodecTest.TheLargestPartOfAJobsProgressFitsIntoAValue has two runs for each task now, which makes it stricter. Conclusion: copies need no setting beside that of their step.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -302,6 +302,9 @@
   this->maxRoundDelay = Duration(0);
   this->env.metrics.Set("waiting_tasks", static_cast<double>(counts.waitingTasks));
   this->env.metrics.Set("running_tasks", static_cast<double>(counts.runningTasks));
+  this->env.metrics.Set("running_copies", static_cast<double>(counts.runningCopies));
+  this->env.metrics.Set("copies_started_in_term", static_cast<double>(counts.copiesStarted));
+  this->env.metrics.Set("copies_won_in_term", static_cast<double>(counts.copiesWon));
   this->env.metrics.Set("workers_in_reach", static_cast<double>(counts.reachableWorkers));
 }
 
--- a/packages/coordination/src/RecordCodec.cpp
+++ b/packages/coordination/src/RecordCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "daisydrift/coordination/JsonFields.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace daisydrift::coordination {
@@ -211,7 +212,9 @@
   std::map<std::uint32_t, WallTime> longLeases;
   readPairs("long_leases", [&longLeases](std::uint32_t aIndex, JsonFields& aPair) {
     auto until = aPair.Integer<std::int64_t>(1, 0, kMaxWallTime.count());
-    longLeases[aIndex] = WallTime(std::chrono::milliseconds(until));
+    // Of the two runs of a task with a copy, the later time counts for both.
+    WallTime& latest = longLeases[aIndex];
+    latest = std::max(latest, WallTime(std::chrono::milliseconds(until)));
   });
   for (OpenRun& run : step.open) {
     auto found = longLeases.find(run.index);
--- a/packages/coordination/tests/RecordCodecTest.cpp
+++ b/packages/coordination/tests/RecordCodecTest.cpp
@@ -107,6 +107,11 @@
                           kMaxRun,
                           std::string(kMaxWorkerIdBytes, 'w'),
                           WallTime(milliseconds(1'764'000'000'000)) });
+    // The copy of the task, which may run on an earlier lease.
+    step.open.push_back({ number,
+                          kMaxRun,
+                          std::string(kMaxWorkerIdBytes, 'v'),
+                          WallTime(milliseconds(1'763'000'000'000)) });
   }
   std::string text = coordination::ProgressPartToText(steps);
   EXPECT_LE(text.size(), kMaxValueBytes);
@@ -115,6 +120,7 @@
   ASSERT_EQ(read->size(), steps.size());
   EXPECT_EQ(read->at(0).failedRuns, steps[0].failedRuns);
   EXPECT_EQ(read->at(0).open[0].longLeaseUntil, steps[0].open[0].longLeaseUntil);
+  EXPECT_GE(read->at(0).open[1].longLeaseUntil, steps[0].open[1].longLeaseUntil);
 }
 
 TEST(RecordCodecTest, StepsThatHaveSucceededAreReadBackFromRuns)
--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -35,6 +35,11 @@
   /// Steps for which the last round neither requested advice nor looked for candidates, since its
   /// scans or request slots were used up.
   std::size_t stepsPassedOver = 0;
+  /// Tasks that run twice at the moment; in this term, the copies that were started and those that
+  /// succeeded before the first run of their task.
+  std::size_t runningCopies = 0;
+  std::uint64_t copiesStarted = 0;
+  std::uint64_t copiesWon = 0;
   /// Sum over all workers.
   Resources capacity;
   /// Part of the capacity that is used by runs which may be active.
@@ -43,7 +48,8 @@
 
 /// Decides which tasks start on which workers, which runs are stopped, and which requests go to the
 /// advice service. Deterministic; not thread-safe. A task is started again only after its previous
-/// run has provably ended or can no longer start.
+/// run has provably ended or can no longer start; one of a step that allows copies may have two
+/// runs at the same time, on two workers.
 class Dispatcher
 {
 public:
--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -116,7 +116,7 @@
                                                                     Coverage& aCoverage) const
 {
   const StepAdvice& advice = aStep.advice;
-  auto waiting = static_cast<std::uint32_t>(aStep.Waiting());
+  auto waiting = static_cast<std::uint32_t>(aStep.Waiting() + aStep.wantedCopies);
   std::vector<Candidate> candidates;
   auto addCandidate = [&](Worker& aWorker, std::uint32_t aSlots, bool aWasGranted) {
     aCoverage.hasUncoveredCapacity = aCoverage.hasUncoveredCapacity || aSlots > 0;
@@ -187,7 +187,7 @@
   std::vector<Candidate> candidates = this->ListCandidates(aStep, aNow, coverage);
   this->workerChecksLeft -= std::min(coverage.checks, this->workerChecksLeft);
   advice.workersPassed = coverage.workersPassed;
-  auto waiting = static_cast<double>(aStep.Waiting());
+  auto waiting = static_cast<double>(aStep.Waiting() + aStep.wantedCopies);
   if (coverage.slots >= waiting) {
     advice.notBefore = aNow + kRequestRetryDelay;
     return;
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -39,6 +39,7 @@
   , reliability(this->state)
   , placement(this->state, this->reliability)
   , advicePlanner(this->state, this->placement)
+  , copyPlanner(this->state, this->placement, aTermStart)
   , overloadSelector(this->state, this->reliability)
   , interference(this->state)
 {
@@ -411,6 +412,9 @@
   counts.openAdviceRequests = this->impl->advicePlanner.OpenRequestCount();
   counts.stepsPassedOver = this->impl->advicePlanner.StepsPassedOver();
   counts.jobs = this->impl->state.openJobs.size();
+  counts.runningCopies = this->impl->state.runningCopies;
+  counts.copiesStarted = this->impl->copiesStarted;
+  counts.copiesWon = this->impl->copiesWon;
   for (const Job* job : this->impl->state.openJobs) {
     for (const auto& step : job->steps) {
       counts.runningTasks += step->active;
@@ -446,7 +450,8 @@
   DispatchRound round;
   FleetState& state = this->impl->state;
   this->impl->wall = aWall;
-  if (aNow >= this->impl->nextSweep) {
+  bool isSweepDue = aNow >= this->impl->nextSweep;
+  if (isSweepDue) {
     this->impl->Sweep(aNow, round);
   }
   this->impl->overloadSelector.Update(aNow);
@@ -485,6 +490,9 @@
       this->impl->advicePlanner.MaybeRequest(*step, aNow, aRequestSlots, position++, round);
     }
   }
+  if (isSweepDue) {
+    this->impl->PlaceCopies(waiting, aNow, aRequestSlots, position, round);
+  }
   return round;
 }
 
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -4,6 +4,7 @@
 // Progress.cpp.
 
 #include "AdvicePlanner.h"
+#include "CopyPlanner.h"
 #include "InterferenceController.h"
 #include "OverloadSelector.h"
 #include "Placement.h"
@@ -55,6 +56,8 @@
   /// Creates the occurrences of a job that are due, and updates which of its steps are ready.
   void StartDueOccurrences(dispatch::Job& aJob, WallTime aWall);
   void CompleteIfDone(dispatch::Job& aJob);
+  /// Marks all attempts of a task for stopping.
+  void StopRuns(dispatch::Task& aTask);
   /// Marks all attempts of a gang for stopping.
   void StopGang(dispatch::Step& aStep);
   /// Checks all jobs and attempts for what is due: occurrences, expired leases, stalls and stops.
@@ -67,6 +70,19 @@
   bool CanDisrupt(const dispatch::Step& aStep) const;
   void PlaceStep(dispatch::Step& aStep, TimePoint aNow, DispatchRound& aRound);
   void PlaceGang(dispatch::Step& aStep, TimePoint aNow, DispatchRound& aRound);
+  /// Starts copies of tasks whose run holds up their step, where they take no room from
+  /// aWaiting. aPosition: number of steps for which advice was considered before.
+  void PlaceCopies(const std::vector<dispatch::WaitingStep>& aWaiting,
+                   TimePoint aNow,
+                   std::size_t aRequestSlots,
+                   std::size_t aPosition,
+                   DispatchRound& aRound);
+  void StartCopy(const dispatch::CopyPlanner::Straggler& aStraggler,
+                 dispatch::Worker& aWorker,
+                 TimePoint aNow,
+                 DispatchRound& aRound);
+  /// Records which of a task's two runs has succeeded; does nothing for a task with one run.
+  void LogCopyResult(const dispatch::Attempt& aSucceeded, TimePoint aNow);
   /// Adds an attempt, which is sent once the progress of its job has been stored.
   void PlanStart(dispatch::Step& aStep,
                  std::uint32_t aIndex,
@@ -103,11 +119,15 @@
   dispatch::WorkerReliability reliability;
   dispatch::Placement placement;
   dispatch::AdvicePlanner advicePlanner;
+  dispatch::CopyPlanner copyPlanner;
   dispatch::OverloadSelector overloadSelector;
   dispatch::InterferenceController interference;
   /// Stops of runs that have no attempt here; sent with the next sweep.
   std::vector<StopCommand> unknownRunStops;
   TimePoint nextSweep;
+  std::uint64_t copiesStarted = 0;
+  /// Copies that succeeded before the first run of their task.
+  std::uint64_t copiesWon = 0;
   std::uint64_t nextSequence = 1;
 };
 
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -81,8 +81,14 @@
   /// Highest run number that is known to have completed.
   RunNumber lastCompletedRun = 0;
   std::string checkpoint;
-  /// Current attempt; null when the task is not started.
+  /// Current attempt; null when the task is not started. Of a task that has succeeded, a run that
+  /// is being stopped.
   Attempt* attempt = nullptr;
+  /// A second attempt beside the first one, on another worker and with a higher run number; null
+  /// for most tasks. It takes the place of `attempt` when that ends first.
+  Attempt* copy = nullptr;
+  /// The task has had its copy.
+  bool hadCopy = false;
   /// The task is not started again before this time.
   TimePoint notBefore;
   /// Workers on which the task failed.
@@ -161,8 +167,15 @@
   std::uint32_t number = 0;
   std::vector<Task> tasks;
   std::uint32_t succeeded = 0;
-  /// Number of tasks with an attempt.
+  /// Number of tasks that have an attempt and have not succeeded.
   std::uint32_t active = 0;
+  /// Number of attempts, including copies and those of tasks that have succeeded.
+  std::uint32_t runs = 0;
+  /// Tasks that wait for a worker on which a copy may run; advice is requested for them.
+  std::uint32_t wantedCopies = 0;
+  /// Run times of the tasks that have succeeded without a checkpoint, as far as this leader has
+  /// seen them; only of steps that can have copies.
+  std::vector<Duration> runTimes;
   StepAdvice advice;
   std::map<const Worker*, std::uint32_t> tasksByWorker;
   /// The occurrence is due and all earlier steps that this one depends on have succeeded.
@@ -176,6 +189,14 @@
 
   bool IsDone() const { return this->succeeded == this->tasks.size(); }
   std::size_t Waiting() const { return this->tasks.size() - this->succeeded - this->active; }
+  /// A task may run on two workers at the same time. The members of a gang run together, a service
+  /// has no success that could end the other run, and tasks on spare cores are slow because there
+  /// is no room.
+  bool CanHaveCopies() const
+  {
+    return this->spec->allowsCopies && !this->spec->isGang && !this->spec->isService &&
+           !this->spec->usesSpareCores;
+  }
   StepName Name() const;
 };
 
--- a/packages/dispatch/src/FleetState.cpp
+++ b/packages/dispatch/src/FleetState.cpp
@@ -104,9 +104,13 @@
   if (step == nullptr || aTask.index >= step->tasks.size()) {
     return nullptr;
   }
-  Attempt* attempt = step->tasks[aTask.index].attempt;
-  return attempt != nullptr && attempt->worker == &aWorker && attempt->run == aRun ? attempt
-                                                                                   : nullptr;
+  const Task& task = step->tasks[aTask.index];
+  for (Attempt* attempt : { task.attempt, task.copy }) {
+    if (attempt != nullptr && attempt->worker == &aWorker && attempt->run == aRun) {
+      return attempt;
+    }
+  }
+  return nullptr;
 }
 
 void FleetState::AddOccurrence(Job& aJob, std::uint32_t aOccurrence)
@@ -141,6 +145,13 @@
   return committed;
 }
 
+bool FleetState::CanAddAttempt(const Step& aStep, std::uint32_t aIndex, const Worker& aWorker)
+{
+  const Task& task = aStep.tasks[aIndex];
+  return task.attempt == nullptr ||
+         (aStep.CanHaveCopies() && task.copy == nullptr && task.attempt->worker != &aWorker);
+}
+
 Attempt& FleetState::AddAttempt(Step& aStep,
                                 std::uint32_t aIndex,
                                 Worker& aWorker,
@@ -148,7 +159,7 @@
                                 TimePoint aNow)
 {
   Task& task = aStep.tasks[aIndex];
-  assert(task.attempt == nullptr && !task.hasSucceeded);
+  assert(!task.hasSucceeded && CanAddAttempt(aStep, aIndex, aWorker));
   auto attempt = std::make_unique<Attempt>();
   attempt->key = this->nextKey++;
   attempt->step = &aStep;
@@ -157,10 +168,17 @@
   attempt->worker = &aWorker;
   attempt->decidedAt = aNow;
   attempt->progressChangedAt = aNow;
-  task.attempt = attempt.get();
+  if (task.attempt == nullptr) {
+    task.attempt = attempt.get();
+    ++aStep.active;
+  } else {
+    task.copy = attempt.get();
+    task.hadCopy = true;
+    ++this->runningCopies;
+  }
+  ++aStep.runs;
   MarkPartChanged(aStep, aIndex);
   task.lastRun = std::max(task.lastRun, aRun);
-  ++aStep.active;
   ++aStep.tasksByWorker[&aWorker];
   aWorker.committed += CommittedResources(*aStep.spec);
   if (aStep.spec->usesSpareCores) {
@@ -179,11 +197,18 @@
 {
   Step& step = *aAttempt.step;
   Task& task = step.tasks[aAttempt.index];
-  assert(task.attempt == &aAttempt);
-  task.attempt = nullptr;
+  assert(task.attempt == &aAttempt || task.copy == &aAttempt);
+  if (task.attempt == &aAttempt) {
+    task.attempt = task.copy;
+  }
+  this->runningCopies -= task.copy != nullptr ? 1 : 0;
+  task.copy = nullptr;
   MarkPartChanged(step, aAttempt.index);
   task.lastCompletedRun = std::max(task.lastCompletedRun, aAttempt.run);
-  --step.active;
+  --step.runs;
+  if (task.attempt == nullptr && !task.hasSucceeded) {
+    --step.active;
+  }
   auto count = step.tasksByWorker.find(aAttempt.worker);
   if (--count->second == 0) {
     step.tasksByWorker.erase(count);
@@ -201,10 +226,13 @@
 void FleetState::MarkSucceeded(Step& aStep, std::uint32_t aIndex)
 {
   Task& task = aStep.tasks[aIndex];
-  assert(task.attempt == nullptr);
+  assert(task.attempt == nullptr || aStep.CanHaveCopies());
   if (!task.hasSucceeded) {
     task.hasSucceeded = true;
     ++aStep.succeeded;
+    if (task.attempt != nullptr) {
+      --aStep.active;
+    }
     MarkPartChanged(aStep, aIndex);
     Job& job = *aStep.job;
     if (aStep.isFinite && --job.openTasks[aStep.occurrence - job.firstOccurrence] == 0) {
@@ -250,7 +278,7 @@
   while (aJob.definition.occurrences > 0 && aJob.steps.size() >= steps &&
          std::all_of(aJob.steps.begin(),
                      aJob.steps.begin() + static_cast<std::ptrdiff_t>(steps),
-                     [](const auto& aStep) { return aStep->IsDone(); })) {
+                     [](const auto& aStep) { return aStep->IsDone() && aStep->runs == 0; })) {
     aJob.steps.erase(aJob.steps.begin(), aJob.steps.begin() + static_cast<std::ptrdiff_t>(steps));
     aJob.openTasks.erase(aJob.openTasks.begin(), aJob.openTasks.begin() + count);
     aJob.firstOccurrence += count;
@@ -297,7 +325,7 @@
   }
   for (const std::unique_ptr<Step>& step : found->second->steps) {
     for (Task& task : step->tasks) {
-      if (task.attempt != nullptr) {
+      while (task.attempt != nullptr) {
         this->RemoveAttempt(*task.attempt);
       }
     }
--- a/packages/dispatch/src/FleetState.h
+++ b/packages/dispatch/src/FleetState.h
@@ -38,8 +38,11 @@
 
   /// Adds the steps of the job's next occurrence.
   void AddOccurrence(Job& aJob, std::uint32_t aOccurrence);
-  /// Adds an attempt to start a task on a worker and commits its resources; the task must not have
-  /// another attempt.
+  /// True when the task may get an attempt on the worker: it has no other one, or one that may be
+  /// copied and is on another worker.
+  static bool CanAddAttempt(const Step& aStep, std::uint32_t aIndex, const Worker& aWorker);
+  /// Adds an attempt to start a task on a worker and commits its resources. CanAddAttempt must
+  /// hold.
   Attempt& AddAttempt(Step& aStep,
                       std::uint32_t aIndex,
                       Worker& aWorker,
@@ -74,6 +77,8 @@
   /// Jobs that are not in a final state or still have attempts.
   std::set<Job*> openJobs;
   std::map<TeamName, Team> teams;
+  /// Number of tasks that run twice.
+  std::size_t runningCopies = 0;
   /// Jobs whose progress must be stored.
   std::vector<JobId> changedJobs;
 
--- a/packages/dispatch/src/OverloadSelector.cpp
+++ b/packages/dispatch/src/OverloadSelector.cpp
@@ -34,7 +34,7 @@
   auto tasks = static_cast<double>(aStep.Waiting());
   if (aStep.active > 0) {
     for (const Task& task : aStep.tasks) {
-      if (task.attempt != nullptr) {
+      if (task.attempt != nullptr && !task.hasSucceeded) {
         tasks += (100 - std::min(task.attempt->progressPercent, 100)) / 100.0;
       }
     }
--- a/packages/dispatch/src/Progress.cpp
+++ b/packages/dispatch/src/Progress.cpp
@@ -32,10 +32,14 @@
   }
 }
 
-void AddOpenRun(StepProgress& aPart, const Attempt& aAttempt)
+void AddOpenRuns(StepProgress& aPart, const Task& aTask)
 {
-  aPart.open.push_back(
-    { aAttempt.index, aAttempt.run, aAttempt.worker->listing.id, aAttempt.longLeaseUntil });
+  for (const Attempt* attempt : { aTask.attempt, aTask.copy }) {
+    if (attempt != nullptr) {
+      aPart.open.push_back(
+        { attempt->index, attempt->run, attempt->worker->listing.id, attempt->longLeaseUntil });
+    }
+  }
 }
 
 /// Adds the progress of the task to that of its step.
@@ -44,9 +48,7 @@
   const Task& task = aStep.tasks[aIndex];
   if (task.hasSucceeded || task.hasEarlierSuccess) {
     aPart.succeeded.push_back(aIndex);
-    if (task.attempt != nullptr) {
-      AddOpenRun(aPart, *task.attempt);
-    }
+    AddOpenRuns(aPart, task);
     return;
   }
   if (task.failures.Count() > 0) {
@@ -57,9 +59,7 @@
     aPart.lastCompletedRuns[aIndex] = task.lastCompletedRun;
   }
   AddCheckpoint(aPart, aIndex, task.checkpoint);
-  if (task.attempt != nullptr) {
-    AddOpenRun(aPart, *task.attempt);
-  }
+  AddOpenRuns(aPart, task);
 }
 
 StepProgress WithoutTasks(const Step& aStep)
@@ -259,10 +259,13 @@
     }
   }
   for (const OpenRun& run : aPart.open) {
-    if (!valid(run.index) || step->tasks[run.index].attempt != nullptr) {
+    if (!valid(run.index)) {
       continue;
     }
     Worker& worker = this->state.EnsureWorker(run.worker);
+    if (!FleetState::CanAddAttempt(*step, run.index, worker)) {
+      continue;
+    }
     if (worker.leaseExpiryBound == TimePoint()) {
       worker.leaseExpiryBound = this->restoredLeaseBound;
     }
@@ -302,7 +305,7 @@
   for (const auto& step : aJob.steps) {
     for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
       Task& task = step->tasks[index];
-      if (task.hasEarlierSuccess && task.attempt == nullptr) {
+      if (task.hasEarlierSuccess && (task.attempt == nullptr || step->CanHaveCopies())) {
         task.hasEarlierSuccess = false;
         FleetState::MarkSucceeded(*step, index);
       }
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -23,6 +23,14 @@
 constexpr std::chrono::milliseconds kRestartBackoff{ 500 };
 /// Consecutive early exits after which a task is still restarted without delay.
 constexpr std::uint32_t kEarlyExitsWithoutBackoff = 3;
+
+/// False when the task has another run that has progressed further, whose checkpoint is kept.
+bool IsAhead(const Attempt& aAttempt)
+{
+  const Task& task = aAttempt.step->tasks[aAttempt.index];
+  return task.copy == nullptr || aAttempt.progressPercent >= std::max(task.attempt->progressPercent,
+                                                                      task.copy->progressPercent);
+}
 } // namespace
 
 void Dispatcher::Impl::CloseAttempt(Attempt& aAttempt)
@@ -31,7 +39,7 @@
   std::uint32_t index = aAttempt.index;
   this->state.RemoveAttempt(aAttempt);
   this->state.MarkChanged(*step.job);
-  if (step.tasks[index].hasEarlierSuccess) {
+  if (step.tasks[index].hasEarlierSuccess && step.tasks[index].attempt == nullptr) {
     this->MarkTaskSucceeded(step, index);
   }
 }
@@ -50,7 +58,8 @@
   if (task.hasSucceeded) {
     return;
   }
-  if (task.attempt == nullptr) {
+  if (task.attempt == nullptr || aStep.CanHaveCopies()) {
+    this->StopRuns(task);
     this->MarkTaskSucceeded(aStep, aIndex);
     return;
   }
@@ -60,6 +69,16 @@
   this->state.MarkChanged(*aStep.job);
 }
 
+void Dispatcher::Impl::StopRuns(Task& aTask)
+{
+  for (Attempt* attempt : { aTask.attempt, aTask.copy }) {
+    if (attempt != nullptr) {
+      attempt->isStopping = true;
+      this->nextSweep = TimePoint();
+    }
+  }
+}
+
 void Dispatcher::Impl::CompleteIfDone(Job& aJob)
 {
   bool isDone =
@@ -121,10 +140,17 @@
   Job& job = *step.job;
   this->reliability.OnSuccess(aAttempt, aNow);
   std::uint32_t index = aAttempt.index;
+  this->LogCopyResult(aAttempt, aNow);
+  if (step.CanHaveCopies() && step.tasks[index].checkpoint.empty() &&
+      aAttempt.confirmedAt != TimePoint::max()) {
+    step.runTimes.push_back(aNow - aAttempt.confirmedAt);
+  }
   this->CloseAttempt(aAttempt);
   if (step.spec->isService) {
     return; // A service runs until it is cancelled, whatever the outcome of its tasks.
   }
+  // The run of another worker may go on for as long as its lease lasts; nothing waits for it.
+  this->StopRuns(step.tasks[index]);
   FleetState::MarkSucceeded(step, index);
   if (step.spec->isGang) {
     // The success of one member implies that of all others, which end at the same time.
@@ -159,11 +185,11 @@
 {
   Step& step = *aAttempt.step;
   Task& task = step.tasks[aAttempt.index];
-  if (task.hasEarlierSuccess) {
+  if (task.hasEarlierSuccess || task.hasSucceeded) {
     this->CloseAttempt(aAttempt);
     return;
   }
-  if (!aCompletion.checkpoint.empty()) {
+  if (!aCompletion.checkpoint.empty() && IsAhead(aAttempt)) {
     (step.spec->isGang ? step.gangCheckpoint : task.checkpoint) = aCompletion.checkpoint;
   }
   if (step.spec->isService) {
@@ -298,7 +324,7 @@
       attempt->progressChangedAt = aNow;
     }
     attempt->tailLatencyMs = running.tailLatencyMs;
-    if (!running.checkpoint.empty()) {
+    if (!running.checkpoint.empty() && IsAhead(*attempt)) {
       Step& step = *attempt->step;
       (step.spec->isGang ? step.gangCheckpoint : step.tasks[attempt->index].checkpoint) =
         running.checkpoint;
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -125,6 +125,84 @@
   }
 }
 
+void Dispatcher::Impl::PlaceCopies(const std::vector<dispatch::WaitingStep>& aWaiting,
+                                   TimePoint aNow,
+                                   std::size_t aRequestSlots,
+                                   std::size_t aPosition,
+                                   DispatchRound& aRound)
+{
+  std::vector<dispatch::CopyPlanner::Straggler> stragglers = this->copyPlanner.Find(aNow);
+  if (stragglers.empty()) {
+    return;
+  }
+  this->copyPlanner.BeginRound();
+  for (const dispatch::WaitingStep& entry : aWaiting) {
+    if (entry.step->Waiting() > 0) {
+      this->copyPlanner.AddWaiting(*entry.step);
+    }
+  }
+  Step* lastWanting = nullptr;
+  for (const dispatch::CopyPlanner::Straggler& straggler : stragglers) {
+    Step& step = *straggler.step;
+    if (aRound.starts.size() >= this->settings.maxStartsPerRound) {
+      return;
+    }
+    Worker* worker = this->copyPlanner.Choose(straggler, aNow);
+    if (worker != nullptr) {
+      this->StartCopy(straggler, *worker, aNow, aRound);
+    } else if (this->copyPlanner.NeedsAdvice(step)) {
+      ++step.wantedCopies;
+      if (lastWanting != &step) {
+        lastWanting = &step;
+        this->advicePlanner.MaybeRequest(step, aNow, aRequestSlots, aPosition++, aRound);
+      }
+    }
+  }
+}
+
+void Dispatcher::Impl::StartCopy(const dispatch::CopyPlanner::Straggler& aStraggler,
+                                 Worker& aWorker,
+                                 TimePoint aNow,
+                                 DispatchRound& aRound)
+{
+  Step& step = *aStraggler.step;
+  const Task& task = step.tasks[aStraggler.index];
+  const Attempt& first = *task.attempt;
+  RunNumber run = this->NextRunNumber(task);
+  LogLine(LogLevel::Info, "copy_started")
+    .Add("job", step.job->definition.id)
+    .Add("step", step.number)
+    .Add("task", aStraggler.index)
+    .Add("run", run)
+    .Add("worker", aWorker.listing.id)
+    .Add("first_run", first.run)
+    .Add("first_worker", first.worker->listing.id)
+    .Add("cause", NameOf(aStraggler.cause))
+    .Add("elapsed_ms", aStraggler.run.elapsed)
+    .Add("expected_ms", aStraggler.run.expected)
+    .Add("percent", aStraggler.run.percent)
+    .Add("report_age_ms", aStraggler.run.silentFor);
+  ++this->copiesStarted;
+  this->PlanStart(step, aStraggler.index, aWorker, run, aNow, aRound);
+}
+
+void Dispatcher::Impl::LogCopyResult(const Attempt& aSucceeded, TimePoint aNow)
+{
+  const Task& task = aSucceeded.step->tasks[aSucceeded.index];
+  if (task.copy == nullptr) {
+    return;
+  }
+  bool hasWon = task.copy == &aSucceeded;
+  this->copiesWon += hasWon ? 1 : 0;
+  LogLine(LogLevel::Info, "copy_ended")
+    .Add("job", aSucceeded.step->job->definition.id)
+    .Add("step", aSucceeded.step->number)
+    .Add("task", aSucceeded.index)
+    .Add("run", task.copy->run)
+    .Add("won", hasWon)
+    .Add("age_ms", aNow - task.copy->decidedAt);
+}
+
 void Dispatcher::Impl::StopGang(Step& aStep)
 {
   for (Task& task : aStep.tasks) {
@@ -166,7 +244,8 @@
       .Add("percent", aAttempt.progressPercent);
     return;
   }
-  if (aAttempt.progressPercent <= 0 || spec.estimate.count() == 0) {
+  bool hasCopy = aAttempt.step->tasks[aAttempt.index].copy != nullptr;
+  if (aAttempt.progressPercent <= 0 || spec.estimate.count() == 0 || hasCopy) {
     return;
   }
   double secondsElapsed =
@@ -191,7 +270,8 @@
     return;
   }
   Duration left = spec.estimate - (aNow - aAttempt.decidedAt);
-  if (spec.canCheckpoint && !spec.isGang && left > kMinTimeLeftToMigrate) {
+  bool hasCopy = aAttempt.step->tasks[aAttempt.index].copy != nullptr;
+  if (spec.canCheckpoint && !spec.isGang && !hasCopy && left > kMinTimeLeftToMigrate) {
     aAttempt.isStopping = true;
   }
 }
@@ -204,7 +284,7 @@
     this->StartDueOccurrences(**job, this->wall);
     bool hasAttempts = std::any_of((*job)->steps.begin(),
                                    (*job)->steps.end(),
-                                   [](const auto& aStep) { return aStep->active > 0; });
+                                   [](const auto& aStep) { return aStep->runs > 0; });
     job = (*job)->IsFinished() && !hasAttempts ? this->state.openJobs.erase(job) : std::next(job);
   }
   aRound.stops = std::move(this->unknownRunStops);
