Run times are estimated from those of the queue, the team and the image

Change: `RunTimeEstimator` learns the ratio of actual to declared time by queue, team, image and worker, with its spread; each level counts by its number of runs, so few data leave the declared time nearly as it is. Runs that an earlier leader started teach nothing any more (`Attempt::isStartKnown`), since the time from the change of leader counted as their run time, also for the slowness of a worker. Ruled out: one mean per image, which a few long runs move; learning absolute times, since tasks of one image may differ in size; a least-recently-used list, where two generations of 4,096 entries bound the memory as well. Conclusion: an estimate is lost with the leader; the next one begins with the declared times.

--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -90,9 +90,11 @@
     if (earlier.Waiting() > 0) {
       return false;
     }
+    Duration expected =
+      earlier.active > 0 ? this->state.ExpectedRunTime(earlier).typical : Duration(0);
     for (const Task& task : earlier.tasks) {
-      if (task.attempt != nullptr &&
-          task.attempt->decidedAt + earlier.spec->estimate > aNow + lead) {
+      if (task.attempt != nullptr && !task.hasSucceeded &&
+          task.attempt->decidedAt + expected > aNow + lead) {
         return false;
       }
     }
--- a/packages/dispatch/src/CopyPlanner.cpp
+++ b/packages/dispatch/src/CopyPlanner.cpp
@@ -62,7 +62,8 @@
 {
   std::vector<Duration> runTimes = aStep.runTimes;
   for (const Task& task : aStep.tasks) {
-    if (task.attempt != nullptr && !task.hasSucceeded && task.checkpoint.empty()) {
+    if (task.attempt != nullptr && task.attempt->isStartKnown && !task.hasSucceeded &&
+        task.checkpoint.empty()) {
       Duration projected =
         StragglerRule::Project(RunTimeSoFar(*task.attempt), task.attempt->progressPercent);
       if (projected > Duration(0)) {
@@ -72,7 +73,7 @@
   }
   Duration expected = StragglerRule::TypicalOf(std::move(runTimes));
   if (expected == Duration(0)) {
-    expected = aStep.spec->estimate;
+    expected = this->state.ExpectedRunTime(aStep).typical;
   }
   for (std::uint32_t index = 0; index < aStep.tasks.size(); ++index) {
     const Task& task = aStep.tasks[index];
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -47,6 +47,8 @@
   Worker* worker = nullptr;
   AttemptState state = AttemptState::Planned;
   bool isStopping = false;
+  /// False for a run that an earlier leader started: it is not known how long it has run.
+  bool isStartKnown = false;
   TimePoint decidedAt;
   /// Time until which the worker may hold a longer lease than was asked for, as known when the
   /// attempt was decided; 0 if it did not.
--- a/packages/dispatch/src/FleetState.cpp
+++ b/packages/dispatch/src/FleetState.cpp
@@ -152,6 +152,13 @@
          (aStep.CanHaveCopies() && task.copy == nullptr && task.attempt->worker != &aWorker);
 }
 
+RunTime FleetState::ExpectedRunTime(const Step& aStep) const
+{
+  const JobDefinition& definition = aStep.job->definition;
+  return this->runTimes.Expected(
+    definition.queue, definition.team, aStep.spec->image, aStep.spec->estimate);
+}
+
 Attempt& FleetState::AddAttempt(Step& aStep,
                                 std::uint32_t aIndex,
                                 Worker& aWorker,
--- a/packages/dispatch/src/FleetState.h
+++ b/packages/dispatch/src/FleetState.h
@@ -2,6 +2,7 @@
 // Jobs, workers, teams and attempts.
 
 #include "Entities.h"
+#include "RunTimeEstimator.h"
 
 #include <unordered_map>
 
@@ -70,6 +71,9 @@
   /// Resources that a task takes from its worker's capacity.
   static Resources CommittedResources(const StepSpec& aSpec);
 
+  /// Expected run time of a task of the step, on its own cores and beside its data.
+  RunTime ExpectedRunTime(const Step& aStep) const;
+
   const DispatchSettings& settings;
   std::set<FailureDomain> drainedDomains;
   std::map<WorkerId, std::unique_ptr<Worker>> workers;
@@ -77,6 +81,7 @@
   /// Jobs that are not in a final state or still have attempts.
   std::set<Job*> openJobs;
   std::map<TeamName, Team> teams;
+  RunTimeEstimator runTimes;
   /// Number of tasks that run twice.
   std::size_t runningCopies = 0;
   /// Jobs whose progress must be stored.
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -141,7 +141,7 @@
   this->reliability.OnSuccess(aAttempt, aNow);
   std::uint32_t index = aAttempt.index;
   this->LogCopyResult(aAttempt, aNow);
-  if (step.CanHaveCopies() && step.tasks[index].checkpoint.empty() &&
+  if (step.CanHaveCopies() && step.tasks[index].checkpoint.empty() && aAttempt.isStartKnown &&
       aAttempt.confirmedAt != TimePoint::max()) {
     step.runTimes.push_back(aNow - aAttempt.confirmedAt);
   }
@@ -378,6 +378,7 @@
   // This poll was sent before the restart was known.
   this->UpdateFence(aWorker, aReport, aNow - Duration(1));
   WorkerReliability::Reset(aWorker);
+  this->state.runTimes.ForgetWorker(aWorker.listing.id);
   std::vector<Attempt*> lost;
   for (Attempt& attempt : aWorker.attempts) {
     if (attempt.state == AttemptState::Restored) {
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -68,6 +68,7 @@
 {
   Attempt& attempt = this->state.AddAttempt(aStep, aIndex, aWorker, aRun, aNow);
   attempt.longLeaseUntil = this->LongLeaseUntil(aWorker, aNow);
+  attempt.isStartKnown = true;
   Job& job = *aStep.job;
   if (job.state == DispatchState::Queued) {
     job.state = DispatchState::Running;
@@ -251,7 +252,8 @@
   double secondsElapsed =
     std::chrono::duration<double>(aAttempt.listedAt - aAttempt.confirmedAt).count();
   double secondsLeft = secondsElapsed * (100 - aAttempt.progressPercent) / aAttempt.progressPercent;
-  double estimatedSeconds = std::chrono::duration<double>(spec.estimate).count();
+  double estimatedSeconds =
+    std::chrono::duration<double>(this->state.ExpectedRunTime(*aAttempt.step).typical).count();
   double remainingFraction = spec.canCheckpoint ? (100 - aAttempt.progressPercent) / 100.0 : 1.0;
   double secondsElsewhere =
     estimatedSeconds * remainingFraction + std::chrono::duration<double>(kMigrationCost).count();
@@ -269,7 +271,7 @@
     aAttempt.isStopping = this->CanDisrupt(*aAttempt.step);
     return;
   }
-  Duration left = spec.estimate - (aNow - aAttempt.decidedAt);
+  Duration left = this->state.ExpectedRunTime(*aAttempt.step).typical - (aNow - aAttempt.decidedAt);
   bool hasCopy = aAttempt.step->tasks[aAttempt.index].copy != nullptr;
   if (spec.canCheckpoint && !spec.isGang && !hasCopy && left > kMinTimeLeftToMigrate) {
     aAttempt.isStopping = true;
--- a/packages/dispatch/src/WorkerReliability.cpp
+++ b/packages/dispatch/src/WorkerReliability.cpp
@@ -35,14 +35,19 @@
   worker.isProbing = false;
   worker.nextQuarantine = Duration(0);
   const StepSpec& spec = *aAttempt.step->spec;
+  const JobDefinition& definition = aAttempt.step->job->definition;
   bool ranFromStart = aAttempt.step->tasks[aAttempt.index].checkpoint.empty();
   if (spec.estimate.count() > 0 && ranFromStart && !spec.isGang && !spec.usesSpareCores &&
-      aAttempt.confirmedAt != TimePoint::max()) {
+      !spec.isService && aAttempt.isStartKnown && aAttempt.confirmedAt != TimePoint::max()) {
+    Duration actual = aNow - aAttempt.confirmedAt;
     double ratio = std::chrono::duration<double>(aNow - aAttempt.decidedAt) /
                    std::chrono::duration<double>(spec.estimate);
     if (!spec.dataRack.empty() && spec.dataRack != worker.listing.rack) {
       ratio /= this->state.settings.remotePenalty;
+      actual = std::chrono::duration_cast<Duration>(actual / this->state.settings.remotePenalty);
     }
+    this->state.runTimes.Add(
+      definition.queue, definition.team, spec.image, worker.listing.id, spec.estimate, actual);
     worker.slowdown +=
       kNewestRunWeight * (std::clamp(ratio, kMinSlowdown, kMaxSlowdown) - worker.slowdown);
   }
