Long tasks make way for a waiting gang, and a worker is slow only in comparison with others

Cause: the slowness of a worker was learned against declared times, so one whose tasks were declared too short got fewer tasks than a new one; and long tasks were packed onto the fullest worker, also where that took the room of a gang that had waited longer. Change: slowness is the run time against what is expected of the task on any worker, and with it `Placement::Score` orders workers by the task's expected end. A gang that finds no room is known for the rest of the round (`AddWaitingGang`); services and tasks of lower priorities that come after it avoid workers on which they leave room for fewer of its members, if that costs them less than half of their run time. Ruled out: reserving room for the gang, which leaves cores free while it waits; a map look-up of the worker for each comparison. Conclusion: only the first waiting gang of a service is considered.

--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -323,7 +323,8 @@
   /// The same for leases that an earlier leader knew of and that are longer than it asked for.
   TimePoint restoredLongLeaseBound;
 
-  /// Mean run time of tasks relative to their estimates; 1 when nothing is known.
+  /// Mean run time of tasks relative to what is expected of them on any worker; 1 when nothing is
+  /// known.
   double slowdown = 1;
   JobId lastFailedJob;
   /// Consecutive failures of different jobs.
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -11,6 +11,11 @@
 /// Added to the score of workers to use only when there is no other: those on which the task
 /// failed, and for tasks on spare cores those with a service over its tail latency target.
 constexpr double kAvoidancePenalty = 10;
+/// Added to the score of workers on which the task takes room of a gang that waits: the task may
+/// end later by half its run time, less than the gang would wait for it.
+constexpr double kGangRoomPenalty = 0.5;
+/// Members of a gang up to which the room on one worker is counted.
+constexpr std::uint32_t kMaxGangSlots = 64;
 /// Free cores, in thousandths, of the lowest class of workers; half a core.
 constexpr std::int64_t kLowestRoomMilliCores = 512;
 /// Distance between the first workers that consecutive jobs consider; a prime, so that it has no
@@ -41,6 +46,7 @@
       inClass.clear();
     }
     workers.mostFree = Resources();
+    workers.waitingGang = nullptr;
   }
   const std::string* service = nullptr;
   ServiceWorkers* found = nullptr;
@@ -145,12 +151,14 @@
 
 std::uint32_t Placement::CountSlots(const Step& aStep,
                                     const Worker& aWorker,
-                                    std::uint32_t aMaxSlots) const
+                                    std::uint32_t aMaxSlots,
+                                    const Resources& aTaken) const
 {
   const StepSpec& spec = *aStep.spec;
-  Resources free = aWorker.Free();
+  Resources free = aWorker.Free() - aTaken;
+  bool isEmpty = aWorker.attempts.empty() && aTaken == Resources();
   bool isHighestPriority = aStep.job->queue->priority == 0;
-  if (!isHighestPriority && !spec.isService && !spec.usesSpareCores && !aWorker.attempts.empty()) {
+  if (!isHighestPriority && !spec.isService && !spec.usesSpareCores && !isEmpty) {
     free.milliCores -= static_cast<std::int64_t>(
       static_cast<double>(aWorker.listing.capacity.milliCores) * this->state.settings.headroom);
   }
@@ -176,6 +184,31 @@
   return static_cast<std::uint32_t>(slots);
 }
 
+void Placement::AddWaitingGang(const Step& aGang)
+{
+  const Step*& first = this->services[aGang.job->queue->service].waitingGang;
+  first = first == nullptr ? &aGang : first;
+}
+
+const Step* Placement::GangAheadOf(const Step& aStep) const
+{
+  // Tasks of the highest priority are over before the gang starts.
+  bool isLong = aStep.spec->isService || aStep.job->queue->priority != 0;
+  if (!isLong || aStep.spec->isGang || aStep.spec->usesSpareCores) {
+    return nullptr;
+  }
+  auto found = this->services.find(aStep.job->queue->service);
+  return found == this->services.end() ? nullptr : found->second.waitingGang;
+}
+
+bool Placement::TakesRoomOf(const Step& aGang, const Step& aStep, const Worker& aWorker) const
+{
+  std::uint32_t slots =
+    Matches(aGang, aWorker) ? this->CountSlots(aGang, aWorker, kMaxGangSlots) : 0;
+  Resources taken = FleetState::CommittedResources(*aStep.spec);
+  return slots > 0 && this->CountSlots(aGang, aWorker, slots, taken) < slots;
+}
+
 double Placement::Score(const Step& aStep, const Worker& aWorker) const
 {
   const StepSpec& spec = *aStep.spec;
@@ -236,6 +269,7 @@
 {
   Worker* best = nullptr;
   double bestScore = 0;
+  const Step* gang = this->GangAheadOf(aStep);
   for (Worker* worker : aCandidates) {
     if (IsBusyProbe(*worker) || !this->Fits(aStep, *worker)) {
       continue;
@@ -246,6 +280,9 @@
         failedPlacements.end()) {
       score += kAvoidancePenalty;
     }
+    if (gang != nullptr && this->TakesRoomOf(*gang, aStep, *worker)) {
+      score += kGangRoomPenalty;
+    }
     if (best == nullptr || score < bestScore) {
       best = worker;
       bestScore = score;
--- a/packages/dispatch/src/Placement.h
+++ b/packages/dispatch/src/Placement.h
@@ -25,8 +25,12 @@
   Worker* FindAccepting(const Step& aStep, std::uint32_t aNumber) const;
   /// True when the worker has the label that the step requires.
   static bool Matches(const Step& aStep, const Worker& aWorker);
-  /// Number of tasks of the step that fit on the worker now, at most aMaxSlots.
-  std::uint32_t CountSlots(const Step& aStep, const Worker& aWorker, std::uint32_t aMaxSlots) const;
+  /// Number of tasks of the step that fit on the worker now, at most aMaxSlots, beside aTaken,
+  /// which another task would take.
+  std::uint32_t CountSlots(const Step& aStep,
+                           const Worker& aWorker,
+                           std::uint32_t aMaxSlots,
+                           const Resources& aTaken = {}) const;
   /// Cost of running a task of the step on the worker; lower is better.
   double Score(const Step& aStep, const Worker& aWorker) const;
   /// Workers that may get a start of the step now; with valid tickets when its queue uses advice.
@@ -36,6 +40,9 @@
   Worker* Choose(const Step& aStep,
                  const Task& aTask,
                  const std::vector<Worker*>& aCandidates) const;
+  /// The gang waits for room in this round. Long tasks that come after the first such gang of their
+  /// service prefer workers on which they take none of its room.
+  void AddWaitingGang(const Step& aGang);
   /// One worker for each task of a gang; empty when not all of them fit.
   std::vector<Worker*> ChooseForGang(const Step& aStep, TimePoint aNow);
   /// Calls aVisit for the step's workers that accept starts in this round until it returns false.
@@ -61,9 +68,15 @@
     std::array<std::vector<Worker*>, kRoomClasses> byRoom;
     /// The most of each resource that one of them had free as the round began.
     Resources mostFree;
+    /// The first gang that waits for room in this round; null when there is none.
+    const Step* waitingGang = nullptr;
   };
 
   bool Fits(const Step& aStep, const Worker& aWorker) const;
+  /// The waiting gang for whose room the step's tasks make way; null when there is none.
+  const Step* GangAheadOf(const Step& aStep) const;
+  /// True when a task of the step leaves room for fewer members of the gang on the worker.
+  bool TakesRoomOf(const Step& aGang, const Step& aStep, const Worker& aWorker) const;
   /// Free cores, in thousandths, as the round began; -1 for a worker that accepts no starts.
   std::int64_t RoomAtRoundStart(std::uint32_t aNumber) const
   {
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -115,6 +115,7 @@
   }
   std::vector<Worker*> workers = this->placement.ChooseForGang(aStep, aNow);
   if (workers.empty()) {
+    this->placement.AddWaitingGang(aStep);
     return;
   }
   RunNumber run = 0;
--- a/packages/dispatch/src/WorkerReliability.cpp
+++ b/packages/dispatch/src/WorkerReliability.cpp
@@ -8,7 +8,7 @@
 /// Weight of the newest run in the moving average of a worker's slowdown; averages over about ten
 /// runs.
 constexpr double kNewestRunWeight = 0.15;
-/// Bounds on the ratio of a single run, since declared run times are often far off.
+/// Bounds on the ratio of a single run, since some tasks take many times as long as others.
 constexpr double kMinSlowdown = 0.4;
 constexpr double kMaxSlowdown = 4;
 } // namespace
@@ -40,14 +40,13 @@
   if (spec.estimate.count() > 0 && ranFromStart && !spec.isGang && !spec.usesSpareCores &&
       !spec.isService && aAttempt.isStartKnown && aAttempt.confirmedAt != TimePoint::max()) {
     Duration actual = aNow - aAttempt.confirmedAt;
-    double ratio = std::chrono::duration<double>(aNow - aAttempt.decidedAt) /
-                   std::chrono::duration<double>(spec.estimate);
+    Duration expected = std::max(this->state.ExpectedRunTime(*aAttempt.step).typical, Duration(1));
     if (!spec.dataRack.empty() && spec.dataRack != worker.listing.rack) {
-      ratio /= this->state.settings.remotePenalty;
       actual = std::chrono::duration_cast<Duration>(actual / this->state.settings.remotePenalty);
     }
     this->state.runTimes.Add(
       definition.queue, definition.team, spec.image, worker.listing.id, spec.estimate, actual);
+    double ratio = std::chrono::duration<double>(actual) / std::chrono::duration<double>(expected);
     worker.slowdown +=
       kNewestRunWeight * (std::clamp(ratio, kMinSlowdown, kMaxSlowdown) - worker.slowdown);
   }
