--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -125,6 +125,8 @@
   /// Stops of runs that have no attempt here; sent with the next sweep.
   std::vector<StopCommand> unknownRunStops;
   TimePoint nextSweep;
+  /// Position in the list of stragglers at which the next sweep begins.
+  std::size_t stragglersPassed = 0;
   std::uint64_t copiesStarted = 0;
   /// Copies that succeeded before the first run of their task.
   std::uint64_t copiesWon = 0;
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds kMigrationCost{ 1200 };
 /// Tasks that are expected to end within this time stay on a draining worker.
 constexpr std::chrono::milliseconds kMinTimeLeftToMigrate{ 1000 };
+/// Stragglers for which a worker is sought in one sweep. Each may be compared with all workers, and
+/// hundreds appear at once when a part of the fleet is cut off.
+constexpr std::size_t kMaxStragglersPerSweep = 50;
 } // namespace
 
 RunNumber Dispatcher::Impl::NextRunNumber(const Task& aTask) const
@@ -144,7 +147,12 @@
     }
   }
   Step* lastWanting = nullptr;
-  for (const dispatch::CopyPlanner::Straggler& straggler : stragglers) {
+  // With more of them, the next sweep goes on behind these.
+  std::size_t first = this->stragglersPassed % stragglers.size();
+  std::size_t count = std::min(stragglers.size(), kMaxStragglersPerSweep);
+  this->stragglersPassed = count < stragglers.size() ? first + count : 0;
+  for (std::size_t offset = 0; offset < count; ++offset) {
+    const auto& straggler = stragglers[(first + offset) % stragglers.size()];
     Step& step = *straggler.step;
     if (aRound.starts.size() >= this->settings.maxStartsPerRound) {
       return;
