Tests: the causes of copies, and a schedule with a run that goes on

Cause: stalled and leaving runs, and a schedule whose step has succeeded while a run of it goes on, had no test. Change: a table of observations for `StragglerRule`, and a schedule in CopiesTest. Ruled out: nothing. Conclusion: none.

--- a/packages/dispatch/tests/CopiesTest.cpp
+++ b/packages/dispatch/tests/CopiesTest.cpp
@@ -1,5 +1,6 @@
 // Second runs of tasks whose first run holds up their step.
 
+#include "../src/StragglerRule.h"
 #include "DispatcherFixture.h"
 
 #include <functional>
@@ -156,6 +157,54 @@
   EXPECT_GT(third[0].run, copies[0].run);
 }
 
+// Guards against a step of a schedule that is removed while a run of it still takes resources.
+TEST_F(CopiesTest, AnOccurrenceIsKeptUntilItsLastRunHasEnded)
+{
+  JobDefinition job = CopyableJob(1);
+  job.occurrences = 2;
+  job.interval = std::chrono::hours(1);
+  job.firstDue = this->wall;
+  std::vector<StartCommand> copies = this->StartsBesideSlowRun(job);
+  ASSERT_EQ(copies.size(), 1U);
+  this->Report("w2", {}, { this->Completion(copies[0], RunOutcome::Succeeded) });
+  this->Advance(milliseconds(50));
+  this->Round();
+  EXPECT_EQ(this->dispatcher.CountRuns("w1"), 1U);
+  EXPECT_EQ(this->dispatcher.Progress("job")->firstOccurrence, 0U);
+  this->Report("w1", {}, { this->Completion(this->first, RunOutcome::Stopped) });
+  this->Advance(milliseconds(50));
+  this->Round();
+  EXPECT_EQ(this->dispatcher.Progress("job")->firstOccurrence, 1U);
+  EXPECT_EQ(this->dispatcher.CountRuns("w1"), 0U);
+}
+
+// Guards against copies of runs that end soon, and against none for runs that don't.
+TEST(StragglerRuleTest, JudgesByTheTimeThatIsLeft)
+{
+  using dispatch::StragglerCause;
+  auto judge = [](auto aChange) {
+    dispatch::RunObservation run;
+    run.elapsed = milliseconds(600);
+    run.percent = 60;
+    run.expected = milliseconds(1000);
+    aChange(run);
+    return dispatch::StragglerRule::Judge(run);
+  };
+  EXPECT_EQ(judge([](auto&) {}), StragglerCause::None);
+  EXPECT_EQ(judge([](auto& aRun) { aRun.percent = 20; }), StragglerCause::Slow);
+  EXPECT_EQ(judge([](auto& aRun) { aRun.percent = 40; }), StragglerCause::None);
+  EXPECT_EQ(judge([](auto& aRun) { aRun.percent = 0; }), StragglerCause::None);
+  EXPECT_EQ(judge([](auto& aRun) { aRun.sinceProgress = milliseconds(501); }),
+            StragglerCause::Stalled);
+  EXPECT_EQ(judge([](auto& aRun) { aRun.isDraining = true; }), StragglerCause::Draining);
+  EXPECT_EQ(judge([](auto& aRun) {
+              aRun.isDraining = true;
+              aRun.remaining = milliseconds(500);
+            }),
+            StragglerCause::None);
+  EXPECT_EQ(judge([](auto& aRun) { aRun.isSilent = true; }), StragglerCause::None);
+}
+
 struct NoCopyCase
 {
   const char* name;
