--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -90,9 +90,11 @@
     if (earlier.Waiting() > 0) {
       return false;
     }
+    Duration expected =
+      earlier.active > 0 ? this->state.ExpectedRunTime(earlier).typical : Duration(0);
     for (const Task& task : earlier.tasks) {
-      if (task.attempt != nullptr &&
-          task.attempt->decidedAt + earlier.spec->estimate > aNow + lead) {
+      if (task.attempt != nullptr && !task.hasSucceeded &&
+          task.attempt->decidedAt + expected > aNow + lead) {
         return false;
       }
     }
@@ -116,7 +118,7 @@
                                                                     Coverage& aCoverage) const
 {
   const StepAdvice& advice = aStep.advice;
-  auto waiting = static_cast<std::uint32_t>(aStep.Waiting());
+  auto waiting = static_cast<std::uint32_t>(aStep.Waiting() + aStep.wantedCopies);
   std::vector<Candidate> candidates;
   auto addCandidate = [&](Worker& aWorker, std::uint32_t aSlots, bool aWasGranted) {
     aCoverage.hasUncoveredCapacity = aCoverage.hasUncoveredCapacity || aSlots > 0;
@@ -187,7 +189,7 @@
   std::vector<Candidate> candidates = this->ListCandidates(aStep, aNow, coverage);
   this->workerChecksLeft -= std::min(coverage.checks, this->workerChecksLeft);
   advice.workersPassed = coverage.workersPassed;
-  auto waiting = static_cast<double>(aStep.Waiting());
+  auto waiting = static_cast<double>(aStep.Waiting() + aStep.wantedCopies);
   if (coverage.slots >= waiting) {
     advice.notBefore = aNow + kRequestRetryDelay;
     return;
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -47,6 +47,8 @@
   Worker* worker = nullptr;
   AttemptState state = AttemptState::Planned;
   bool isStopping = false;
+  /// False for a run that an earlier leader started: it is not known how long it has run.
+  bool isStartKnown = false;
   TimePoint decidedAt;
   /// Time until which the worker may hold a longer lease than was asked for, as known when the
   /// attempt was decided; 0 if it did not.
@@ -90,8 +92,14 @@
   /// Highest run number that is known to have completed.
   RunNumber lastCompletedRun = 0;
   std::string checkpoint;
-  /// Current attempt; null when the task is not started.
+  /// Current attempt; null when the task is not started. Of a task that has succeeded, a run that
+  /// is being stopped.
   Attempt* attempt = nullptr;
+  /// A second attempt beside the first one, on another worker and with a higher run number; null
+  /// for most tasks. It takes the place of `attempt` when that ends first.
+  Attempt* copy = nullptr;
+  /// The task has had its copy.
+  bool hadCopy = false;
   /// The task is not started again before this time.
   TimePoint notBefore;
   /// Workers on which the task failed.
@@ -170,8 +178,15 @@
   std::uint32_t number = 0;
   std::vector<Task> tasks;
   std::uint32_t succeeded = 0;
-  /// Number of tasks with an attempt.
+  /// Number of tasks that have an attempt and have not succeeded.
   std::uint32_t active = 0;
+  /// Number of attempts, including copies and those of tasks that have succeeded.
+  std::uint32_t runs = 0;
+  /// Tasks that wait for a worker on which a copy may run; advice is requested for them.
+  std::uint32_t wantedCopies = 0;
+  /// Run times of the tasks that have succeeded without a checkpoint, as far as this leader has
+  /// seen them; only of steps that can have copies.
+  std::vector<Duration> runTimes;
   StepAdvice advice;
   std::map<const Worker*, std::uint32_t> tasksByWorker;
   /// The occurrence is due and all earlier steps that this one depends on have succeeded.
@@ -185,6 +200,14 @@
 
   bool IsDone() const { return this->succeeded == this->tasks.size(); }
   std::size_t Waiting() const { return this->tasks.size() - this->succeeded - this->active; }
+  /// A task may run on two workers at the same time. The members of a gang run together, a service
+  /// has no success that could end the other run, and tasks on spare cores are slow because there
+  /// is no room.
+  bool CanHaveCopies() const
+  {
+    return this->spec->allowsCopies && !this->spec->isGang && !this->spec->isService &&
+           !this->spec->usesSpareCores;
+  }
   StepName Name() const;
 };
 
@@ -309,7 +332,8 @@
   /// The same for leases that an earlier leader knew of and that are longer than it asked for.
   TimePoint restoredLongLeaseBound;
 
-  /// Mean run time of tasks relative to their estimates; 1 when nothing is known.
+  /// Mean run time of tasks relative to what is expected of them on any worker; 1 when nothing is
+  /// known.
   double slowdown = 1;
   JobId lastFailedJob;
   /// Consecutive failures of different jobs.
--- a/packages/dispatch/src/FleetState.h
+++ b/packages/dispatch/src/FleetState.h
@@ -2,6 +2,7 @@
 // Jobs, workers, teams and attempts.
 
 #include "Entities.h"
+#include "RunTimeEstimator.h"
 
 #include <unordered_map>
 
@@ -38,8 +39,11 @@
 
   /// Adds the steps of the job's next occurrence.
   void AddOccurrence(Job& aJob, std::uint32_t aOccurrence);
-  /// Adds an attempt to start a task on a worker and commits its resources; the task must not have
-  /// another attempt.
+  /// True when the task may get an attempt on the worker: it has no other one, or one that may be
+  /// copied and is on another worker.
+  static bool CanAddAttempt(const Step& aStep, std::uint32_t aIndex, const Worker& aWorker);
+  /// Adds an attempt to start a task on a worker and commits its resources. CanAddAttempt must
+  /// hold.
   Attempt& AddAttempt(Step& aStep,
                       std::uint32_t aIndex,
                       Worker& aWorker,
@@ -67,6 +71,9 @@
   /// Resources that a task takes from its worker's capacity.
   static Resources CommittedResources(const StepSpec& aSpec);
 
+  /// Expected run time of a task of the step, on its own cores and beside its data.
+  RunTime ExpectedRunTime(const Step& aStep) const;
+
   const DispatchSettings& settings;
   std::set<FailureDomain> drainedDomains;
   std::map<WorkerId, std::unique_ptr<Worker>> workers;
@@ -74,6 +81,9 @@
   /// Jobs that are not in a final state or still have attempts.
   std::set<Job*> openJobs;
   std::map<TeamName, Team> teams;
+  RunTimeEstimator runTimes;
+  /// Number of tasks that run twice.
+  std::size_t runningCopies = 0;
   /// Jobs whose progress must be stored.
   std::vector<JobId> changedJobs;
 
--- a/packages/dispatch/src/WorkerReliability.cpp
+++ b/packages/dispatch/src/WorkerReliability.cpp
@@ -8,7 +8,7 @@
 /// Weight of the newest run in the moving average of a worker's slowdown; averages over about ten
 /// runs.
 constexpr double kNewestRunWeight = 0.15;
-/// Bounds on the ratio of a single run, since declared run times are often far off.
+/// Bounds on the ratio of a single run, since some tasks take many times as long as others.
 constexpr double kMinSlowdown = 0.4;
 constexpr double kMaxSlowdown = 4;
 } // namespace
@@ -35,14 +35,18 @@
   worker.isProbing = false;
   worker.nextQuarantine = Duration(0);
   const StepSpec& spec = *aAttempt.step->spec;
+  const JobDefinition& definition = aAttempt.step->job->definition;
   bool ranFromStart = aAttempt.step->tasks[aAttempt.index].checkpoint.empty();
   if (spec.estimate.count() > 0 && ranFromStart && !spec.isGang && !spec.usesSpareCores &&
-      aAttempt.confirmedAt != TimePoint::max()) {
-    double ratio = std::chrono::duration<double>(aNow - aAttempt.decidedAt) /
-                   std::chrono::duration<double>(spec.estimate);
+      !spec.isService && aAttempt.isStartKnown && aAttempt.confirmedAt != TimePoint::max()) {
+    Duration actual = aNow - aAttempt.confirmedAt;
+    Duration expected = std::max(this->state.ExpectedRunTime(*aAttempt.step).typical, Duration(1));
     if (!spec.dataRack.empty() && spec.dataRack != worker.listing.rack) {
-      ratio /= this->state.settings.remotePenalty;
+      actual = std::chrono::duration_cast<Duration>(actual / this->state.settings.remotePenalty);
     }
+    this->state.runTimes.Add(
+      definition.queue, definition.team, spec.image, worker.listing.id, spec.estimate, actual);
+    double ratio = std::chrono::duration<double>(actual) / std::chrono::duration<double>(expected);
     worker.slowdown +=
       kNewestRunWeight * (std::clamp(ratio, kMinSlowdown, kMaxSlowdown) - worker.slowdown);
   }
