--- a/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/daisydrift/dispatch/Dispatcher.h
@@ -4,6 +4,7 @@
 
 #include "daisydrift/dispatch/DispatchSettings.h"
 #include "daisydrift/dispatch/DispatchTypes.h"
+#include "daisydrift/dispatch/WaitForecast.h"
 
 #include <memory>
 #include <set>
@@ -150,6 +151,9 @@
   /// Jobs in a final state without active runs; they can be removed with EraseJob.
   std::vector<JobId> ClosedJobs() const;
   DispatchCounts Counts(TimePoint aNow) const;
+  /// Forecast of the waits of new jobs, without term and sequence. Jobs that are added within the
+  /// next seconds are compared with it when they complete, for its error.
+  FleetForecast Forecast(TimePoint aNow);
 
 private:
   class Impl;
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -217,6 +217,7 @@
   }
   Job& job = this->impl->InsertJob(aDefinition, aNow);
   job.isOverRate = job.team != nullptr && !dispatch::TakeJobToken(*job.team, aNow);
+  this->impl->NoteExpectedEnd(job, aNow, aWall);
   this->impl->StartDueOccurrences(job, aWall);
   return true;
 }
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -4,6 +4,7 @@
 // Progress.cpp.
 
 #include "AdvicePlanner.h"
+#include "Backlog.h"
 #include "InterferenceController.h"
 #include "OverloadSelector.h"
 #include "Placement.h"
@@ -90,6 +91,8 @@
   /// Step that a part describes; null if the job has no such step, or no longer.
   dispatch::Step* EnsureRestoredStep(dispatch::Job& aJob, const StepProgress& aPart);
   dispatch::Job& InsertJob(const JobDefinition& aDefinition, TimePoint aNow);
+  /// Notes when a new job is expected to end, if there is a recent forecast.
+  void NoteExpectedEnd(dispatch::Job& aJob, TimePoint aNow, WallTime aWall);
 
   DispatchSettings settings;
   TimePoint termStart;
@@ -109,6 +112,10 @@
   std::vector<StopCommand> unknownRunStops;
   TimePoint nextSweep;
   std::uint64_t nextSequence = 1;
+  /// The last forecast, and its errors by queue.
+  FleetForecast forecast;
+  TimePoint forecastAt;
+  std::map<QueueName, ForecastErrors> forecastErrors;
 };
 
 /// Identifies the task of an attempt.
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -242,6 +242,9 @@
   Duration latencyObjective{ 0 };
   /// Critical path of declared run times from the start of each step to the end of the job.
   std::vector<Duration> criticalPaths;
+  /// Time from addedWall to the end as forecast when the job was added; 0 without a forecast.
+  Duration expectedTime{ 0 };
+  WallTime addedWall;
 
   bool IsFinished() const
   {
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -68,6 +68,10 @@
       aJob.steps.begin(), aJob.steps.end(), [](const auto& aStep) { return aStep->IsDone(); });
   if (isDone && !aJob.IsFinished()) {
     this->state.Finish(aJob, DispatchState::Completed, this->wall);
+    if (aJob.expectedTime > Duration(0)) {
+      this->forecastErrors[aJob.definition.queue].Add(aJob.expectedTime,
+                                                      this->wall - aJob.addedWall);
+    }
   }
 }
 
