Instances keep the leader's forecast and decide on new jobs by it

Cause: The forecast is known to the leader only, and requests are decided by all instances. Change: With the setting admission, announcements have the member forecast (term, sequence, age, work ahead). AdmissionControl keeps the newest one, asks AdmissionPolicy, and refuses a job only after a read of the store has found no job under its id and no job of that id was admitted by the same instance. Ruled out: A tombstone before each refusal: it would refuse the caller's next attempt too. Refusing an announcement whose forecast can't be read: the followers would suspect a leader that works. Conclusion: CallerApi can ask Instance::Admit before it submits.

--- a/packages/coordination/include/daisydrift/coordination/Instance.h
+++ b/packages/coordination/include/daisydrift/coordination/Instance.h
@@ -58,6 +58,10 @@
   Duration maintenanceDelay = std::chrono::milliseconds(3000);
   /// Time between announcements of the leader to the other instances.
   Duration announceInterval = std::chrono::milliseconds(700);
+  /// Refuse jobs that can't end while they have value, by the leader's forecast.
+  bool admission = false;
+  /// Multiplies the tracked error of the forecast: with more, fewer jobs are refused.
+  double admissionMargin = 1;
 };
 
 /// Parsers for the documents that operators and the platform write; provided by the platform
@@ -133,6 +137,12 @@
   /// True when callers' requests can be served.
   bool IsReady() const;
 
+  /// Decides whether a job is to be submitted or refused because of the load. A job that is refused
+  /// is not stored, and no job is stored under its id. aDone runs within half of aTimeout, at once
+  /// when the job is admitted by the forecast.
+  void Admit(const JobDefinition& aDefinition,
+             Duration aTimeout,
+             std::function<void(const std::optional<AdmissionRefusal>&)> aDone);
   /// Stores a job. The callback runs within aTimeout.
   void Submit(const JobDefinition& aDefinition,
               Duration aTimeout,
--- a/packages/coordination/src/Instance.cpp
+++ b/packages/coordination/src/Instance.cpp
@@ -1,5 +1,6 @@
 #include "daisydrift/coordination/Instance.h"
 
+#include "AdmissionControl.h"
 #include "ConfigExchange.h"
 #include "JobRequestHandler.h"
 #include "LeadershipCheck.h"
@@ -12,6 +13,7 @@
 
 namespace daisydrift {
 
+using coordination::AdmissionControl;
 using coordination::ConfigExchange;
 using coordination::ConfigFollower;
 using coordination::JobRequestHandler;
@@ -109,6 +111,7 @@
   std::unique_ptr<Leader> leader;
   LeadershipCheck leadershipCheck;
   JobRequestHandler requestHandler;
+  AdmissionControl admission;
   bool isStopping = false;
   TimePoint lastLeaderContact;
 };
@@ -170,6 +173,7 @@
       this->membership,
       [this] { return this->OwnLeader(); },
       [this](const std::function<void()>& aDone) { this->leadershipCheck.AskMembers(aDone); })
+  , admission(aLoop, aStore, this->membership, this->config, this->settings, aMetrics)
 {
 }
 
@@ -199,6 +203,11 @@
   json announcement{ { "leader", ToJson(this->leader->Record()) },
                      { "config", this->config.Version() } };
   Epoch term = this->leader->Record().term;
+  if (this->settings.admission && this->leader->IsRecovered()) {
+    FleetForecast forecast = this->leader->Forecast();
+    announcement["forecast"] = ToJson(forecast, Duration(0));
+    this->admission.Adopt(std::move(forecast), Duration(0));
+  }
   for (const auto& [name, member] : this->membership.Members()) {
     if (name == this->settings.name) {
       continue;
@@ -337,6 +346,9 @@
   }
   if (!this->IsRefused(aCall)) {
     this->OnAnnouncement(*record, version);
+    if (const json* forecast = aCall.fields.Find("forecast")) {
+      this->admission.Receive(*forecast);
+    }
     aCall.reply(json{ { "config", this->config.Version() } });
   }
 }
@@ -571,6 +583,13 @@
   return this->Config() != nullptr && !this->impl->isStopping;
 }
 
+void Instance::Admit(const JobDefinition& aDefinition,
+                     Duration aTimeout,
+                     std::function<void(const std::optional<AdmissionRefusal>&)> aDone)
+{
+  this->impl->admission.Decide(aDefinition, aTimeout, std::move(aDone));
+}
+
 void Instance::Submit(const JobDefinition& aDefinition,
                       Duration aTimeout,
                       std::function<void(SubmitOutcome)> aDone)
--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -241,6 +241,14 @@
   return this->dispatcher->CountQueuedJobs(aQueue);
 }
 
+FleetForecast Leader::Forecast()
+{
+  FleetForecast forecast = this->dispatcher->Forecast(this->env.loop.Now());
+  forecast.term = this->record.term;
+  forecast.sequence = ++this->forecastSequence;
+  return forecast;
+}
+
 void Leader::ScheduleRound()
 {
   if (this->isRoundScheduled || !this->isRecovered) {
--- a/packages/coordination/src/Leader.h
+++ b/packages/coordination/src/Leader.h
@@ -57,6 +57,8 @@
   /// leader.
   void Cancel(const JobId& aJob, std::function<void(std::error_code)> aDone);
   std::size_t CountQueuedJobs(const QueueName& aQueue) const;
+  /// Forecast of the waits of new jobs, with the next sequence number of this term.
+  FleetForecast Forecast();
 
 private:
   /// A paged read of all keys with a prefix.
@@ -187,6 +189,7 @@
   std::unique_ptr<AdviceRequestSlots> adviceSlots;
   std::unique_ptr<MaintenanceController> maintenance;
   bool isRecovered = false;
+  std::uint64_t forecastSequence = 0;
   bool haveEarlierLeadersEnded = false;
   LeadershipConfirmation confirmation;
   /// Time at which the last read of the leader key before starts was sent.
