Work that expires before it can be done refuses no job

Change: WorkCurve::DoneBy limits the work by the capacity up to each due time, with the tracked error's share more. BacklogOf counts a job as in time only before its latest start. Ruled out: Interpolating between points, since it counts work that is due after the job.

--- a/packages/coordination/src/AdmissionControl.cpp
+++ b/packages/coordination/src/AdmissionControl.cpp
@@ -3,7 +3,6 @@
 #include "RecordWriter.h"
 
 #include <algorithm>
-#include <set>
 
 namespace daisydrift::coordination {
 
--- a/packages/coordination/src/AdmissionControl.h
+++ b/packages/coordination/src/AdmissionControl.h
@@ -5,6 +5,9 @@
 #include "ForecastCodec.h"
 #include "Membership.h"
 
+#include <deque>
+#include <set>
+
 namespace daisydrift::coordination {
 
 /// Keeps the newest forecast of the leaders and decides on new jobs by it (AdmissionPolicy). A job
--- a/packages/dispatch/include/daisydrift/dispatch/WaitForecast.h
+++ b/packages/dispatch/include/daisydrift/dispatch/WaitForecast.h
@@ -25,6 +25,9 @@
   void AddLimited(const WorkCurve& aOther, double aCores);
   /// Work that is due by the last point that is not after aTime.
   double DueBy(Duration aTime) const;
+  /// The same without work that can't be done in time by aCores, since it is given up then and
+  /// delays nothing. What is due at the first point counts in any case, since it may be running.
+  double DoneBy(Duration aTime, double aCores) const;
   double Total() const;
 
   /// Work that is added at each point, in whole core-seconds or less, without the zeros at the end.
@@ -176,11 +179,14 @@
 {
 public:
   static FleetForecast Compute(const ForecastInput& aInput);
-  /// Expected times of a job in a scope of a forecast that was computed aAge ago.
+  /// Expected times of a job in a scope of a forecast that was computed aAge ago. aErrorShare is
+  /// the fraction of the estimate, from 0 on, by which it may be too long: work that could be done
+  /// in time if it is takes up that much more.
   static WaitEstimate EstimateIn(const LoadScope& aScope,
                                  const ForecastJob& aJob,
                                  bool aIsOverRate,
-                                 Duration aAge);
+                                 Duration aAge,
+                                 double aErrorShare);
   /// Expected end of a job, the latest of all its scopes.
   static Duration ExpectedEnd(const FleetForecast& aForecast,
                               const ForecastJob& aJob,
--- a/packages/dispatch/src/AdmissionPolicy.cpp
+++ b/packages/dispatch/src/AdmissionPolicy.cpp
@@ -94,7 +94,8 @@
                                                           bool aIsOverRate,
                                                           Duration aAge)
 {
-  WaitEstimate estimate = WaitForecast::EstimateIn(aScope, aJob, aIsOverRate, aAge);
+  WaitEstimate estimate =
+    WaitForecast::EstimateIn(aScope, aJob, aIsOverRate, aAge, aError.share * this->margin);
   Duration bound = aJob.objective * dispatch::kNoValueFactor;
   // The end if the forecast is too late by the tracked error.
   auto least = [&](Duration aEnd) {
--- a/packages/dispatch/src/Backlog.cpp
+++ b/packages/dispatch/src/Backlog.cpp
@@ -92,10 +92,15 @@
   pending.due = aJob.addedAt + aJob.latencyObjective - aNow;
   // Jobs that are given up for now count: a new job of no less work would be given up before them.
   pending.noValueAfter = aJob.addedAt + aJob.latencyObjective * kNoValueFactor - aNow;
-  pending.isInTime = aJob.outlook == JobOutlook::InTime && pending.due > Duration(0);
+  Duration timeLeft{ 0 };
   for (const auto& step : aJob.steps) {
     AddWork(pending, *step, aLargest);
+    if (step->Waiting() > 0) {
+      timeLeft = std::max(timeLeft, aJob.criticalPaths[step->number]);
+    }
   }
+  // After its latest start, a step goes after those that can still be in time (RankOf).
+  pending.isInTime = aJob.outlook == JobOutlook::InTime && pending.due > timeLeft;
   if (!HasForecast(aJob.definition)) {
     pending.waitingWork = 0;
   }
--- a/packages/dispatch/src/WaitForecast.cpp
+++ b/packages/dispatch/src/WaitForecast.cpp
@@ -21,6 +21,11 @@
 constexpr std::size_t kErrorQuantileTenths = 9;
 /// A job with less than this share of the mean work is light.
 constexpr double kLightShare = 0.5;
+/// A limit is rounded down to a point, so work that fills all time up to that point may fill it up
+/// to the next one.
+constexpr double kPointRatio = 1.25;
+/// Larger errors count as this one, which makes ten times the capacity usable.
+constexpr double kMaxErrorShare = 0.9;
 /// Longest forecast; a caller may declare tasks of years.
 constexpr double kMaxSeconds = 1e6;
 
@@ -170,6 +175,16 @@
   return sum;
 }
 
+double WorkCurve::DoneBy(Duration aTime, double aCores) const
+{
+  double done = 0;
+  for (std::size_t point = 0; point < kPoints && kPointTimes[point] <= aTime; ++point) {
+    double limit = point == 0 ? this->added[0] : aCores * Seconds(kPointTimes[point]);
+    done = std::min(done + this->added[point], std::max(done, limit));
+  }
+  return done;
+}
+
 double WorkCurve::Total() const
 {
   return this->DueBy(Duration::max());
@@ -241,15 +256,18 @@
 WaitEstimate WaitForecast::EstimateIn(const LoadScope& aScope,
                                       const ForecastJob& aJob,
                                       bool aIsOverRate,
-                                      Duration aAge)
+                                      Duration aAge,
+                                      double aErrorShare)
 {
   WaitEstimate estimate;
   const WorkAhead& ahead = aIsOverRate ? aScope.aheadOfOverRate : aScope.ahead;
   const WorkCurve& valued = aJob.work < aScope.meanWork ? ahead.valuedLight : ahead.valued;
+  double usableCores =
+    aScope.cores * kPointRatio / (1 - std::clamp(aErrorShare, 0.0, kMaxErrorShare));
   auto waitFor = [&](const WorkCurve& aCurve, Duration aTime) {
+    double done = aCurve.DoneBy(aTime, usableCores);
     // Meanwhile all cores may have worked on it.
-    return aScope.cores > 0 ? FromSeconds(aCurve.DueBy(aTime) / aScope.cores - Seconds(aAge))
-                            : Duration(0);
+    return aScope.cores > 0 ? FromSeconds(done / aScope.cores - Seconds(aAge)) : Duration(0);
   };
   estimate.inTimeStart = waitFor(ahead.inTime, aJob.objective);
   estimate.inTimeEnd = estimate.inTimeStart + aJob.criticalPath;
@@ -265,7 +283,7 @@
 {
   Duration end = aJob.criticalPath;
   auto consider = [&](const LoadScope& aScope) {
-    WaitEstimate estimate = EstimateIn(aScope, aJob, aIsOverRate, aAge);
+    WaitEstimate estimate = EstimateIn(aScope, aJob, aIsOverRate, aAge, 0);
     bool isInTime = estimate.inTimeEnd <= aJob.objective;
     end = std::max(end, isInTime ? estimate.inTimeEnd : estimate.lateEnd);
   };
