A listener limits the memory, the header fields and the connections of its clients

Cause: each connection kept a read buffer of 4 KB, each body grew to twice its length, a header of 16 KB could have 7,000 fields of 64 bytes each, bodies of requests that can't be served were kept, and unread responses had no time limit. Change: MemoryBudget with shares and reservations that release themselves. Bytes are read into one buffer for all connections; input and output are reserved as they grow; without room, the unfinished request that holds most gets 503 (not run), the newest among equals. A hook decides from the header before a longer body is read. At most 100 header fields; a Content-Length over the limit gets 413 at once. A response must be read by 16 KiB in 5 s. At the limit of connections the one with the least progress is closed for the new one. After a refusal, the client's bytes are dropped for up to 1 s, so that it can read the response. Header fields and body are released by the response. ParseJson takes a limit on the number of values; calls of peers have 131,072. Ruled out: pausing the largest holder (keeps its memory); limits by address (callers share that of their load balancer); the parser's callbacks for counting values (cost time for each value; the text is scanned for its depth anyway). Conclusion: the limits act where a listener has a budget; the platform's listeners follow.

--- a/packages/coordination/src/HttpPeerTransport.cpp
+++ b/packages/coordination/src/HttpPeerTransport.cpp
@@ -67,7 +67,7 @@
 
 void HandlePeerCall(Instance& aInstance, const Ref<HttpExchange>& aExchange)
 {
-  std::optional<json> arguments = ParseJson(aExchange->Request().body);
+  std::optional<json> arguments = ParseJson(aExchange->Request().body, kMaxPeerCallValues);
   std::string method = aExchange->Request().target;
   method.erase(0, 1); // The slash.
   // Text that is not JSON, or nested too deep, is refused like any other that is no object.
--- a/packages/http/include/daisydrift/http.h
+++ b/packages/http/include/daisydrift/http.h
@@ -5,3 +5,4 @@
 #include "daisydrift/http/HttpClient.h"
 #include "daisydrift/http/HttpListener.h"
 #include "daisydrift/http/HttpMessages.h"
+#include "daisydrift/http/MemoryBudget.h"
--- a/packages/http/src/MessageParser.h
+++ b/packages/http/src/MessageParser.h
@@ -6,6 +6,7 @@
 #include <http_parser.h>
 
 #include <cstddef>
+#include <limits>
 
 namespace daisydrift::http {
 
@@ -15,6 +16,7 @@
   None,
   Malformed,
   HeaderTooLarge,
+  TooManyFields,
   BodyTooLarge
 };
 
@@ -29,7 +31,10 @@
     Response
   };
 
-  MessageParser(Kind aKind, std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes);
+  MessageParser(Kind aKind,
+                std::size_t aMaxHeaderBytes,
+                std::size_t aMaxBodyBytes,
+                std::size_t aMaxFields = std::numeric_limits<std::size_t>::max());
   MessageParser(const MessageParser&) = delete;
   MessageParser& operator=(const MessageParser&) = delete;
 
@@ -39,7 +44,16 @@
   void ConsumeEndOfStream();
   /// Prepares for the next message.
   void Reset();
+  /// From now on, the message's body is checked and not kept.
+  void DiscardBody();
+  /// Releases what is kept of the message.
+  void Release();
 
+  /// Length that the body will have, at most; known when the header is complete.
+  std::size_t ExpectedBodyBytes() const { return this->expectedBodyBytes; }
+  bool IsHeaderComplete() const { return this->isHeaderComplete; }
+  /// Estimate of the memory that the message takes so far, in bytes.
+  std::size_t HeldBytes() const;
   bool IsComplete() const { return this->isComplete; }
   /// True when at least one byte of the message was consumed.
   bool HasStarted() const { return this->hasStarted; }
@@ -55,12 +69,21 @@
 private:
   static const http_parser_settings& Callbacks();
   int AppendHeaderBytes(std::string& aText, const char* aData, std::size_t aSize);
+  int BeginField();
+  int EndHeader();
+  int AppendBody(const char* aData, std::size_t aSize);
 
   http_parser parser;
   Kind kind;
   std::size_t maxHeaderBytes;
   std::size_t maxBodyBytes;
+  std::size_t maxFields;
   std::size_t headerBytes = 0;
+  /// Length of the body as far as it has arrived.
+  std::size_t bodyBytes = 0;
+  std::size_t expectedBodyBytes = 0;
+  bool isHeaderComplete = false;
+  bool keepsBody = true;
   bool isInHeaderValue = false;
   bool hasStarted = false;
   bool isComplete = false;
