The overload selector chooses for every priority of a service

Cause: only the first priority and teams above their ceiling were selected for, so a burst in a batch queue made all its jobs slightly too late; and the work up to a due time was counted as if it could end at any point, which running tasks prevent. Change: each priority is selected by itself, with the capacity that is free and used by it and by lower ones, less the headroom; the waiting work of higher priorities goes first, and jobs above their team's rate follow the others. Waiting tasks are compared with the latest start of their step, which is also what the rank orders by; what fits into free capacity starts at once.

--- a/packages/dispatch/src/OverloadSelector.h
+++ b/packages/dispatch/src/OverloadSelector.h
@@ -3,14 +3,22 @@
 
 #include "WorkerReliability.h"
 
+#include <limits>
+
 namespace daisydrift::dispatch {
 
-/// Decides which jobs are still expected to be in time. Answers a burst, or a team that submits
-/// more work than its resource ceiling allows: in the order of their due times all jobs end up
-/// shortly too late. When the work up to a due time is more than can be done until then, the
-/// selector gives up the job with the most work left, so that as many jobs as possible are in time.
-/// Work above the mean counts as the mean, since otherwise wide jobs would never be served. Jobs
-/// that are given up are served after the others while they still have some value, and then last.
+/// Decides which jobs are still expected to be in time. Answers a burst in any queue, or a team
+/// that submits more work than its resource ceiling allows: in the order of their due times all
+/// jobs end up shortly too late. When the work up to a due time is more than can be done until
+/// then, the selector gives up the job with the most work left, so that as many jobs as possible
+/// are in time. Work above the mean counts as the mean, since otherwise wide jobs would never be
+/// served. Jobs that are given up are served after the others while they still have some value, and
+/// then last.
+///
+/// Each priority of a service is selected by itself. The jobs of the first one have the capacity
+/// that is free and that their own tasks use; those of a lower one also have what still lower ones
+/// use, but neither the capacity of services and of higher priorities nor the headroom, and the
+/// waiting work of higher priorities goes before theirs.
 class OverloadSelector
 {
 public:
@@ -23,27 +31,74 @@
   struct Candidate
   {
     Job* job;
-    /// Time for which the rest of the job would take all of the limit.
+    /// Time for which the waiting tasks of the job would take all of the limit.
     Duration load;
     /// The load, bounded by the mean; the jobs with the most are given up.
     Duration weight;
+    /// The part of the load that a run of GiveUp has come to.
+    Duration added;
+  };
+  /// The waiting tasks of one step.
+  struct Demand
+  {
+    Candidate* candidate;
+    std::uint32_t step;
+    TimePoint latestStart;
+    Duration load;
+    /// Load that fits into what is free, and so starts at once.
+    Duration startsAtOnce;
   };
   using Candidates = std::vector<Candidate>;
+  /// Jobs of one priority of a service that have a due time.
+  struct PriorityJobs
+  {
+    std::vector<Job*> inRate;
+    /// Above the rates of their teams; served after all others of the priority.
+    std::vector<Job*> overRate;
+    /// Cores, in thousandths, of the smallest task.
+    std::int64_t smallestMilliCores = std::numeric_limits<std::int64_t>::max();
+  };
+  /// What jobs may use.
+  struct Limit
+  {
+    Resources total;
+    /// The part that no task uses, in thousandths of a core.
+    std::int64_t freeMilliCores = 0;
+    double FreeShare() const;
+  };
+  using JobsByPriority = std::map<std::uint32_t, PriorityJobs>;
+  using LimitsByPriority = std::map<std::uint32_t, Limit>;
 
   void UpdateTeam(const Team& aTeam, const std::vector<Job*>& aJobs, TimePoint aNow) const;
-  /// Considers the jobs of the first priority, which go before all others on their workers.
-  void UpdateService(const std::string& aService,
-                     const std::vector<Job*>& aJobs,
-                     TimePoint aNow) const;
-  /// Lowers the outlook of the jobs that aLimit has no room for in time.
-  static void Select(const std::vector<Job*>& aJobs, const Resources& aLimit, TimePoint aNow);
-  /// Of the jobs with the outlook aFrom, those that have to be given up get the next one. A job's
-  /// time is over after aFactor times its latency objective. Those with a better outlook go first.
-  static void GiveUp(Candidates& aCandidates, JobOutlook aFrom, int aFactor, TimePoint aNow);
+  void UpdateService(const std::string& aService, const JobsByPriority& aJobs, TimePoint aNow);
+  /// Adds what a worker has for the jobs of each priority.
+  void AddLimits(const Worker& aWorker,
+                 const JobsByPriority& aJobs,
+                 LimitsByPriority& aLimits) const;
+  /// Lowers the outlook of the jobs that aLimit has no room for in time. aAhead: time for which
+  /// the work that goes first takes all of the limit.
+  static void Select(const std::vector<Job*>& aJobs,
+                     const Limit& aLimit,
+                     Duration aAhead,
+                     TimePoint aNow);
+  /// Of the jobs with the outlook aFrom, those that have to be given up get the next one. Those
+  /// with a better outlook go first.
+  static void GiveUp(Candidates& aCandidates,
+                     JobOutlook aFrom,
+                     const Limit& aLimit,
+                     Duration aAhead,
+                     TimePoint aNow);
+  /// Adds the waiting steps of a job whose time is over after aFactor times its latency objective.
+  static void AddDemands(Candidate& aCandidate,
+                         int aFactor,
+                         const Limit& aLimit,
+                         std::vector<Demand>& aDemands);
 
   FleetState& state;
   const WorkerReliability& reliability;
   TimePoint nextUpdate;
+  /// Moving averages of the limits below the first priority, by service.
+  std::map<std::string, LimitsByPriority> averageLimits;
 };
 
 } // namespace daisydrift::dispatch
