Tasks of lower priorities are stopped for those that would be late

Cause: short tasks, or a service, on a fleet full of long tasks wait until those end by themselves. Change: PreemptionPlanner, with plain values, plans each 100 ms which runs are stopped: those with checkpoints and the least lost work first, gangs as a whole, services never, a tenth of the running work at most, not again within 5 s, and only where the waiting step has a ticket. Nothing is stopped for less than 1 s of lateness, nor for a task that would be late all the same. The selector updates each 150 ms, and names ten given-up jobs in the log at a time; a round named hundreds.

--- a/packages/coordination/src/Leader.cpp
+++ b/packages/coordination/src/Leader.cpp
@@ -332,6 +332,12 @@
   for (const QueueName& queue : round.jobsGivenUp) {
     this->env.metrics.Count("jobs_given_up_total{queue=\"" + queue + "\"}");
   }
+  for (const QueueName& queue : round.tasksPreempted) {
+    this->env.metrics.Count("tasks_preempted_total{queue=\"" + queue + "\"}");
+  }
+  for (const auto& [queue, wait] : round.waits) {
+    this->env.metrics.Observe("wait_seconds{queue=\"" + queue + "\"}", wait);
+  }
   Duration duration = this->env.loop.Now() - now;
   this->maxRoundDuration = std::max(this->maxRoundDuration, duration);
   this->roundPauseUntil =
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
@@ -88,6 +88,8 @@
   std::uint64_t maxTasksPerSchedule = 1 << 18;
   /// Most starts decided in one round.
   std::size_t maxStartsPerRound = 200;
+  /// Running tasks of lower priorities are stopped for tasks that would otherwise be late.
+  bool preemption = false;
   /// First run number of this term; above all run numbers of earlier leaders.
   RunNumber firstRunNumber = 1;
 };
--- a/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchTypes.h
@@ -305,6 +305,10 @@
   std::vector<AdviceRequest> adviceRequests;
   /// For metrics: the queues of jobs that were given up for the first time.
   std::vector<QueueName> jobsGivenUp;
+  /// For metrics: the queue of each task that is stopped for one of a higher priority.
+  std::vector<QueueName> tasksPreempted;
+  /// For metrics: the queue of each start, and the time since its step waits.
+  std::vector<std::pair<QueueName, Duration>> waits;
 };
 
 /// State of a job as shown to callers.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -487,6 +487,7 @@
       this->impl->advicePlanner.MaybeRequest(*step, aNow, aRequestSlots, position++, round);
     }
   }
+  this->impl->PlanPreemptions(waiting, aNow, round);
   return round;
 }
 
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -1,12 +1,13 @@
 #pragma once
 // Implementation of the dispatcher: events are handled in Dispatcher.cpp and Reports.cpp,
-// leases on workers in WorkerLeases.cpp, scheduling rounds in Rounds.cpp, and stored progress in
-// Progress.cpp.
+// leases on workers in WorkerLeases.cpp, scheduling rounds in Rounds.cpp, stops for higher
+// priorities in Preemption.cpp, and stored progress in Progress.cpp.
 
 #include "AdvicePlanner.h"
 #include "InterferenceController.h"
 #include "OverloadSelector.h"
 #include "Placement.h"
+#include "PreemptionPlanner.h"
 #include "StepRank.h"
 #include "daisydrift/dispatch/Dispatcher.h"
 
@@ -74,6 +75,24 @@
                  RunNumber aRun,
                  TimePoint aNow,
                  DispatchRound& aRound);
+  /// Stops running tasks for waiting steps, if the settings allow it.
+  void PlanPreemptions(const std::vector<dispatch::WaitingStep>& aWaiting,
+                       TimePoint aNow,
+                       DispatchRound& aRound);
+  /// The same for steps of one service.
+  void PlanPreemptionsOf(const std::vector<const dispatch::Step*>& aSteps,
+                         TimePoint aNow,
+                         DispatchRound& aRound);
+  /// True when tasks may be stopped for the step.
+  bool MayPreempt(const dispatch::Step& aStep, TimePoint aNow) const;
+  dispatch::PreemptibleRun DescribeRun(const dispatch::Attempt& aAttempt, TimePoint aNow) const;
+  dispatch::PreemptionNeed DescribeNeed(const dispatch::Step& aStep, TimePoint aNow) const;
+  /// Stops an attempt, or its gang, for a step that has to start within aSlack.
+  void Preempt(dispatch::Attempt& aAttempt,
+               const dispatch::Step& aFor,
+               Duration aSlack,
+               TimePoint aNow,
+               DispatchRound& aRound);
   RunNumber NextRunNumber(const dispatch::Task& aTask) const;
   /// Adopts rules of a queue unless newer ones are known.
   void AdoptRules(const QueuePolicy& aRules);
@@ -107,6 +126,8 @@
   dispatch::InterferenceController interference;
   /// Stops of runs that have no attempt here; sent with the next sweep.
   std::vector<StopCommand> unknownRunStops;
+  dispatch::PreemptionPlanner preemptionPlanner;
+  TimePoint nextPreemptionPlan;
   TimePoint nextSweep;
   std::uint64_t nextSequence = 1;
 };
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -86,6 +86,9 @@
   Attempt* attempt = nullptr;
   /// The task is not started again before this time.
   TimePoint notBefore;
+  /// Time at which the task was last stopped for one of a higher priority; far in the past if
+  /// never.
+  TimePoint preemptedAt{ -std::chrono::hours(24) };
   /// Workers on which the task failed.
   std::vector<WorkerId> failedPlacements;
 };
--- a/packages/dispatch/src/OverloadSelector.cpp
+++ b/packages/dispatch/src/OverloadSelector.cpp
@@ -7,14 +7,17 @@
 namespace daisydrift::dispatch {
 
 namespace {
-/// Time between two updates. Between them few jobs start.
-constexpr std::chrono::milliseconds kUpdateInterval{ 100 };
+/// Time between two updates. Between them few jobs start. An update goes through all waiting steps,
+/// so with 100 ms rounds with a large backlog take noticeably longer.
+constexpr std::chrono::milliseconds kUpdateInterval{ 150 };
 /// Share of a limit that running tasks take on average while others wait: each start takes a round
 /// and a write to the store, and rooms that are too small stay free.
 constexpr double kUsableShare = 0.9;
 /// Updates over which the limits below the first priority are averaged. What the short tasks of
 /// higher priorities use changes several times a second; jobs would change their outlook with it.
 constexpr std::int64_t kAveragedUpdates = 8;
+/// Most jobs that one update names in the log; hundreds of lines at once would delay the leader.
+constexpr std::size_t kMaxReportedJobs = 10;
 /// Factor on the cost of a job that was given up before, so that jobs of nearly the same cost don't
 /// change places.
 constexpr double kKeepFactor = 0.8;
@@ -38,7 +41,7 @@
 /// Time for which the waiting tasks of a step would take all of the usable part of the limit.
 Duration LoadOf(const Step& aStep, const Resources& aLimit)
 {
-  if (aStep.spec->isService) {
+  if (aStep.spec->isService || aStep.Waiting() == 0) {
     return Duration(0);
   }
   std::chrono::duration<double, Duration::period> load =
@@ -153,11 +156,11 @@
   return cheapest;
 }
 
-OverloadSelector::Candidate OverloadSelector::MakeCandidate(Job& aJob, const Limit& aLimit)
+OverloadSelector::Candidate OverloadSelector::MakeCandidate(Job& aJob, Duration aLoad)
 {
   Candidate candidate;
   candidate.job = &aJob;
-  candidate.load = LoadOf(aJob, aLimit.total);
+  candidate.load = aLoad;
   double work = 0;
   double waiting = 0;
   for (const auto& step : aJob.steps) {
@@ -191,8 +194,8 @@
     }
   }
   std::sort(demands.begin(), demands.end(), [](const Demand& aLeft, const Demand& aRight) {
-    return std::make_tuple(aLeft.orderTime, aLeft.candidate->job->sequence, aLeft.step) <
-           std::make_tuple(aRight.orderTime, aRight.candidate->job->sequence, aRight.step);
+    return std::tie(aLeft.orderTime, aLeft.sequence, aLeft.step) <
+           std::tie(aRight.orderTime, aRight.sequence, aRight.step);
   });
   auto giveUp = [&](Candidate& aCandidate) {
     aCandidate.job->outlook = next;
@@ -241,7 +244,8 @@
       Duration startsAtOnce = Scale(step->spec->estimate, aLimit.FreeShare());
       TimePoint orderTime =
         latestStart - job.expectedPaths[step->number] + job.criticalPaths[step->number];
-      aDemands.push_back({ &aCandidate, step->number, orderTime, latestStart, load, startsAtOnce });
+      aDemands.push_back(
+        { &aCandidate, job.sequence, step->number, orderTime, latestStart, load, startsAtOnce });
     }
   }
 }
@@ -253,8 +257,9 @@
 {
   Candidates candidates;
   for (Job* job : aJobs) {
-    if (LoadOf(*job, aLimit.total) > Duration(0)) {
-      candidates.push_back(MakeCandidate(*job, aLimit));
+    Duration load = LoadOf(*job, aLimit.total);
+    if (load > Duration(0)) {
+      candidates.push_back(MakeCandidate(*job, load));
     }
   }
   GiveUp(candidates, JobOutlook::InTime, aLimit, aAhead, aNow);
@@ -378,10 +383,8 @@
   }
 }
 
-void OverloadSelector::Report(Job& aJob, TimePoint aNow, DispatchRound& aRound)
+void OverloadSelector::Report(const Job& aJob, TimePoint aNow)
 {
-  aJob.share.isReported = true;
-  aRound.jobsGivenUp.push_back(aJob.definition.queue);
   TimePoint dueAt = aJob.addedAt + aJob.latencyObjective;
   LogLine(LogLevel::Info, "job_given_up")
     .Add("job", aJob.definition.id)
@@ -393,6 +396,24 @@
     .Add("waited_ms", aNow - aJob.addedAt);
 }
 
+void OverloadSelector::ReportAll(TimePoint aNow, DispatchRound& aRound) const
+{
+  std::size_t count = 0;
+  for (Job* job : this->state.openJobs) {
+    if (job->outlook == JobOutlook::InTime || job->share.isReported) {
+      continue;
+    }
+    job->share.isReported = true;
+    aRound.jobsGivenUp.push_back(job->definition.queue);
+    if (count++ < kMaxReportedJobs) {
+      Report(*job, aNow);
+    }
+  }
+  if (count > kMaxReportedJobs) {
+    LogLine(LogLevel::Info, "jobs_given_up").Add("not_named", count - kMaxReportedJobs);
+  }
+}
+
 void OverloadSelector::Update(TimePoint aNow, DispatchRound& aRound)
 {
   this->now = aNow;
@@ -428,11 +449,7 @@
   for (const auto& [service, jobs] : services) {
     this->UpdateService(service, jobs, aNow);
   }
-  for (Job* job : this->state.openJobs) {
-    if (job->outlook != JobOutlook::InTime && !job->share.isReported) {
-      Report(*job, aNow, aRound);
-    }
-  }
+  this->ReportAll(aNow, aRound);
 }
 
 } // namespace daisydrift::dispatch
--- a/packages/dispatch/src/OverloadSelector.h
+++ b/packages/dispatch/src/OverloadSelector.h
@@ -51,6 +51,8 @@
   struct Demand
   {
     Candidate* candidate;
+    /// Order of arrival of the job; kept here, since sorting compares it most often.
+    std::uint64_t sequence;
     std::uint32_t step;
     /// Place in the order of starts.
     TimePoint orderTime;
@@ -117,7 +119,7 @@
     std::map<std::tuple<bool, WidthClass, const ShareCount*>, Bucket> buckets;
   };
 
-  static Candidate MakeCandidate(Job& aJob, const Limit& aLimit);
+  static Candidate MakeCandidate(Job& aJob, Duration aLoad);
   /// Lowers the outlook of the jobs that aLimit has no room for in time. aAhead: time for which
   /// the work that goes first takes all of the limit.
   static void Select(const std::vector<Job*>& aJobs,
@@ -131,8 +133,9 @@
                      const Limit& aLimit,
                      Duration aAhead,
                      TimePoint aNow);
-  /// Writes the log line of a job that is given up for the first time.
-  static void Report(Job& aJob, TimePoint aNow, DispatchRound& aRound);
+  /// Counts the jobs that are given up for the first time, and names some of them in the log.
+  void ReportAll(TimePoint aNow, DispatchRound& aRound) const;
+  static void Report(const Job& aJob, TimePoint aNow);
   /// Adds the waiting steps of a job whose time is over after aFactor times its latency objective.
   static void AddDemands(Candidate& aCandidate,
                          int aFactor,
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -164,6 +164,9 @@
     this->CloseAttempt(aAttempt);
     return;
   }
+  if (aCompletion.outcome == RunOutcome::Stopped && task.preemptedAt >= aAttempt.decidedAt) {
+    this->preemptionPlanner.OnStopped(aNow - task.preemptedAt);
+  }
   if (!aCompletion.checkpoint.empty()) {
     (step.spec->isGang ? step.gangCheckpoint : task.checkpoint) = aCompletion.checkpoint;
   }
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -74,6 +74,8 @@
   }
   this->state.MarkChanged(job);
   aRound.starts.push_back(attempt.key);
+  Duration waited = std::max<Duration>(aNow - std::min(aStep.waitingSince, aNow), Duration(0));
+  aRound.waits.emplace_back(job.definition.queue, waited);
 }
 
 void Dispatcher::Impl::PlaceStep(Step& aStep, TimePoint aNow, DispatchRound& aRound)
--- a/packages/dispatch/tests/GiveUpSharesTest.cpp
+++ b/packages/dispatch/tests/GiveUpSharesTest.cpp
@@ -1,6 +1,6 @@
 // Shares of jobs that are given up, by width and team.
 
-#include "../src/GiveUpShares.h"
+#include "GiveUpShares.h"
 
 #include <gtest/gtest.h>
 
