The headroom shrinks under a backlog, and scarce advice requests cover more tasks

Cause: queues below the first priority leave 12% of each worker free, and what is left is often too small for a task of nine cores: with 2,100 tasks waiting 0.78 of the cores were in use for half a minute. While requests to the advice service are the bottleneck, each of them started some four tasks though it granted twenty workers. Change: HeadroomController shrinks the headroom to a fifth while steps of lower priorities have waited for a tenth of their slack and those of the first one not for a quarter of theirs, and returns it within 0.3 s. While steps find no free request slot, requests name the workers with room for most tasks first, and up to the most that the service accepts. Ruled out: no headroom at all: short tasks then wait for long ones at the beginning of each burst.

--- a/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
+++ b/packages/dispatch/include/daisydrift/dispatch/DispatchSettings.h
@@ -50,8 +50,9 @@
   /// Factor on the run time of a task that runs on another rack than its data; upper bound defined
   /// by the platform.
   double remotePenalty = 2;
-  /// Fraction of a worker's cores that tasks of lower-priority queues leave free. Does not apply to
-  /// services, to tasks on spare cores and to workers without any run.
+  /// Largest fraction of a worker's cores that tasks of lower-priority queues leave free; it
+  /// shrinks while they wait and the first priority does not. Does not apply to services, to tasks
+  /// on spare cores and to workers without any run.
   double headroom = 0.12;
   /// Consecutive failures of different jobs on a worker that quarantine it. With two, a failure
   /// rate of one task in twenty quarantines some worker every few seconds.
--- a/packages/dispatch/src/AdvicePlanner.cpp
+++ b/packages/dispatch/src/AdvicePlanner.cpp
@@ -45,6 +45,8 @@
 void AdvicePlanner::BeginRound(bool aHasLongWaitingService)
 {
   this->hasLongWaitingService = aHasLongWaitingService;
+  this->areSlotsScarce = this->stepsWithoutSlot > 0;
+  this->stepsWithoutSlot = 0;
   this->stepsPassedOver = 0;
   this->serviceScansLeft = kServiceScansPerRound;
   this->workerChecksLeft = kWorkerChecksPerRound;
@@ -165,6 +167,7 @@
   }
   bool isLongWaitingService = IsLongWaitingService(aStep, aNow);
   if (!this->HasRequestSlot(isLongWaitingService, policy->baseTime, aRequestSlots)) {
+    ++this->stepsWithoutSlot;
     ++this->stepsPassedOver;
     return;
   }
@@ -201,23 +204,33 @@
     advice.notBefore = hasSeenAll ? aNow + kRequestRetryDelay : aNow;
     return;
   }
-  std::stable_sort(
-    candidates.begin(), candidates.end(), [](const Candidate& aLeft, const Candidate& aRight) {
-      return std::make_tuple(!aLeft.wasGranted, aLeft.slots == 0, aLeft.score) <
-             std::make_tuple(!aRight.wasGranted, aRight.slots == 0, aRight.score);
-    });
+  // While the slots are scarce, capacity is left unused for want of tickets, so each is to cover as
+  // many tasks as it can, whatever that does to the packing.
+  auto order = [isScarce = this->areSlotsScarce](const Candidate& aCandidate) {
+    auto slots = static_cast<std::int64_t>(aCandidate.slots);
+    return std::make_tuple(!aCandidate.wasGranted,
+                           isScarce ? -slots : static_cast<std::int64_t>(slots == 0),
+                           aCandidate.score);
+  };
+  std::stable_sort(candidates.begin(),
+                   candidates.end(),
+                   [&order](const Candidate& aLeft, const Candidate& aRight) {
+                     return order(aLeft) < order(aRight);
+                   });
   double rate =
     this->grantRates.try_emplace(aStep.job->queue->name, this->state.settings.initialGrantRate)
       .first->second;
   AdviceRequest request;
   request.step = aStep.Name();
   std::size_t minWorkers = MinWorkersPerRequest(*policy);
-  std::size_t maxWorkers =
-    std::min(minWorkers * 2, this->state.settings.maxWorkersPerAdviceRequest);
+  std::size_t mostAllowed = this->state.settings.maxWorkersPerAdviceRequest;
+  std::size_t usualMax = std::min(minWorkers * 2, mostAllowed);
   double expected = coverage.slots;
   for (const Candidate& candidate : candidates) {
     bool isEnough =
       expected >= waiting * kOverRequestFactor + 1 && request.workers.size() >= minWorkers;
+    // A long request grants more in the same time, since its base time counts once.
+    std::size_t maxWorkers = this->areSlotsScarce && candidate.slots > 0 ? mostAllowed : usualMax;
     if (isEnough || request.workers.size() >= maxWorkers) {
       break;
     }
--- a/packages/dispatch/src/AdvicePlanner.h
+++ b/packages/dispatch/src/AdvicePlanner.h
@@ -87,6 +87,9 @@
   /// Services that wait long and may be considered after that.
   std::size_t serviceScansLeft = 0;
   std::size_t stepsPassedOver = 0;
+  /// Steps that found no free request slot in this round, and whether any did in the one before.
+  std::size_t stepsWithoutSlot = 0;
+  bool areSlotsScarce = false;
   /// Moving average of the fraction of requested workers that were granted, by queue.
   std::map<QueueName, double> grantRates;
 };
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -40,6 +40,7 @@
   , placement(this->state, this->reliability)
   , advicePlanner(this->state, this->placement)
   , overloadSelector(this->state, this->reliability)
+  , headroomController(aSettings.headroom)
   , interference(this->state)
 {
 }
@@ -467,6 +468,7 @@
     }
   }
   std::sort(waiting.begin(), waiting.end());
+  this->impl->UpdateHeadroom(waiting, aNow);
   this->impl->placement.BeginRound(aNow);
   this->impl->advicePlanner.BeginRound(
     std::any_of(waiting.begin(), waiting.end(), [aNow](const auto& aEntry) {
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -4,6 +4,7 @@
 // priorities in Preemption.cpp, and stored progress in Progress.cpp.
 
 #include "AdvicePlanner.h"
+#include "HeadroomController.h"
 #include "InterferenceController.h"
 #include "OverloadSelector.h"
 #include "Placement.h"
@@ -66,6 +67,8 @@
   void MigrateFromDrainingWorker(dispatch::Attempt& aAttempt, TimePoint aNow);
   /// True when the step's disruption budget allows one more of its tasks to be stopped.
   bool CanDisrupt(const dispatch::Step& aStep) const;
+  /// Adapts the headroom to how long the steps that are waiting have waited.
+  void UpdateHeadroom(const std::vector<dispatch::WaitingStep>& aWaiting, TimePoint aNow);
   void PlaceStep(dispatch::Step& aStep, TimePoint aNow, DispatchRound& aRound);
   void PlaceGang(dispatch::Step& aStep, TimePoint aNow, DispatchRound& aRound);
   /// Adds an attempt, which is sent once the progress of its job has been stored.
@@ -123,6 +126,7 @@
   dispatch::Placement placement;
   dispatch::AdvicePlanner advicePlanner;
   dispatch::OverloadSelector overloadSelector;
+  dispatch::HeadroomController headroomController;
   dispatch::InterferenceController interference;
   /// Stops of runs that have no attempt here; sent with the next sweep.
   std::vector<StopCommand> unknownRunStops;
--- a/packages/dispatch/src/FleetState.cpp
+++ b/packages/dispatch/src/FleetState.cpp
@@ -8,6 +8,7 @@
 
 FleetState::FleetState(const DispatchSettings& aSettings)
   : settings(aSettings)
+  , headroom(aSettings.headroom)
 {
 }
 
--- a/packages/dispatch/src/FleetState.h
+++ b/packages/dispatch/src/FleetState.h
@@ -68,6 +68,8 @@
   static Resources CommittedResources(const StepSpec& aSpec);
 
   const DispatchSettings& settings;
+  /// Share of a worker's cores that queues below the first priority leave free at present.
+  double headroom;
   std::set<FailureDomain> drainedDomains;
   std::map<WorkerId, std::unique_ptr<Worker>> workers;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
--- a/packages/dispatch/src/OverloadSelector.cpp
+++ b/packages/dispatch/src/OverloadSelector.cpp
@@ -300,7 +300,7 @@
 {
   Resources free = aWorker.Free();
   auto headroom = static_cast<std::int64_t>(
-    static_cast<double>(aWorker.listing.capacity.milliCores) * this->state.settings.headroom);
+    static_cast<double>(aWorker.listing.capacity.milliCores) * this->state.headroom);
   for (const auto& [priority, jobs] : aJobs) {
     Limit& limit = aLimits[priority];
     Resources usable = free;
--- a/packages/dispatch/src/Placement.cpp
+++ b/packages/dispatch/src/Placement.cpp
@@ -152,7 +152,7 @@
   bool isHighestPriority = aStep.job->queue->priority == 0;
   if (!isHighestPriority && !spec.isService && !spec.usesSpareCores && !aWorker.attempts.empty()) {
     free.milliCores -= static_cast<std::int64_t>(
-      static_cast<double>(aWorker.listing.capacity.milliCores) * this->state.settings.headroom);
+      static_cast<double>(aWorker.listing.capacity.milliCores) * this->state.headroom);
   }
   Resources needed = FleetState::CommittedResources(spec);
   std::int64_t slots = aMaxSlots;
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -78,6 +78,32 @@
   aRound.waits.emplace_back(job.definition.queue, waited);
 }
 
+void Dispatcher::Impl::UpdateHeadroom(const std::vector<dispatch::WaitingStep>& aWaiting,
+                                      TimePoint aNow)
+{
+  using dispatch::HeadroomController;
+  HeadroomController::Waiting first;
+  HeadroomController::Waiting lower;
+  for (const dispatch::WaitingStep& entry : aWaiting) {
+    const Step& step = *entry.step;
+    const Job& job = *step.job;
+    // The headroom is no concern of steps that wait for something else.
+    if (!step.isReady || step.spec->isService || step.spec->usesSpareCores || job.isOverRate ||
+        (job.team != nullptr && !FleetState::FitsCeiling(*job.team, step.spec->size))) {
+      continue;
+    }
+    Duration slack =
+      job.latencyObjective - *std::max_element(job.criticalPaths.begin(), job.criticalPaths.end());
+    if (job.queue->priority > 0 && job.outlook != dispatch::JobOutlook::WithoutValue) {
+      lower.Add(aNow - step.waitingSince, slack, HeadroomController::kLowerPriorityRisk);
+    } else if (job.queue->priority == 0 && job.outlook == dispatch::JobOutlook::InTime) {
+      first.Add(aNow - step.waitingSince, slack, HeadroomController::kFirstPriorityRisk);
+    }
+  }
+  this->headroomController.Update(first, lower, aNow);
+  this->state.headroom = this->headroomController.Headroom();
+}
+
 void Dispatcher::Impl::PlaceStep(Step& aStep, TimePoint aNow, DispatchRound& aRound)
 {
   // Most waiting steps of an overloaded team are at its ceiling.
