--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -41,6 +41,7 @@
   , advicePlanner(this->state, this->placement)
   , copyPlanner(this->state, this->placement, aTermStart)
   , overloadSelector(this->state, this->reliability)
+  , headroomController(aSettings.headroom)
   , interference(this->state)
 {
 }
@@ -193,6 +194,7 @@
   job->addedAt = aNow;
   job->latencyObjective = dispatch::LatencyObjectiveOf(aDefinition, *job->queue);
   job->criticalPaths = dispatch::CriticalPathsOf(aDefinition);
+  job->expectedPaths = dispatch::ExpectedPathsOf(aDefinition);
   job->layout = dispatch::ProgressLayout(aDefinition);
   job->finiteTasks = dispatch::CountFiniteTasks(aDefinition);
   for (const StepSpec& step : aDefinition.steps) {
@@ -205,6 +207,7 @@
     }
   }
   job->sequence = this->nextSequence++;
+  this->overloadSelector.OnAdded(*job, aNow);
   Job& added = *job;
   this->state.jobs.emplace(aDefinition.id, std::move(job));
   this->state.openJobs.insert(&added);
@@ -475,7 +478,7 @@
   if (isSweepDue) {
     this->impl->Sweep(aNow, round);
   }
-  this->impl->overloadSelector.Update(aNow);
+  this->impl->overloadSelector.Update(aNow, round);
   std::vector<dispatch::WaitingStep> waiting;
   for (Job* job : state.openJobs) {
     if (job->IsFinished() || !FleetState::HasRules(*job->queue)) {
@@ -491,6 +494,7 @@
     }
   }
   std::sort(waiting.begin(), waiting.end());
+  this->impl->UpdateHeadroom(waiting, aNow);
   this->impl->placement.BeginRound(aNow);
   this->impl->advicePlanner.BeginRound(
     std::any_of(waiting.begin(), waiting.end(), [aNow](const auto& aEntry) {
@@ -511,6 +515,7 @@
       this->impl->advicePlanner.MaybeRequest(*step, aNow, aRequestSlots, position++, round);
     }
   }
+  this->impl->PlanPreemptions(waiting, aNow, round);
   if (isSweepDue) {
     this->impl->PlaceCopies(waiting, aNow, aRequestSlots, position, round);
   }
--- a/packages/dispatch/src/DispatcherImpl.h
+++ b/packages/dispatch/src/DispatcherImpl.h
@@ -1,14 +1,16 @@
 #pragma once
 // Implementation of the dispatcher: events are handled in Dispatcher.cpp and Reports.cpp,
-// leases on workers in WorkerLeases.cpp, scheduling rounds in Rounds.cpp, and stored progress in
-// Progress.cpp.
+// leases on workers in WorkerLeases.cpp, scheduling rounds in Rounds.cpp, stops for higher
+// priorities in Preemption.cpp, and stored progress in Progress.cpp.
 
 #include "AdvicePlanner.h"
-#include "CopyPlanner.h"
 #include "Backlog.h"
+#include "CopyPlanner.h"
+#include "HeadroomController.h"
 #include "InterferenceController.h"
 #include "OverloadSelector.h"
 #include "Placement.h"
+#include "PreemptionPlanner.h"
 #include "StepRank.h"
 #include "daisydrift/dispatch/Dispatcher.h"
 
@@ -69,6 +71,8 @@
   void MigrateFromDrainingWorker(dispatch::Attempt& aAttempt, TimePoint aNow);
   /// True when the step's disruption budget allows one more of its tasks to be stopped.
   bool CanDisrupt(const dispatch::Step& aStep) const;
+  /// Adapts the headroom to how long the steps that are waiting have waited.
+  void UpdateHeadroom(const std::vector<dispatch::WaitingStep>& aWaiting, TimePoint aNow);
   void PlaceStep(dispatch::Step& aStep, TimePoint aNow, DispatchRound& aRound);
   void PlaceGang(dispatch::Step& aStep, TimePoint aNow, DispatchRound& aRound);
   /// Starts copies of tasks whose run holds up their step, where they take no room from
@@ -91,6 +95,24 @@
                  RunNumber aRun,
                  TimePoint aNow,
                  DispatchRound& aRound);
+  /// Stops running tasks for waiting steps, if the settings allow it.
+  void PlanPreemptions(const std::vector<dispatch::WaitingStep>& aWaiting,
+                       TimePoint aNow,
+                       DispatchRound& aRound);
+  /// The same for steps of one service.
+  void PlanPreemptionsOf(const std::vector<const dispatch::Step*>& aSteps,
+                         TimePoint aNow,
+                         DispatchRound& aRound);
+  /// True when tasks may be stopped for the step.
+  bool MayPreempt(const dispatch::Step& aStep, TimePoint aNow) const;
+  dispatch::PreemptibleRun DescribeRun(const dispatch::Attempt& aAttempt, TimePoint aNow) const;
+  dispatch::PreemptionNeed DescribeNeed(const dispatch::Step& aStep, TimePoint aNow) const;
+  /// Stops an attempt, or its gang, for a step that has to start within aSlack.
+  void Preempt(dispatch::Attempt& aAttempt,
+               const dispatch::Step& aFor,
+               Duration aSlack,
+               TimePoint aNow,
+               DispatchRound& aRound);
   RunNumber NextRunNumber(const dispatch::Task& aTask) const;
   /// Adopts rules of a queue unless newer ones are known.
   void AdoptRules(const QueuePolicy& aRules);
@@ -124,9 +146,12 @@
   dispatch::AdvicePlanner advicePlanner;
   dispatch::CopyPlanner copyPlanner;
   dispatch::OverloadSelector overloadSelector;
+  dispatch::HeadroomController headroomController;
   dispatch::InterferenceController interference;
   /// Stops of runs that have no attempt here; sent with the next sweep.
   std::vector<StopCommand> unknownRunStops;
+  dispatch::PreemptionPlanner preemptionPlanner;
+  TimePoint nextPreemptionPlan;
   TimePoint nextSweep;
   /// Position in the list of stragglers at which the next sweep begins.
   std::size_t stragglersPassed = 0;
--- a/packages/dispatch/src/Entities.h
+++ b/packages/dispatch/src/Entities.h
@@ -2,6 +2,7 @@
 // Records of the dispatcher. Only FleetState changes the sums that they contain.
 
 #include "FailureCount.h"
+#include "GiveUpShares.h"
 #include "ProgressLayout.h"
 #include "daisydrift/dispatch/DispatchSettings.h"
 #include "daisydrift/dispatch/DispatchTypes.h"
@@ -102,6 +103,9 @@
   bool hadCopy = false;
   /// The task is not started again before this time.
   TimePoint notBefore;
+  /// Time at which the task was last stopped for one of a higher priority; far in the past if
+  /// never.
+  TimePoint preemptedAt{ -std::chrono::hours(24) };
   /// Workers on which the task failed.
   std::vector<WorkerId> failedPlacements;
 };
@@ -251,6 +255,9 @@
   bool isOverRate = false;
   /// Judged by the work of its team.
   JobOutlook outlook = JobOutlook::InTime;
+  /// The outlook before the newest update.
+  JobOutlook previousOutlook = JobOutlook::InTime;
+  JobShare share;
   /// The progress has changed and is to be stored.
   bool isDirty = false;
   /// Number of occurrences created so far.
@@ -277,6 +284,8 @@
   /// Time from addedWall to the end as forecast when the job was added; 0 without a forecast.
   Duration expectedTime{ 0 };
   WallTime addedWall;
+  /// The same with run times as expected for the slowest task of each step.
+  std::vector<Duration> expectedPaths;
 
   bool IsFinished() const
   {
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -86,6 +86,7 @@
     std::all_of(
       aJob.steps.begin(), aJob.steps.end(), [](const auto& aStep) { return aStep->IsDone(); });
   if (isDone && !aJob.IsFinished()) {
+    this->overloadSelector.OnCompleted(aJob);
     this->state.Finish(aJob, DispatchState::Completed, this->wall);
     if (aJob.expectedTime > Duration(0)) {
       this->forecastErrors[aJob.definition.queue].Add(aJob.expectedTime,
@@ -193,6 +194,9 @@
     this->CloseAttempt(aAttempt);
     return;
   }
+  if (aCompletion.outcome == RunOutcome::Stopped && task.preemptedAt >= aAttempt.decidedAt) {
+    this->preemptionPlanner.OnStopped(aNow - task.preemptedAt);
+  }
   if (!aCompletion.checkpoint.empty() && IsAhead(aAttempt)) {
     (step.spec->isGang ? step.gangCheckpoint : task.checkpoint) = aCompletion.checkpoint;
   }
