A submission that is not worth holding is not written as text to find its size

Cause: while a submission was being refused in an outage, its definition was serialised to count its bytes, also when it was not going to be held. Change: the size is computed only for those that are worth holding. Ruled out: an estimate of the size from the number of steps, which leaves out the payload.

--- a/packages/coordination/src/JobSubmitter.cpp
+++ b/packages/coordination/src/JobSubmitter.cpp
@@ -336,11 +336,11 @@
 
 void JobSubmitter::HoldOrEnd(const SubmissionRef& aSubmission, const char* aCause)
 {
-  std::size_t bytes = kFixedHeldBytes + 2 * ToJson(aSubmission->definition).dump().size();
-  bool isHeld = aSubmission->done && !aSubmission->isForPeer && !aSubmission->wasReleased &&
-                this->IsWorthHolding(*aSubmission, this->held.size()) &&
-                HoldPolicy::HasRoom({ this->held.size(), this->heldBytes }, bytes);
-  if (!isHeld) {
+  bool isWorthIt = aSubmission->done && !aSubmission->isForPeer && !aSubmission->wasReleased &&
+                   this->IsWorthHolding(*aSubmission, this->held.size());
+  std::size_t bytes =
+    isWorthIt ? kFixedHeldBytes + 2 * ToJson(aSubmission->definition).dump().size() : 0;
+  if (!isWorthIt || !HoldPolicy::HasRoom({ this->held.size(), this->heldBytes }, bytes)) {
     this->EndLater(aSubmission, aCause);
     return;
   }
