While memory is short, one client's unfinished requests give way to those of others

Cause: only larger requests gave way, so that one team or address could hold the budget with many small ones; a response that is read at 80 KB/s was cut, since bytes that the kernel had taken did not count as progress. Change: when no larger request can be refused, the client (team, or address before it is known) with the most unfinished requests gives up its largest ones until it has eight; cause client_memory. The minimum rate counts what the client has received (SIOCOUTQ). Ruled out: a fixed number for each address: callers of a load balancer share one.

--- a/packages/http/include/daisydrift/http/HttpListener.h
+++ b/packages/http/include/daisydrift/http/HttpListener.h
@@ -32,13 +32,16 @@
   std::optional<HttpResponse> response;
   /// False when the handler does not need the body, which is then not kept.
   bool keepsBody = true;
+  /// Who sent the request, such as a team; empty for the client's address. While memory is short,
+  /// one client's unfinished requests give way to those of others.
+  std::string client;
 };
 
 /// A request that the listener refused, or a connection that it closed, by itself.
 struct HttpRefusal
 {
-  /// Short name, one of a fixed set: `memory`, `output`, `connections`, `header`, `header_bytes`,
-  /// `header_fields`, `body_bytes`, `malformed`, `slow_reader`.
+  /// Short name, one of a fixed set: `memory`, `client_memory`, `output`, `connections`, `header`,
+  /// `header_bytes`, `header_fields`, `body_bytes`, `malformed`, `slow_reader`.
   const char* cause = "";
   /// IPv4 address of the client; empty when it has disconnected.
   std::string address;
@@ -74,8 +77,9 @@
 
 /// HTTP server on one port. Connections are persistent; requests on one connection are handled one
 /// after the other. Memory is limited by a budget: when it is used up, the unfinished request that
-/// holds most is refused with status 503, the newest one first among equals. At the limit of
-/// connections, the one with the least progress is closed for a new one.
+/// holds most is refused with status 503, the newest one first among equals. A client with many
+/// unfinished requests then gives way to others. At the limit of connections, the one with the
+/// least progress is closed for a new one.
 class HttpListener
 {
 public:
--- a/packages/http/src/HttpListener.cpp
+++ b/packages/http/src/HttpListener.cpp
@@ -3,6 +3,7 @@
 #include "ListenerConnection.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace daisydrift {
 
@@ -11,12 +12,15 @@
 constexpr int kListenBacklog = 1024;
 /// Delay after a failed accept, for example when file descriptors run out.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 100 };
+/// Unfinished requests that a client keeps while memory is short. Callers send one at a time on
+/// each of a few connections, and a body of the largest legal size takes 0.2 s at 10 Mbit/s.
+constexpr std::size_t kUnfinishedRequestsKept = 8;
 } // namespace
 
 void HttpListener::State::Accept(const std::shared_ptr<State>& aSelf)
 {
   this->acceptor.async_accept(
-    [this, self = aSelf](std::error_code aError, asio::ip::tcp::socket aSocket) {
+    this->peer, [this, self = aSelf](std::error_code aError, asio::ip::tcp::socket aSocket) {
       if (aError == asio::error::operation_aborted) {
         return;
       }
@@ -40,7 +44,7 @@
   this->acceptor.non_blocking(true, error);
   while (!error) {
     asio::ip::tcp::socket socket(this->loop.Context());
-    this->acceptor.accept(socket, error); // Ends with would_block.
+    this->acceptor.accept(socket, this->peer, error); // Ends with would_block.
     if (!error) {
       this->StartConnection(aSelf, std::move(socket));
     }
@@ -55,7 +59,8 @@
     hasRoom = this->openConnections < this->limits.maxConnections;
   }
   if (hasRoom) {
-    Ref<Connection> connection(new Connection(aSelf, std::move(aSocket)));
+    std::uint64_t client = this->peer.address().to_v4().to_uint();
+    Ref<Connection> connection(new Connection(aSelf, std::move(aSocket), client));
     connection->Start();
   } else if (this->protection.onRefusal) {
     this->protection.onRefusal({ "connections", "", 0 });
@@ -81,6 +86,38 @@
   return true;
 }
 
+bool HttpListener::State::MakeRoom(std::size_t aBytes, const Connection& aFor)
+{
+  return this->RefuseLargestAbove(aBytes, aFor) || this->RefuseOfBusiestClient(aFor);
+}
+
+bool HttpListener::State::RefuseOfBusiestClient(const Connection& aFor)
+{
+  std::unordered_map<std::uint64_t, std::size_t> unfinished;
+  for (const Connection& connection : this->connections) {
+    unfinished[connection.Client()] += connection.IsReceiving() ? 1 : 0;
+  }
+  // In the order of the connections, since the order of the table is arbitrary.
+  std::uint64_t busiest = aFor.Client();
+  for (const Connection& connection : this->connections) {
+    if (unfinished[connection.Client()] > unfinished[busiest]) {
+      busiest = connection.Client();
+    }
+  }
+  if (busiest == aFor.Client() || unfinished[busiest] <= kUnfinishedRequestsKept) {
+    return false;
+  }
+  Connection* largest = nullptr;
+  for (Connection& connection : this->connections) {
+    bool isCandidate = connection.Client() == busiest && connection.IsReceiving();
+    if (isCandidate && (largest == nullptr || connection.HeldBytes() >= largest->HeldBytes())) {
+      largest = &connection;
+    }
+  }
+  largest->Refuse(http::OutOfMemoryResponse(), "client_memory");
+  return true;
+}
+
 bool HttpListener::State::RefuseLargestAbove(std::size_t aBytes, const Connection& aExcept)
 {
   Connection* largest = nullptr;
--- a/packages/http/src/ListenerConnection.cpp
+++ b/packages/http/src/ListenerConnection.cpp
@@ -78,7 +78,9 @@
   bool isCompleted = false;
 };
 
-HttpListener::Connection::Connection(std::shared_ptr<State> aState, asio::ip::tcp::socket aSocket)
+HttpListener::Connection::Connection(std::shared_ptr<State> aState,
+                                     asio::ip::tcp::socket aSocket,
+                                     std::uint64_t aClient)
   : state(std::move(aState))
   , socket(std::move(aSocket))
   , timer(this->socket.get_executor())
@@ -87,6 +89,7 @@
            this->state->limits.maxBodyBytes,
            this->state->limits.maxHeaderFields)
   , reservation(this->state->protection.budget)
+  , client(aClient)
 {
   ++this->state->openConnections;
   this->state->connections.push_back(*this);
@@ -100,7 +103,7 @@
 void HttpListener::Connection::Start()
 {
   while (!this->reservation.Resize(kConnectionBytes)) {
-    if (!this->state->RefuseLargestAbove(kConnectionBytes, *this)) {
+    if (!this->state->MakeRoom(kConnectionBytes, *this)) {
       this->ReportRefusal("memory");
       this->Close();
       return;
@@ -359,6 +362,10 @@
   if (!decision.keepsBody) {
     this->parser.DiscardBody();
   }
+  if (!decision.client.empty()) {
+    // Differs from each address.
+    this->client = std::hash<std::string>()(decision.client) | (std::uint64_t(1) << 63U);
+  }
   return true;
 }
 
@@ -368,7 +375,7 @@
 {
   std::size_t wanted = kConnectionBytes + aBytes;
   while (!this->reservation.Resize(wanted)) {
-    if (!this->state->RefuseLargestAbove(wanted, *this)) {
+    if (!this->state->MakeRoom(wanted, *this)) {
       this->Refuse(http::OutOfMemoryResponse(), "memory");
       return false;
     }
--- a/packages/http/src/ListenerConnection.h
+++ b/packages/http/src/ListenerConnection.h
@@ -42,7 +42,8 @@
       boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
-  Connection(std::shared_ptr<State> aState, asio::ip::tcp::socket aSocket);
+  /// aClient identifies the client's address.
+  Connection(std::shared_ptr<State> aState, asio::ip::tcp::socket aSocket, std::uint64_t aClient);
   ~Connection();
 
   /// Closes the connection at once if there is no memory for it.
@@ -52,6 +53,8 @@
   /// Closes the connection with what it holds.
   void Close();
   ConnectionProgress Progress() const;
+  /// Identifies who sends the present request.
+  std::uint64_t Client() const { return this->client; }
   std::size_t HeldBytes() const { return this->reservation.Bytes(); }
   /// True while a request is arriving.
   bool IsReceiving() const;
@@ -103,10 +106,11 @@
   std::string output;
   std::size_t pendingPosition = 0;
   std::size_t written = 0;
-  /// Value of written when the present window of the minimum rate began.
-  std::size_t writtenBefore = 0;
+  /// Bytes that the client had received when the present window of the minimum rate began.
+  std::size_t receivedBefore = 0;
   std::size_t discardedBytes = 0;
   std::uint64_t timeoutNumber = 0;
+  std::uint64_t client;
   Phase phase = Phase::Reading;
   bool mustClose = false;
   /// What the client sends on is read before the connection is closed, since unread bytes would
@@ -131,6 +135,8 @@
   Handler handler;
   HttpProtection protection;
   asio::ip::tcp::acceptor acceptor;
+  /// Address of the connection that was accepted last.
+  asio::ip::tcp::endpoint peer;
   /// In the order in which they were accepted.
   boost::intrusive::list<Connection, boost::intrusive::constant_time_size<false>> connections;
   std::size_t openConnections = 0;
@@ -145,6 +151,12 @@
   void StartConnection(const std::shared_ptr<State>& aSelf, asio::ip::tcp::socket aSocket);
   /// Closes the connection with the least progress. Returns false when none may be closed.
   bool CloseLeastProgress();
+  /// Refuses an unfinished request so that aFor may hold aBytes. Returns false when there is none
+  /// that has to give way.
+  bool MakeRoom(std::size_t aBytes, const Connection& aFor);
+  /// Refuses the largest unfinished request of the client that has most of them, if that is not the
+  /// client of aFor and they are more than a client may keep.
+  bool RefuseOfBusiestClient(const Connection& aFor);
   /// Refuses the unfinished request that holds most, if that is more than aBytes. Returns false
   /// when there is none.
   bool RefuseLargestAbove(std::size_t aBytes, const Connection& aExcept);
--- a/packages/http/src/ListenerOutput.cpp
+++ b/packages/http/src/ListenerOutput.cpp
@@ -4,6 +4,11 @@
 
 #include <asio/post.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <algorithm>
+
 namespace daisydrift {
 
 namespace {
@@ -66,12 +71,12 @@
                            aResponse.headers,
                            aResponse.body);
   this->written = 0;
-  this->writtenBefore = 0;
+  this->receivedBefore = 0;
   this->hasWriteWindow = false;
   std::size_t bytes = this->output.size() > kShortResponseBytes ? this->output.size() : 0;
   bytes += kConnectionBytes + this->pending.size();
   while (!this->reservation.Resize(bytes)) {
-    if (!this->state->RefuseLargestAbove(bytes, *this)) {
+    if (!this->state->MakeRoom(bytes, *this)) {
       this->ReportRefusal("output");
       this->Close();
       return;
@@ -109,12 +114,16 @@
 
 void HttpListener::Connection::CheckWriteRate()
 {
-  if (this->written - this->writtenBefore < kMinBytesPerWindow) {
+  // The system takes up to some megabytes that the client has not received yet.
+  int queued = 0;
+  ::ioctl(this->socket.native_handle(), SIOCOUTQ, &queued);
+  std::size_t received = this->written - std::min(this->written, static_cast<std::size_t>(queued));
+  if (received < this->receivedBefore + kMinBytesPerWindow) {
     this->ReportRefusal("slow_reader");
     this->Close();
     return;
   }
-  this->writtenBefore = this->written;
+  this->receivedBefore = received;
   this->StartTimeout(kWriteWindow);
 }
 
--- a/packages/http/tests/MemoryBudgetTest.cpp
+++ b/packages/http/tests/MemoryBudgetTest.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <vector>
 
 namespace daisydrift {
 namespace {
@@ -69,9 +70,12 @@
     return protection;
   }
 
-  asio::ip::tcp::socket Send(const std::string& aBytes)
+  /// Sends bytes on a new connection from the loopback address aFrom.
+  asio::ip::tcp::socket Send(const std::string& aBytes, const char* aFrom = "127.0.0.1")
   {
     asio::ip::tcp::socket socket(this->clientContext);
+    socket.open(asio::ip::tcp::v4());
+    socket.bind({ asio::ip::make_address_v4(aFrom), 0 });
     socket.connect({ asio::ip::make_address_v4("127.0.0.1"), this->listener.Port() });
     asio::write(socket, asio::buffer(aBytes));
     this->RunLoop();
@@ -125,6 +129,23 @@
   EXPECT_EQ(this->refusals["memory"], 1);
 }
 
+// Guards against a client whose many unfinished requests, each of them small, keep those of others
+// from being served.
+TEST_F(ListenerBudgetTest, UnfinishedRequestsOfOneClientGiveWayToThoseOfOthers)
+{
+  std::vector<asio::ip::tcp::socket> unfinished;
+  for (int number = 0; number < 13; ++number) {
+    unfinished.push_back(this->Send(Post("/", 3000, 2500), "127.0.0.2"));
+  }
+  EXPECT_EQ(this->refusals["client_memory"], 0);
+  auto ofSame = this->Send(Post("/", 8000, 8000), "127.0.0.2");
+  EXPECT_EQ(this->Received(ofSame).rfind("HTTP/1.1 503 ", 0), 0U);
+  EXPECT_EQ(this->refusals["client_memory"], 0);
+  auto ofOther = this->Send(Post("/", 8000, 8000), "127.0.0.3");
+  EXPECT_EQ(this->Received(ofOther).rfind("HTTP/1.1 200 ", 0), 0U);
+  EXPECT_GT(this->refusals["client_memory"], 0);
+}
+
 // Guards against the body of a request in progress that is held beyond its response.
 TEST_F(ListenerBudgetTest, BodyIsReleasedWithTheResponse)
 {
@@ -168,6 +189,38 @@
   EXPECT_EQ(this->refusals["header_fields"], 1);
 }
 
+// Guards against responses that are held although there is no memory for them.
+TEST_F(ListenerBudgetTest, ResponseBeyondTheBudgetClosesItsConnection)
+{
+  this->handler = [](const Ref<HttpExchange>& aExchange) {
+    aExchange->Reply({ 200, {}, std::string(100000, 'x') });
+  };
+  auto client = this->Send(Post("/", 1, 1));
+  EXPECT_EQ(this->Received(client), "");
+  EXPECT_EQ(this->refusals["output"], 1);
+  EXPECT_EQ(this->listener.OpenConnections(), 0U);
+  EXPECT_EQ(this->listener.OpenExchanges(), 0U);
+  EXPECT_EQ(this->budget->Used(), 0U);
+}
+
+// Guards against a response that is held for good since its client does not read it.
+TEST_F(ListenerBudgetTest, ResponseThatIsNotReadIsGivenUp)
+{
+  HttpListener unlimited(this->loop, {}, [](const Ref<HttpExchange>& aExchange) {
+    aExchange->Reply({ 200, {}, std::string(32 * 1024 * 1024, 'x') });
+  });
+  ASSERT_FALSE(unlimited.Open({ "127.0.0.1", 0 }));
+  asio::ip::tcp::socket client(this->clientContext);
+  client.connect({ asio::ip::make_address_v4("127.0.0.1"), unlimited.Port() });
+  asio::write(client, asio::buffer(Post("/", 1, 1)));
+  this->RunLoop();
+  ASSERT_EQ(unlimited.OpenExchanges(), 1U);
+  while (unlimited.OpenConnections() > 0) {
+    this->RunLoop(); // The timeout of the test ends it otherwise.
+  }
+  EXPECT_EQ(unlimited.OpenExchanges(), 0U);
+}
+
 // Guards against silent connections that keep others from being served.
 TEST_F(ListenerBudgetTest, ConnectionWithTheLeastProgressIsClosedForANewOne)
 {
