--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -355,17 +355,6 @@
   }
 }
 
-void Dispatcher::OnThrottleConfirmed(const ThrottleCommand& aCommand, TimePoint aNow)
-{
-  Worker* worker = this->impl->state.FindWorker(aCommand.worker);
-  Attempt* attempt = worker == nullptr
-                       ? nullptr
-                       : this->impl->state.FindAttempt(*worker, aCommand.task, aCommand.run);
-  if (attempt != nullptr) {
-    dispatch::InterferenceController::OnConfirmed(*attempt, aCommand.percent, aNow);
-  }
-}
-
 void Dispatcher::OnAdvice(const AdviceRequest& aRequest,
                           const std::vector<AdviceGrant>& aGrants,
                           TimePoint aValidUntil)
--- a/packages/dispatch/src/Reports.cpp
+++ b/packages/dispatch/src/Reports.cpp
@@ -245,6 +245,17 @@
   }
 }
 
+void Dispatcher::OnThrottleConfirmed(const ThrottleCommand& aCommand, TimePoint aNow)
+{
+  Worker* worker = this->impl->state.FindWorker(aCommand.worker);
+  Attempt* attempt = worker == nullptr
+                       ? nullptr
+                       : this->impl->state.FindAttempt(*worker, aCommand.task, aCommand.run);
+  if (attempt != nullptr) {
+    dispatch::InterferenceController::OnConfirmed(*attempt, aCommand.percent, aNow);
+  }
+}
+
 void Dispatcher::Impl::OnUnknownRun(Worker& aWorker, const RunningTask& aRunning, TimePoint aNow)
 {
   Step* step =
