--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	@scripts/setup.sh $(PACKAGES)
 
 build: setup
-	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	@cmake -S . -B $(BUILD) -G Ninja -DDAISYDRIFT_WARNINGS_AS_ERRORS=ON > /dev/null
 	@cmake --build $(BUILD) -j $(JOBS)
 
 test: build
@@ -30,7 +30,7 @@
 	@scripts/format.sh --check
 
 lint: setup
-	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	@cmake -S . -B $(BUILD) -G Ninja -DDAISYDRIFT_WARNINGS_AS_ERRORS=ON > /dev/null
 	@scripts/lint.sh $(BUILD) $(JOBS)
 
 clean:
--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,8 +1,14 @@
 # Functions that define the targets of a package in a uniform layout: a library from src/*.cpp, test programs from
 # tests/*Test.cpp, benchmark programs from bench/*Bench.cpp.
 
+# Off for who builds the product: g++ 12 reports a false -Wrestrict in optimized builds of std::string operations. CI
+# sets it through the Makefile.
+option(DAISYDRIFT_WARNINGS_AS_ERRORS "Treat compiler warnings as errors" OFF)
 add_library(daisydrift_warnings INTERFACE)
-target_compile_options(daisydrift_warnings INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers)
+target_compile_options(daisydrift_warnings INTERFACE -Wall -Wextra -Wno-missing-field-initializers)
+if(DAISYDRIFT_WARNINGS_AS_ERRORS)
+  target_compile_options(daisydrift_warnings INTERFACE -Werror)
+endif()
 
 # daisydrift_package(NAME [DEPENDS package...] [PRIVATE_LIBRARIES lib...] [PUBLIC_LIBRARIES lib...])
 function(daisydrift_package NAME)
