Services that wait stop a backlog from taking the headroom

Cause: services start on the room that the headroom keeps, and a backlog of long tasks could take it before them. Change: their waiting steps count with those of the first priority.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -5,10 +5,8 @@
 # sets it through the Makefile.
 option(DAISYDRIFT_WARNINGS_AS_ERRORS "Treat compiler warnings as errors" OFF)
 add_library(daisydrift_warnings INTERFACE)
-target_compile_options(daisydrift_warnings INTERFACE -Wall -Wextra -Wno-missing-field-initializers)
-if(DAISYDRIFT_WARNINGS_AS_ERRORS)
-  target_compile_options(daisydrift_warnings INTERFACE -Werror)
-endif()
+target_compile_options(daisydrift_warnings INTERFACE -Wall -Wextra $<$<BOOL:${DAISYDRIFT_WARNINGS_AS_ERRORS}>:-Werror>
+                       -Wno-missing-field-initializers)
 
 # daisydrift_package(NAME [DEPENDS package...] [PRIVATE_LIBRARIES lib...] [PUBLIC_LIBRARIES lib...])
 function(daisydrift_package NAME)
--- a/packages/dispatch/src/HeadroomController.h
+++ b/packages/dispatch/src/HeadroomController.h
@@ -12,9 +12,9 @@
 /// burst of long tasks on a full fleet: the headroom lets short tasks start at once, but while long
 /// ones wait it stays unused most of the time, and they lose that part of the fleet.
 ///
-/// The headroom shrinks while steps of lower priorities wait and those of the first one do not, and
-/// grows again as soon as the first priority waits, or nothing else does. Growing is the faster of
-/// the two: tasks that took the headroom release it only when they end.
+/// The headroom shrinks while steps of lower priorities wait and those of the first one and of
+/// services do not, and grows again as soon as these wait, or nothing else does. Growing is the
+/// faster of the two: tasks that took the headroom release it only when they end.
 class HeadroomController
 {
 public:
--- a/packages/dispatch/src/Rounds.cpp
+++ b/packages/dispatch/src/Rounds.cpp
@@ -95,13 +95,15 @@
     const Step& step = *entry.step;
     const Job& job = *step.job;
     // The headroom is no concern of steps that wait for something else.
-    if (!step.isReady || step.spec->isService || step.spec->usesSpareCores || job.isOverRate ||
+    if (!step.isReady || step.spec->usesSpareCores || job.isOverRate ||
         (job.team != nullptr && !FleetState::FitsCeiling(*job.team, step.spec->size))) {
       continue;
     }
     Duration slack =
       job.latencyObjective - *std::max_element(job.criticalPaths.begin(), job.criticalPaths.end());
-    if (job.queue->priority > 0 && job.outlook != dispatch::JobOutlook::WithoutValue) {
+    if (step.spec->isService) {
+      first.Add(aNow - step.waitingSince, slack, HeadroomController::kFirstPriorityRisk);
+    } else if (job.queue->priority > 0 && job.outlook != dispatch::JobOutlook::WithoutValue) {
       lower.Add(aNow - step.waitingSince, slack, HeadroomController::kLowerPriorityRisk);
     } else if (job.queue->priority == 0 && job.outlook == dispatch::JobOutlook::InTime) {
       first.Add(aNow - step.waitingSince, slack, HeadroomController::kFirstPriorityRisk);
--- a/packages/dispatch/tests/HeadroomTest.cpp
+++ b/packages/dispatch/tests/HeadroomTest.cpp
@@ -112,5 +112,28 @@
   EXPECT_EQ(this->RunningAfter(seconds(2)), 4U);
 }
 
+// Guards against services that wait for a backlog of long tasks, which has taken the headroom.
+TEST_F(HeadroomTest, WaitingServicesStopTheBacklogFromTakingTheHeadroom)
+{
+  this->policy.queues["watch"] = { "watch", "desk", 1, 4, 1, milliseconds(100), {} };
+  this->dispatcher.SetPolicy(this->policy);
+  for (int number = 0; number < 6; ++number) {
+    JobDefinition job = Job("job" + std::to_string(number), 1, 4000);
+    job.queue = "batch";
+    job.steps[0].estimate = seconds(4);
+    this->Add(job);
+  }
+  ASSERT_EQ(this->RunningAfter(milliseconds(20)), 3U);
+  // Too large for what the three running tasks leave, so they wait.
+  for (int number = 0; number < 2; ++number) {
+    JobDefinition service = Job("service" + std::to_string(number), 1, 6000);
+    service.queue = "watch";
+    service.steps[0].isService = true;
+    service.steps[0].estimate = Duration(0);
+    this->Add(service);
+  }
+  EXPECT_EQ(this->RunningAfter(seconds(1)), 3U);
+}
+
 } // namespace
 } // namespace daisydrift
