--- /dev/null
+++ b/review/standin-3/Waves.cpp
@@ -0,0 +1,202 @@
+// Upkeep in waves: two waves at once with a machine in common; a leader that stands still while the
+// machine interface is slow; and an order that is carried out late, after its sender was killed.
+
+#include "Cases.h"
+
+#include <signal.h>
+
+#include <cstdio>
+
+namespace review {
+
+namespace {
+constexpr seconds kStatusInterval{ 1 };
+
+std::string MachineName(int aNumber)
+{
+  return "m" + std::to_string(aNumber);
+}
+
+/// Machines m1 to mN with a runner each; one that comes back gets a runner with a new id.
+void AddMachines(Deployment& aDeployment, int aCount)
+{
+  for (int number = 1; number <= aCount; ++number) {
+    Runner& runner = aDeployment.AddRunner("r" + std::to_string(number) + "-0", { "a", "r1-1" });
+    aDeployment.machines.Add(MachineName(number), &runner);
+  }
+  aDeployment.machines.newRunner = [&aDeployment,
+                                    lives = std::make_shared<std::map<std::string, int>>()](
+                                     const std::string& aMachine) {
+    int life = ++(*lives)[aMachine];
+    return &aDeployment.AddRunner("r" + aMachine.substr(1) + "-" + std::to_string(life),
+                                  { "a", "r1-1" });
+  };
+}
+
+void RequestWave(Deployment& aDeployment,
+                 std::int64_t aWave,
+                 const std::vector<std::string>& aMachines,
+                 int aDurationSeconds)
+{
+  aDeployment.machines.AddWave(aWave, aMachines, 1);
+  aDeployment.record.Add("the operator requests wave " + std::to_string(aWave) + " of " +
+                         json(aMachines).dump() + ", at most 1 at once");
+  aDeployment.store.Put("op/wave/" + std::to_string(aWave),
+                        json{ { "wave", aWave },
+                              { "machines", aMachines },
+                              { "duration_s", aDurationSeconds },
+                              { "maximum", 1 } }
+                          .dump());
+}
+
+void CancelWave(Deployment& aDeployment, std::int64_t aWave)
+{
+  aDeployment.store.Remove("op/wave/" + std::to_string(aWave));
+}
+
+/// Reads the status of a wave until it is completed, and calls aDone; false when it is not in time.
+void WaitForWave(Deployment& aDeployment,
+                 std::int64_t aWave,
+                 int aTries,
+                 std::function<void(bool)> aDone)
+{
+  aDeployment.client.Call(
+    { "127.0.0.1", aDeployment.store.Port() },
+    "GET",
+    "/kv-key?key=status/wave/" + std::to_string(aWave),
+    "",
+    nullptr,
+    [&aDeployment, aWave, aTries, aDone](int aStatus, const json& aBody) {
+      std::string value =
+        daisydrift::platform::DecodeBase64(aBody.value("value", "")).value_or("");
+      json document = daisydrift::ParseJson(value).value_or(json::object());
+      if (aStatus == 200 && document.value("state", "") == "completed") {
+        aDeployment.record.Add("wave " + std::to_string(aWave) + " is said to be completed");
+        aDone(true);
+      } else if (aTries <= 0) {
+        aDone(false);
+      } else {
+        aDeployment.After(kStatusInterval, [&aDeployment, aWave, aTries, aDone] {
+          WaitForWave(aDeployment, aWave, aTries - 1, aDone);
+        });
+      }
+    });
+}
+
+void JudgeWave(Deployment& aDeployment, std::int64_t aWave, const std::vector<std::string>& aMachines)
+{
+  for (const std::string& machine : aMachines) {
+    if (!aDeployment.machines.HadUpkeep(machine, aWave)) {
+      aDeployment.record.Violation("MIXED: wave " + std::to_string(aWave) +
+                                   " is said to be completed, and the upkeep of " + machine +
+                                   " hasn't begun");
+    }
+  }
+}
+
+json LongTask(int aMilliseconds)
+{
+  return { { "spec", "run " + std::to_string(aMilliseconds) },
+           { "steps",
+             json::array({ { { "count", 1 },
+                             { "cpu", 2000 },
+                             { "mem_mb", 1024 },
+                             { "estimate_ms", aMilliseconds } } }) } };
+}
+} // namespace
+
+void RunOverlappingWaves(Deployment& aDeployment, bool aIsTrouble)
+{
+  AddMachines(aDeployment, 6);
+  aDeployment.WriteConfig(7, { { "bursary", 0 } });
+  aDeployment.Start(3, [&aDeployment, aIsTrouble] {
+    std::vector<std::string> first{ "m1", "m2", "m3" };
+    std::vector<std::string> second{ "m3", "m4", "m5" };
+    auto requestSecond = [&aDeployment, second] {
+      RequestWave(aDeployment, 2, second, 40);
+      WaitForWave(aDeployment, 2, 45, [&aDeployment, second](bool aIsDone) {
+        if (aIsDone) {
+          JudgeWave(aDeployment, 2, second);
+          aDeployment.Finish();
+        } else {
+          aDeployment.GiveUp("wave 2 is not completed in time");
+        }
+      });
+    };
+    RequestWave(aDeployment, 1, first, 40);
+    if (aIsTrouble) {
+      aDeployment.After(seconds(3), requestSecond);
+    }
+    WaitForWave(
+      aDeployment, 1, 45, [&aDeployment, first, requestSecond, aIsTrouble](bool aIsDone) {
+        if (!aIsDone) {
+          aDeployment.GiveUp("wave 1 is not completed in time");
+          return;
+        }
+        JudgeWave(aDeployment, 1, first);
+        if (!aIsTrouble) {
+          requestSecond();
+        }
+      });
+  });
+  aDeployment.loop.Run();
+}
+
+namespace {
+constexpr int kFreezeRounds = 9;
+constexpr milliseconds kFreezeTime{ 4000 };
+/// Time from the request of a wave until it is withdrawn, and until the next one.
+constexpr milliseconds kWaveTime{ 8000 };
+constexpr milliseconds kPauseTime{ 3000 };
+/// 50 times the 4 ms of an ordinary answer, as `cloud_slow`.
+constexpr milliseconds kSlowAnswer{ 200 };
+
+void FreezeRound(Deployment& aDeployment, int aRound, bool aIsTrouble)
+{
+  if (aRound > kFreezeRounds || aDeployment.record.HasViolations()) {
+    aDeployment.Finish();
+    return;
+  }
+  aDeployment.After(kWaveTime, [&aDeployment, aRound, aIsTrouble] {
+    CancelWave(aDeployment, aRound);
+    aDeployment.After(kPauseTime, [&aDeployment, aRound, aIsTrouble] {
+      FreezeRound(aDeployment, aRound + 1, aIsTrouble);
+    });
+  });
+  aDeployment.FindLeader([&aDeployment, aRound, aIsTrouble](Instance* aLeader) {
+    if (aLeader == nullptr) {
+      return;
+    }
+    // The leader waits for the answer of the slow interface.
+    aDeployment.machines.onList = [&aDeployment, aIsTrouble, aLeader] {
+      if (aIsTrouble) {
+        aLeader->Signal(SIGSTOP);
+        aDeployment.After(kFreezeTime, [aLeader] { aLeader->Signal(SIGCONT); });
+      }
+    };
+    RequestWave(aDeployment, aRound, { "m1", "m2", "m3", "m4", "m5", "m6" }, 60);
+    // Meanwhile a member hands a job in.
+    aDeployment.After(milliseconds(2000), [&aDeployment, aRound, aLeader] {
+      char id[32];
+      std::snprintf(id, sizeof(id), "cccccccc%08d", aRound);
+      aDeployment.Submit("bursary", id, LongTask(5000), [](int) {}, 5, aLeader);
+    });
+  });
+}
+} // namespace
+
+void RunFrozenLeader(Deployment& aDeployment, bool aIsTrouble)
+{
+  AddMachines(aDeployment, 6);
+  aDeployment.WriteConfig(7, { { "bursary", 0 } });
+  aDeployment.machines.delay = kSlowAnswer;
+  aDeployment.Start(3, [&aDeployment, aIsTrouble] {
+    // A leader gives no order in its first three seconds.
+    aDeployment.After(seconds(2), [&aDeployment, aIsTrouble] {
+      FreezeRound(aDeployment, 1, aIsTrouble);
+    });
+  });
+  aDeployment.loop.Run();
+}
+
+} // namespace review
