--- a/review/standin-3/Cases.cpp
+++ b/review/standin-3/Cases.cpp
@@ -8,8 +8,10 @@
 {
   static const std::map<std::string, void (*)(Deployment&, bool)> kCases{
     { "large-jobs", &RunLargeJobs },
+    { "long-tasks", &RunLongTasks },
     { "overlapping-waves", &RunOverlappingWaves },
     { "frozen-leader", &RunFrozenLeader },
+    { "late-order", &RunLateOrder },
     { "other-kind", &RunOtherKind },
   };
   auto found = kCases.find(aName);
--- a/review/standin-3/Deployment.h
+++ b/review/standin-3/Deployment.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -280,6 +281,8 @@
   std::vector<std::unique_ptr<Instance>> instances;
   std::vector<std::unique_ptr<Runner>> runners;
   std::string address;
+  /// A new seed for each run.
+  std::mt19937_64 random{ std::random_device()() };
   int exitCode = 2;
 
 private:
--- a/review/standin-3/OtherKind.cpp
+++ b/review/standin-3/OtherKind.cpp
@@ -57,7 +57,7 @@
 void RunOtherKind(Deployment& aDeployment, bool aIsTrouble)
 {
   aDeployment.WriteConfig(7, { { "bursary", 0 } });
-  for (int number = 0; number < 3; ++number) {
+  for (int number = 0; number < 12; ++number) {
     Runner& runner = aDeployment.AddRunner("r" + std::to_string(number),
                                            { number == 0 ? "a" : "b", "r1-1" });
     runner.onStart = [&aDeployment](Runner& aRunner, const std::string& aTask) {
--- a/review/standin-3/Waves.cpp
+++ b/review/standin-3/Waves.cpp
@@ -199,4 +199,80 @@
   aDeployment.loop.Run();
 }
 
+namespace {
+constexpr int kLateRounds = 5;
+constexpr milliseconds kLateWaveTime{ 19000 };
+constexpr milliseconds kLatePauseTime{ 3000 };
+/// Part of the orders that get no answer, and when these are carried out.
+constexpr double kLateShare = 0.5;
+constexpr int kLeastLateMs = 2000;
+constexpr int kMostLateMs = 12000;
+/// Time from the first order without an answer until the leader is killed, and until it is back.
+constexpr milliseconds kKillDelay{ 200 };
+constexpr milliseconds kRestartDelay{ 3500 };
+/// Time in which orders may get no answer.
+constexpr milliseconds kLossTime{ 5500 };
+
+void LateRound(Deployment& aDeployment, int aRound, bool aIsTrouble)
+{
+  if (aRound > kLateRounds || aDeployment.record.HasViolations()) {
+    aDeployment.Finish();
+    return;
+  }
+  aDeployment.After(kLateWaveTime, [&aDeployment, aRound, aIsTrouble] {
+    CancelWave(aDeployment, aRound);
+    aDeployment.After(kLatePauseTime, [&aDeployment, aRound, aIsTrouble] {
+      LateRound(aDeployment, aRound + 1, aIsTrouble);
+    });
+  });
+  aDeployment.FindLeader([&aDeployment, aRound, aIsTrouble](Instance* aLeader) {
+    if (aLeader == nullptr) {
+      return;
+    }
+    auto wasKilled = std::make_shared<bool>(false);
+    if (aIsTrouble) {
+      aDeployment.machines.lateBy = [&aDeployment, wasKilled, aLeader](
+                                      const std::string&,
+                                      const std::string&) -> std::optional<Duration> {
+        if (std::uniform_real_distribution<>(0, 1)(aDeployment.random) >= kLateShare) {
+          return std::nullopt;
+        }
+        if (!std::exchange(*wasKilled, true)) {
+          aDeployment.After(kKillDelay, [aLeader] { aLeader->Signal(SIGKILL); });
+          aDeployment.After(kRestartDelay, [aLeader] {
+            if (aLeader->HasEnded()) {
+              aLeader->Start();
+            }
+          });
+        }
+        return milliseconds(
+          std::uniform_int_distribution<>(kLeastLateMs, kMostLateMs)(aDeployment.random));
+      };
+      aDeployment.After(kLossTime, [&aDeployment] { aDeployment.machines.lateBy = nullptr; });
+    }
+    RequestWave(aDeployment, aRound, { "m1", "m2", "m3", "m4", "m5", "m6" }, 60);
+    // Members hand jobs in.
+    for (int number = 0; number < 3; ++number) {
+      aDeployment.After(milliseconds(2000 + 3000 * number), [&aDeployment, aRound, number, aLeader] {
+        char id[32];
+        std::snprintf(id, sizeof(id), "eeeeeeee%07d%d", aRound, number);
+        aDeployment.Submit("bursary", id, LongTask(5000), [](int) {}, 5, aLeader);
+      });
+    }
+  });
+}
+} // namespace
+
+void RunLateOrder(Deployment& aDeployment, bool aIsTrouble)
+{
+  AddMachines(aDeployment, 6);
+  aDeployment.WriteConfig(7, { { "bursary", 0 } });
+  aDeployment.Start(3, [&aDeployment, aIsTrouble] {
+    aDeployment.After(seconds(2), [&aDeployment, aIsTrouble] {
+      LateRound(aDeployment, 1, aIsTrouble);
+    });
+  });
+  aDeployment.loop.Run();
+}
+
 } // namespace review
