--- a/review/standin-3/Deployment.cpp
+++ b/review/standin-3/Deployment.cpp
@@ -35,17 +35,22 @@
   aExchange->Reply({ aStatus, { { "Content-Type", "application/json" } }, aBody.dump() });
 }
 
-/// A port of that address that is free now.
+/// The next port of that address that is free. They lie below those that the system chooses.
 unsigned short FreePort(const std::string& aAddress)
 {
-  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  static unsigned short next = 20000;
   sockaddr_in address{};
   address.sin_family = AF_INET;
   ::inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr);
-  ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  socklen_t size = sizeof(address);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(fd);
+  for (int tries = 0; tries < 1000; ++tries) {
+    address.sin_port = htons(next++);
+    int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    bool isFree = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(fd);
+    if (isFree) {
+      break;
+    }
+  }
   return ntohs(address.sin_port);
 }
 
