--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../run-case-3.sh" 13 frozen-leader
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,12 +5,12 @@
 cd "$(dirname "$0")/.."
 out=target/review-3
 mkdir -p "$out"
-includes=(-Ireview/standin-3 -Iplatform/soak -Iplatform/src -Iplatform/include)
+includes=(-Ireview/standin-3 -Iplatform/src -Iplatform/include)
 for package in base http dispatch coordination settings; do
   includes+=("-Ipackages/$package/include")
 done
 objects=()
-for source in review/standin-3/*.cpp platform/soak/SoakStore.cpp; do
+for source in review/standin-3/*.cpp; do
   object="$out/$(basename "$source" .cpp).o"
   g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers "${includes[@]}" \
     -DBOOST_ALL_NO_LIB -DFMT_SHARED -DSPDLOG_COMPILED_LIB -DSPDLOG_FMT_EXTERNAL -DSPDLOG_SHARED_LIB \
--- a/review/standin-3/Cases.cpp
+++ b/review/standin-3/Cases.cpp
@@ -8,11 +8,9 @@
 {
   static const std::map<std::string, void (*)(Deployment&, bool)> kCases{
     { "large-jobs", &RunLargeJobs },
-    { "long-tasks", &RunLongTasks },
-    { "overlapping-waves", &RunOverlappingWaves },
+    { "checkpoints", &RunCheckpoints },
     { "frozen-leader", &RunFrozenLeader },
     { "late-order", &RunLateOrder },
-    { "other-kind", &RunOtherKind },
   };
   auto found = kCases.find(aName);
   if (found == kCases.end()) {
--- a/review/standin-3/Cases.h
+++ b/review/standin-3/Cases.h
@@ -9,10 +9,8 @@
 bool RunCase(Deployment& aDeployment, const std::string& aName, bool aIsTrouble);
 
 void RunLargeJobs(Deployment& aDeployment, bool aIsTrouble);
-void RunLongTasks(Deployment& aDeployment, bool aIsTrouble);
-void RunOverlappingWaves(Deployment& aDeployment, bool aIsTrouble);
+void RunCheckpoints(Deployment& aDeployment, bool aIsTrouble);
 void RunFrozenLeader(Deployment& aDeployment, bool aIsTrouble);
 void RunLateOrder(Deployment& aDeployment, bool aIsTrouble);
-void RunOtherKind(Deployment& aDeployment, bool aIsTrouble);
 
 } // namespace review
--- a/review/standin-3/Deployment.cpp
+++ b/review/standin-3/Deployment.cpp
@@ -4,7 +4,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -88,7 +88,7 @@
 
 Runner::Runner(AsioLoop& aLoop,
                Record& aRecord,
-               daisydrift::soak::SoakStore& aStore,
+               Store& aStore,
                std::string aId,
                std::vector<std::string> aLabels,
                Amounts aCapacity)
@@ -267,13 +267,14 @@
   std::string word;
   std::int64_t run = 1000;
   spec >> word >> run;
-  this->running[task] = { number, this->loop.Now(), milliseconds(run) };
+  Duration duration = this->durationOf ? this->durationOf(task) : Duration(milliseconds(run));
+  this->running[task] = { number, this->loop.Now(), duration };
   this->record.Add("start " + task + " run " + std::to_string(number) + " on " + this->id +
                    " fence " + std::to_string(this->fence));
   if (this->onStart) {
     this->onStart(*this, task);
   }
-  this->loop.After(milliseconds(run),
+  this->loop.After(duration,
                    [this, alive = this->isAlive, task, number, now = this->life] {
                      if (*alive && now == this->life) {
                        this->EndRun(task, number, "done");
@@ -327,9 +328,11 @@
   answer["running"] = json::array();
   answer["finished"] = json::array();
   for (const auto& [task, run] : this->running) {
-    double share = std::chrono::duration<double>(this->loop.Now() - run.startedAt) / run.duration;
+    Duration elapsed = this->loop.Now() - run.startedAt;
+    double share = std::chrono::duration<double>(elapsed) / run.duration;
+    std::string saved = this->checkpointOf ? this->checkpointOf(task, elapsed) : "";
     answer["running"].push_back(
-      json::array({ task, run.number, "", std::min(static_cast<int>(share * 100), 99), 0 }));
+      json::array({ task, run.number, saved, std::min(static_cast<int>(share * 100), 99), 0 }));
   }
   for (const End& end : this->ends) {
     if (answer["finished"].size() < 500) {
@@ -396,23 +399,22 @@
   std::string option = "--platform";
   std::array<char*, 3> arguments{ this->program.data(), option.data(), nullptr };
   std::array<char*, 2> environment{ variable.data(), nullptr };
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(
-    &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  int result = ::posix_spawn(&this->pid,
-                             this->program.c_str(),
-                             &actions,
-                             nullptr,
-                             arguments.data(),
-                             environment.data());
-  posix_spawn_file_actions_destroy(&actions);
-  if (result != 0) {
+  this->pid = ::fork();
+  if (this->pid == 0) {
+    // The process ends with the stand-in, also when that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(file, STDOUT_FILENO);
+    ::dup2(file, STDERR_FILENO);
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::execve(this->program.c_str(), arguments.data(), environment.data());
+    ::_exit(127);
+  }
+  if (this->pid < 0) {
     this->pid = 0;
   }
   this->record.Add("instance " + this->name + " is started, pid " + std::to_string(this->pid));
-  return result == 0;
+  return this->pid != 0;
 }
 
 void Instance::Signal(int aSignal)
--- a/review/standin-3/Deployment.h
+++ b/review/standin-3/Deployment.h
@@ -1,8 +1,8 @@
 #pragma once
 // A small deployment for the scripts of the third review: real instances as separate processes, and
-// stand-ins for the platform's store (platform/soak), its runners and its machine interface.
+// stand-ins for the platform's store, its runners and its machine interface.
 
-#include "SoakStore.h"
+#include "Store.h"
 #include "Wire.h"
 #include "daisydrift/http.h"
 
@@ -62,7 +62,7 @@
 public:
   Runner(AsioLoop& aLoop,
          Record& aRecord,
-         daisydrift::soak::SoakStore& aStore,
+         Store& aStore,
          std::string aId,
          std::vector<std::string> aLabels,
          Amounts aCapacity);
@@ -84,6 +84,10 @@
 
   /// Called with the name of each task that begins.
   std::function<void(Runner&, const std::string&)> onStart;
+  /// Run time of a task, instead of the one in its spec.
+  std::function<Duration(const std::string&)> durationOf;
+  /// Checkpoint of a task that has run for a time; without it there are none.
+  std::function<std::string(const std::string&, Duration)> checkpointOf;
 
 private:
   struct Run
@@ -113,7 +117,7 @@
 
   AsioLoop& loop;
   Record& record;
-  daisydrift::soak::SoakStore& store;
+  Store& store;
   std::string id;
   std::vector<std::string> labels;
   Amounts capacity;
@@ -275,7 +279,7 @@
 
   AsioLoop loop;
   Record record;
-  daisydrift::soak::SoakStore store;
+  Store store;
   Machines machines;
   Client client;
   std::vector<std::unique_ptr<Instance>> instances;
--- a/review/standin-3/Waves.cpp
+++ b/review/standin-3/Waves.cpp
@@ -1,5 +1,5 @@
-// Upkeep in waves: two waves at once with a machine in common; a leader that stands still while the
-// machine interface is slow; and an order that is carried out late, after its sender was killed.
+// Upkeep in waves: a leader that stands still while the machine interface is slow, and an order that
+// is carried out late, after its sender was killed.
 
 #include "Cases.h"
 
@@ -10,8 +10,6 @@
 namespace review {
 
 namespace {
-constexpr seconds kStatusInterval{ 1 };
-
 std::string MachineName(int aNumber)
 {
   return "m" + std::to_string(aNumber);
@@ -54,46 +52,6 @@
   aDeployment.store.Remove("op/wave/" + std::to_string(aWave));
 }
 
-/// Reads the status of a wave until it is completed, and calls aDone; false when it is not in time.
-void WaitForWave(Deployment& aDeployment,
-                 std::int64_t aWave,
-                 int aTries,
-                 std::function<void(bool)> aDone)
-{
-  aDeployment.client.Call(
-    { "127.0.0.1", aDeployment.store.Port() },
-    "GET",
-    "/kv-key?key=status/wave/" + std::to_string(aWave),
-    "",
-    nullptr,
-    [&aDeployment, aWave, aTries, aDone](int aStatus, const json& aBody) {
-      std::string value =
-        daisydrift::platform::DecodeBase64(aBody.value("value", "")).value_or("");
-      json document = daisydrift::ParseJson(value).value_or(json::object());
-      if (aStatus == 200 && document.value("state", "") == "completed") {
-        aDeployment.record.Add("wave " + std::to_string(aWave) + " is said to be completed");
-        aDone(true);
-      } else if (aTries <= 0) {
-        aDone(false);
-      } else {
-        aDeployment.After(kStatusInterval, [&aDeployment, aWave, aTries, aDone] {
-          WaitForWave(aDeployment, aWave, aTries - 1, aDone);
-        });
-      }
-    });
-}
-
-void JudgeWave(Deployment& aDeployment, std::int64_t aWave, const std::vector<std::string>& aMachines)
-{
-  for (const std::string& machine : aMachines) {
-    if (!aDeployment.machines.HadUpkeep(machine, aWave)) {
-      aDeployment.record.Violation("MIXED: wave " + std::to_string(aWave) +
-                                   " is said to be completed, and the upkeep of " + machine +
-                                   " hasn't begun");
-    }
-  }
-}
-
 json LongTask(int aMilliseconds)
 {
   return { { "spec", "run " + std::to_string(aMilliseconds) },
@@ -105,43 +63,6 @@
 }
 } // namespace
 
-void RunOverlappingWaves(Deployment& aDeployment, bool aIsTrouble)
-{
-  AddMachines(aDeployment, 6);
-  aDeployment.WriteConfig(7, { { "bursary", 0 } });
-  aDeployment.Start(3, [&aDeployment, aIsTrouble] {
-    std::vector<std::string> first{ "m1", "m2", "m3" };
-    std::vector<std::string> second{ "m3", "m4", "m5" };
-    auto requestSecond = [&aDeployment, second] {
-      RequestWave(aDeployment, 2, second, 40);
-      WaitForWave(aDeployment, 2, 45, [&aDeployment, second](bool aIsDone) {
-        if (aIsDone) {
-          JudgeWave(aDeployment, 2, second);
-          aDeployment.Finish();
-        } else {
-          aDeployment.GiveUp("wave 2 is not completed in time");
-        }
-      });
-    };
-    RequestWave(aDeployment, 1, first, 40);
-    if (aIsTrouble) {
-      aDeployment.After(seconds(3), requestSecond);
-    }
-    WaitForWave(
-      aDeployment, 1, 45, [&aDeployment, first, requestSecond, aIsTrouble](bool aIsDone) {
-        if (!aIsDone) {
-          aDeployment.GiveUp("wave 1 is not completed in time");
-          return;
-        }
-        JudgeWave(aDeployment, 1, first);
-        if (!aIsTrouble) {
-          requestSecond();
-        }
-      });
-  });
-  aDeployment.loop.Run();
-}
-
 namespace {
 constexpr int kFreezeRounds = 9;
 constexpr milliseconds kFreezeTime{ 4000 };
