--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=target/review-3
+if [ ! -f target/platform/libdaisydrift_platform.a ]; then
+  echo "build first: the build of deploy/system.toml" >&2
+  exit 1
+fi
+rm -rf "$out"
 mkdir -p "$out"
 includes=(-Ireview/standin-3 -Iplatform/src -Iplatform/include)
 for package in base http dispatch coordination settings; do
